--- /dev/null
+++ b/bench/src/run.ts
@@ -0,0 +1,2 @@
+/** Benchmarks. */
+export {};
--- /dev/null
+++ b/packages/stand-ins/src/demo/caller.ts
@@ -0,0 +1,94 @@
+/** A caller over HTTP, as a client of the system would write it. */
+import { EventSourceParserStream } from "eventsource-parser/stream";
+import { Readable } from "node:stream";
+import { request } from "undici";
+import { END_OF_STREAM } from "wigeonpulley";
+
+/** One received event. */
+export interface ReceivedEvent {
+    readonly id: string;
+    readonly data: string;
+}
+
+/** What a caller got. */
+export interface ReceivedStream {
+    readonly status: number;
+    readonly requestId: string;
+    /** Ends, or throws when the connection is lost. */
+    readonly events: AsyncIterable<ReceivedEvent>;
+}
+
+/** Sends a chat request and reads the stream. */
+export const openChat = (
+    baseUrl: string,
+    key: string,
+    body: object,
+    labels = "",
+): Promise<ReceivedStream> =>
+    openStream(`${baseUrl}/v1/chat/completions`, {
+        method: "POST",
+        headers: {
+            authorization: `Bearer ${key}`,
+            "content-type": "application/json",
+            "wigeonpulley-labels": labels,
+        },
+        body: JSON.stringify({ ...body, stream: true }),
+    });
+
+/** Continues a stream behind an event, through any VM. */
+export const resumeChat = (baseUrl: string, key: string, lastEventId: string): Promise<ReceivedStream> =>
+    openStream(`${baseUrl}/v1/answers`, {
+        method: "GET",
+        headers: { authorization: `Bearer ${key}`, "last-event-id": lastEventId },
+    });
+
+/** Sends an order to a plain service. Returns status and body. */
+export const sendOrder = async (
+    baseUrl: string,
+    key: string,
+    idempotencyKey: string,
+    body: object,
+): Promise<{ readonly status: number; readonly body: string; }> => {
+    const answer = await request(`${baseUrl}/services/orders/place`, {
+        method: "POST",
+        headers: {
+            authorization: `Bearer ${key}`,
+            "content-type": "application/json",
+            "idempotency-key": idempotencyKey,
+        },
+        body: JSON.stringify(body),
+    });
+    return { status: answer.statusCode, body: await answer.body.text() };
+};
+
+/** The text of an event's token; empty for the last event. */
+export const readTokenText = ({ data }: ReceivedEvent): string => {
+    if (data === END_OF_STREAM) {
+        return "";
+    }
+    const chunk = JSON.parse(data) as { choices: { delta: { content: string; }; }[]; };
+    return chunk.choices[0]?.delta.content ?? "";
+};
+
+const openStream = async (
+    url: string,
+    options: NonNullable<Parameters<typeof request>[1]>,
+): Promise<ReceivedStream> => {
+    const answer = await request(url, { ...options, reset: true });
+    return {
+        status: answer.statusCode,
+        requestId: String(answer.headers["x-request-id"] ?? ""),
+        events: readEvents(answer.body),
+    };
+};
+
+async function* readEvents(body: Readable): AsyncGenerator<ReceivedEvent, void, undefined> {
+    const text = Readable.toWeb(body) as ReadableStream<Uint8Array>;
+    for await (
+        const { id, data } of text.pipeThrough(new TextDecoderStream()).pipeThrough(
+            new EventSourceParserStream(),
+        )
+    ) {
+        yield { id: id ?? "", data };
+    }
+}
--- /dev/null
+++ b/packages/stand-ins/src/demo/cluster.ts
@@ -0,0 +1,235 @@
+/** A small system of real processes on loopback: platform, engines, a service and three VMs. */
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+import { request } from "undici";
+import { type ConfigurationInput, hashKey, type SettingsInput } from "wigeonpulley";
+import {
+    endProcess,
+    findFreePort,
+    type LogLine,
+    type StartedProcess,
+    startStandIn,
+    startVm,
+} from "./processes.js";
+
+const LOOPBACK = "127.0.0.1";
+const VM_NAMES = ["vm-1", "vm-2", "vm-3"] as const;
+const POLL_MS = 50;
+const BALANCER_DELAY_MS = 200;
+
+/** Keys of the demo. They are not secrets. */
+export const demoKeys = {
+    caller: "demo-caller-key",
+    stranger: "demo-stranger-key",
+    operator: "demo-operator-key",
+};
+
+/** Names of the VMs. */
+export type VmName = (typeof VM_NAMES)[number];
+
+/** Running processes. */
+export class DemoCluster {
+    readonly logLines: LogLine[] = [];
+    private readonly folder = mkdtempSync(join(tmpdir(), "wigeonpulley-demo-"));
+    private readonly standIns = new Map<string, StartedProcess>();
+    private readonly vms = new Map<VmName, StartedProcess>();
+    private readonly peerPorts = new Map<VmName, number>();
+
+    private constructor(private readonly paths: { readonly cli: string; readonly standIn: string; }) {}
+
+    /** Starts the stand-ins, publishes the configuration, and starts the VMs. */
+    static async create(): Promise<DemoCluster> {
+        const cluster = new DemoCluster({
+            cli: fileURLToPath(
+                import.meta.resolve("wigeonpulley").replace("dist/src/index.js", "bin/wigeonpulley.mjs"),
+            ),
+            standIn: fileURLToPath(
+                import.meta.resolve("@wigeonpulley/stand-ins").replace("index.js", "main.js"),
+            ),
+        });
+        await cluster.startStandIns();
+        for (const name of VM_NAMES) {
+            await cluster.startVm(name);
+        }
+        return cluster;
+    }
+
+    /** Base URL of a VM for callers. */
+    findVmUrl(name: VmName): string {
+        return `http://${LOOPBACK}:${this.vms.get(name)?.port}`;
+    }
+
+    /** Base URL of a stand-in. */
+    findStandInUrl(name: string): string {
+        return `http://${LOOPBACK}:${this.standIns.get(name)?.port}`;
+    }
+
+    /** URL of the log. */
+    get logUrl(): string {
+        return `${this.findStandInUrl("platform")}/log`;
+    }
+
+    /** The process of a VM. */
+    findVm(name: VmName): StartedProcess {
+        const vm = this.vms.get(name);
+        if (vm === undefined) {
+            throw new RangeError(`${name} is not running`);
+        }
+        return vm;
+    }
+
+    /** Starts a VM, or a replacement with the same name. */
+    async startVm(name: VmName): Promise<void> {
+        const settingsPath = join(this.folder, `${name}.json`);
+        const port = await findFreePort();
+        const peerPort = await findFreePort();
+        this.peerPorts.set(name, peerPort);
+        writeFileSync(settingsPath, JSON.stringify(this.createSettings(name, port, peerPort)));
+        this.vms.set(
+            name,
+            await startVm(this.paths.cli, settingsPath, port, line => this.logLines.push(line)),
+        );
+    }
+
+    /** Waits until a VM is ready and sees all live VMs. */
+    async waitReady(live: readonly VmName[] = VM_NAMES): Promise<void> {
+        for (const name of live) {
+            while (!(await this.isSettled(name, live.length))) {
+                await new Promise(resolve => setTimeout(resolve, POLL_MS));
+            }
+        }
+    }
+
+    /** Runs a `wigeonpulley` command and returns its exit code and output. */
+    async runCli(
+        ...args: readonly string[]
+    ): Promise<{ readonly code: number | undefined; readonly output: string; }> {
+        const { spawn } = await import("node:child_process");
+        const { text } = await import("node:stream/consumers");
+        const child = spawn(process.execPath, [this.paths.cli, ...args], {
+            stdio: ["ignore", "pipe", "pipe"],
+            env: { ...process.env, WIGEONPULLEY_OPERATOR_KEY: demoKeys.operator },
+        });
+        const exited = new Promise<number | undefined>(resolve =>
+            child.once("exit", code => resolve(code ?? undefined))
+        );
+        const [out, error, code] = await Promise.all([text(child.stdout), text(child.stderr), exited]);
+        return { code, output: out + error };
+    }
+
+    /** Writes a configuration and returns the path of its file. */
+    writeConfiguration(configuration: ConfigurationInput): string {
+        const path = join(this.folder, "configuration.json");
+        writeFileSync(path, JSON.stringify(configuration));
+        return path;
+    }
+
+    /** The configuration of the demo. */
+    createConfiguration(): ConfigurationInput {
+        const place = { region: "south", dataCentre: "south-1" };
+        return {
+            tiers: [
+                { name: "quotes", deadlineMs: 60_000, durable: true },
+                { name: "answers", deadlineMs: 20_000 },
+            ],
+            models: [{ name: "grafting-7b", versions: ["v1"] }],
+            endpoints: [
+                ...["engine-1", "engine-2"].map(name => ({
+                    ...place,
+                    name,
+                    kind: "engine" as const,
+                    url: this.findStandInUrl(name),
+                    serves: "grafting-7b",
+                })),
+                {
+                    ...place,
+                    name: "orders-1",
+                    kind: "service",
+                    url: this.findStandInUrl("orders-1"),
+                    serves: "orders",
+                },
+            ],
+            callers: [
+                { name: "cooperative", workspace: "sales", keyHash: hashKey(demoKeys.caller) },
+                { name: "stranger", workspace: "other", keyHash: hashKey(demoKeys.stranger) },
+            ],
+            selectors: [
+                {
+                    name: "quotes",
+                    request: { kind: "quote" },
+                    tier: "quotes",
+                    target: { serves: "grafting-7b" },
+                },
+                { name: "answers", tier: "answers", target: { serves: "grafting-7b" } },
+                { name: "orders", tier: "quotes", target: { serves: "orders" }, idempotent: false },
+            ],
+        };
+    }
+
+    /** Ends a VM with a signal. Returns its exit code. */
+    async endVm(name: VmName, signal: NodeJS.Signals): Promise<number | undefined> {
+        const code = await endProcess(this.findVm(name).child, signal);
+        this.vms.delete(name);
+        return code;
+    }
+
+    /** Ends everything that still runs and removes the settings. */
+    async close(): Promise<void> {
+        await Promise.all([...this.vms.values()].map(({ child }) => endProcess(child, "SIGKILL")));
+        await Promise.all([...this.standIns.values()].map(({ child }) => endProcess(child, "SIGKILL")));
+        rmSync(this.folder, { recursive: true });
+    }
+
+    private async startStandIns(): Promise<void> {
+        const { standIn } = this.paths;
+        this.standIns.set("platform", await startStandIn(standIn, "platform"));
+        for (const name of ["engine-1", "engine-2"]) {
+            const args = ["engine", "--name", name, "--serves", "grafting-7b", "--step-ms", "30"];
+            this.standIns.set(name, await startStandIn(standIn, ...args));
+        }
+        this.standIns.set("orders-1", await startStandIn(standIn, "service", "--name", "orders"));
+        const path = this.writeConfiguration(this.createConfiguration());
+        const published = await this.runCli(
+            "config",
+            "publish",
+            path,
+            "--log",
+            this.logUrl,
+            "--author",
+            "demo",
+        );
+        if (published.code !== 0) {
+            throw new Error(published.output);
+        }
+    }
+
+    private createSettings(name: VmName, port: number, peerPort: number): SettingsInput {
+        return {
+            name,
+            region: "south",
+            dataCentre: "south-1",
+            listen: { host: LOOPBACK, port },
+            peer: { host: LOOPBACK, port: peerPort },
+            platform: { log: this.logUrl, vmList: this.findStandInUrl("platform") },
+            signingKeys: [{ id: "a", secret: "demo-signing-secret-of-32-characters" }],
+            peerKey: "demo-peer-key-of-at-least-32-characters",
+            operatorKeyHash: hashKey(demoKeys.operator),
+            timing: { balancerDelayMs: BALANCER_DELAY_MS },
+            logLevel: "debug",
+        };
+    }
+
+    private async isSettled(name: VmName, liveCount: number): Promise<boolean> {
+        const answer = await request(`${this.findVmUrl(name)}/operator/status`, {
+            headers: { authorization: `Bearer ${demoKeys.operator}` },
+        });
+        const status = await answer.body.json() as {
+            configuration: number;
+            members: { isLive: boolean; isLeaving: boolean; }[];
+        };
+        return status.configuration >= 0
+            && status.members.filter(member => member.isLive).length === liveCount;
+    }
+}
--- /dev/null
+++ b/packages/stand-ins/src/engine/engine-server.ts
@@ -0,0 +1,58 @@
+/** A model engine as a process: chat completions over server-sent events. */
+import fastify, { type FastifyInstance, type FastifyReply } from "fastify";
+import { Readable } from "node:stream";
+import { parseChatBody, SystemTimerService } from "wigeonpulley";
+import { EngineModel, type EngineOptions, type EngineRun } from "./engine-model.js";
+
+const HTTP_BAD_REQUEST = 400;
+const HTTP_NOT_FOUND = 404;
+const HTTP_CONFLICT = 409;
+const DEFAULT_ANSWER_TOKENS = 64;
+
+/** Creates the server of one engine. */
+export const createEngineServer = (
+    options: Pick<EngineOptions, "name" | "serves"> & Partial<EngineOptions>,
+): FastifyInstance => {
+    const engine = EngineModel.create({ ...options, timers: SystemTimerService.create() });
+    const app = fastify({ forceCloseConnections: true, bodyLimit: 10_000_000 });
+    const send = (reply: FastifyReply, run: EngineRun, from: number): FastifyReply =>
+        reply
+            .type("text/event-stream")
+            .header("x-request-id", run.work.id)
+            .send(Readable.from(formatEvents(engine, run, from), { objectMode: false }));
+    app.post("/v1/chat/completions", (request, reply) => {
+        const body = parseChatBody(request.body);
+        const id = String(request.headers["x-request-id"] ?? "");
+        if (body.isErr() || id === "") {
+            return reply.status(HTTP_BAD_REQUEST).send({});
+        }
+        const { promptTokens, maximumTokens, prefixBlocks } = body.value;
+        const answerTokens = maximumTokens ?? DEFAULT_ANSWER_TOKENS;
+        const run = engine.start({ id, promptTokens, answerTokens, prefixBlocks });
+        return run === undefined ? reply.status(HTTP_CONFLICT).send({}) : send(reply, run, 0);
+    });
+    app.get<{ Params: { id: string; }; Querystring: { from?: string; }; }>(
+        "/v1/requests/:id/events",
+        (request, reply) => {
+            const run = engine.runs.get(request.params.id);
+            return run === undefined
+                ? reply.status(HTTP_NOT_FOUND).send({})
+                : send(reply, run, Number(request.query.from ?? 0));
+        },
+    );
+    app.delete<{ Params: { id: string; }; }>("/v1/requests/:id", request => ({
+        outcome: engine.cancel(request.params.id),
+    }));
+    app.get("/v1/report", () => engine.readReport());
+    app.get(
+        "/runs",
+        () => [...engine.runs.values()].map(({ work, starts, state }) => ({ id: work.id, starts, state })),
+    );
+    return app;
+};
+
+async function* formatEvents(engine: EngineModel, run: EngineRun, from: number): AsyncGenerator<string> {
+    for await (const { sequence, data } of engine.readEvents(run, from)) {
+        yield `id: ${sequence}\ndata: ${data}\n\n`;
+    }
+}
--- /dev/null
+++ b/packages/stand-ins/src/engine/model-endpoint-client.ts
@@ -0,0 +1,234 @@
+/** Endpoints in memory, with the faults of connections. */
+import { Err, Ok, type Result } from "ts-results-es";
+import {
+    type CancelOutcome,
+    type DispatchPermit,
+    type DispatchResult,
+    type Endpoint,
+    EndpointClient,
+    type EndpointReport,
+    type EndpointRequest,
+    type EngineEvent,
+    type EngineStream,
+    parseChatBody,
+    SchedulerError,
+    type ServiceAnswer,
+    type StartedStream,
+    type TimerService,
+    type UsedPermit,
+} from "wigeonpulley";
+import type { ServiceModel } from "../service/service-model.js";
+import type { EngineModel, EngineRun } from "./engine-model.js";
+
+/** What may happen to one connection. */
+export type EndpointFault =
+    | { readonly kind: "none"; }
+    /** No connection is made. */
+    | { readonly kind: "no-connection"; }
+    /** The request is lost on the way and the client does not know. */
+    | { readonly kind: "lost-request"; }
+    /** The request arrives and the connection is lost. */
+    | { readonly kind: "lost-answer"; }
+    /** The request arrives long after the client has given up. */
+    | { readonly kind: "arrives-late"; readonly delayMs: number; }
+    /** The stream falls silent after some events. */
+    | { readonly kind: "silent"; readonly afterEvents: number; }
+    /** The stream is cut after some events. */
+    | { readonly kind: "cut"; readonly afterEvents: number; }
+    /** The connection carries the answer to another request. */
+    | { readonly kind: "crossed"; };
+
+/** An operation on an endpoint. */
+export type EndpointOperation = "dispatch" | "resume" | "cancel" | "report";
+
+const NO_FAULT: EndpointFault = { kind: "none" };
+const DEFAULT_ANSWER_TOKENS = 64;
+
+/** Time after which a client notices a lost connection, in milliseconds. */
+const LOSS_NOTICED_MS = 100;
+
+/** Client of engines and services in the same process. */
+export class ModelEndpointClient extends EndpointClient {
+    /** Chooses the fault of each operation. */
+    chooseFault: (operation: EndpointOperation, endpoint: string, requestId: string) => EndpointFault = () =>
+        NO_FAULT;
+    readonly engines = new Map<string, EngineModel>();
+    readonly services = new Map<string, ServiceModel>();
+
+    private constructor(private readonly timers: TimerService, private readonly delayMs: number) {
+        super();
+    }
+
+    /** Creates a client; each message takes `delayMs` milliseconds. */
+    static create(timers: TimerService, delayMs = 1): ModelEndpointClient {
+        return new ModelEndpointClient(timers, delayMs);
+    }
+
+    override async dispatchToEngine(
+        endpoint: Endpoint,
+        permit: DispatchPermit,
+        request: EndpointRequest,
+    ): Promise<DispatchResult<StartedStream>> {
+        const used = takePermit(permit);
+        const fault = this.chooseFault("dispatch", endpoint.name, request.id);
+        await this.timers.sleep(this.delayMs);
+        const engine = this.engines.get(endpoint.name);
+        if (fault.kind === "no-connection" || engine === undefined) {
+            const error = SchedulerError.create("EndpointUnreachable", {
+                endpoint: endpoint.name,
+                reason: "refused",
+            });
+            return Err({ kind: "not-sent", permit: used.restore("no-connection"), error });
+        }
+        if (fault.kind === "arrives-late") {
+            this.timers.schedule(fault.delayMs, () => void this.startRun(engine, request));
+        }
+        if (fault.kind === "lost-request" || fault.kind === "arrives-late") {
+            await this.timers.sleep(LOSS_NOTICED_MS);
+            return Err({ kind: "maybe-sent", used, error: createError(endpoint, "lost") });
+        }
+        const run = this.startRun(engine, request);
+        if (run === undefined) {
+            return Err({ kind: "rejected", error: createError(endpoint, "cancelled") });
+        }
+        if (fault.kind === "lost-answer") {
+            await this.timers.sleep(LOSS_NOTICED_MS);
+            return Err({ kind: "maybe-sent", used, error: createError(endpoint, "lost") });
+        }
+        return Ok({ used, stream: this.openStream(engine, run, 0, fault) });
+    }
+
+    override async dispatchToService(
+        endpoint: Endpoint,
+        permit: DispatchPermit,
+        request: EndpointRequest,
+        signal: AbortSignal,
+    ): Promise<DispatchResult<ServiceAnswer>> {
+        const used = takePermit(permit);
+        const fault = this.chooseFault("dispatch", endpoint.name, request.id);
+        await this.timers.sleep(this.delayMs);
+        const service = this.services.get(endpoint.name);
+        if (fault.kind === "no-connection" || service === undefined) {
+            const error = SchedulerError.create("EndpointUnreachable", {
+                endpoint: endpoint.name,
+                reason: "refused",
+            });
+            return Err({ kind: "not-sent", permit: used.restore("no-connection"), error });
+        }
+        if (fault.kind === "lost-request") {
+            return Err({ kind: "maybe-sent", used, error: createError(endpoint, "lost") });
+        }
+        const answer = service.run(request.id, request.idempotencyKey, request.path);
+        if (fault.kind === "lost-answer" || fault.kind === "cut") {
+            return Err({ kind: "maybe-sent", used, error: createError(endpoint, "lost") });
+        }
+        if (fault.kind === "silent") {
+            await new Promise<void>(resolve =>
+                signal.addEventListener("abort", () => resolve(), { once: true })
+            );
+            return Err({ kind: "maybe-sent", used, error: createError(endpoint, "aborted") });
+        }
+        return Ok(await answer);
+    }
+
+    override async resume(
+        endpoint: Endpoint,
+        requestId: string,
+        sequence: number,
+    ): Promise<Result<EngineStream | undefined, SchedulerError>> {
+        const fault = this.chooseFault("resume", endpoint.name, requestId);
+        await this.timers.sleep(this.delayMs);
+        const engine = this.engines.get(endpoint.name);
+        if (engine === undefined || fault.kind === "no-connection") {
+            return Err(createError(endpoint, "refused"));
+        }
+        const run = engine.runs.get(requestId);
+        return Ok(run === undefined ? undefined : this.openStream(engine, run, sequence, fault));
+    }
+
+    override async cancel(
+        endpoint: Endpoint,
+        requestId: string,
+    ): Promise<Result<CancelOutcome, SchedulerError>> {
+        const fault = this.chooseFault("cancel", endpoint.name, requestId);
+        await this.timers.sleep(this.delayMs);
+        const engine = this.engines.get(endpoint.name);
+        if (engine === undefined || fault.kind === "no-connection") {
+            return Err(createError(endpoint, "refused"));
+        }
+        return Ok(engine.cancel(requestId));
+    }
+
+    override async readReport(endpoint: Endpoint): Promise<Result<EndpointReport, SchedulerError>> {
+        const fault = this.chooseFault("report", endpoint.name, "");
+        await this.timers.sleep(this.delayMs);
+        if (fault.kind !== "none") {
+            return Err(createError(endpoint, "refused"));
+        }
+        const engine = this.engines.get(endpoint.name);
+        if (engine !== undefined) {
+            return Ok(await engine.readReport());
+        }
+        return this.services.has(endpoint.name)
+            ? Ok({
+                serves: endpoint.serves,
+                version: endpoint.version,
+                running: 0,
+                waiting: 0,
+                evictedBlocks: [],
+            })
+            : Err(createError(endpoint, "refused"));
+    }
+
+    private startRun(engine: EngineModel, request: EndpointRequest): EngineRun | undefined {
+        const { promptTokens, maximumTokens, prefixBlocks } = parseChatBody(JSON.parse(request.body))
+            .unwrap();
+        const answerTokens = maximumTokens ?? DEFAULT_ANSWER_TOKENS;
+        return engine.start({ id: request.id, promptTokens, answerTokens, prefixBlocks });
+    }
+
+    private openStream(
+        engine: EngineModel,
+        run: EngineRun,
+        from: number,
+        fault: EndpointFault,
+    ): EngineStream {
+        const other = fault.kind === "crossed" ? findOtherRun(engine, run) : run;
+        return {
+            requestId: other.work.id,
+            events: this.readWithFault(engine.readEvents(other, from), fault),
+            close: () => undefined,
+        };
+    }
+
+    private async *readWithFault(
+        events: AsyncIterable<EngineEvent>,
+        fault: EndpointFault,
+    ): AsyncGenerator<EngineEvent, void, undefined> {
+        let count = 0;
+        for await (const event of events) {
+            if (fault.kind === "silent" && count >= fault.afterEvents) {
+                await new Promise<never>(() => undefined);
+            }
+            if (fault.kind === "cut" && count >= fault.afterEvents) {
+                throw SchedulerError.create("InternalError", { reason: "connection reset" });
+            }
+            count += 1;
+            yield event;
+        }
+    }
+}
+
+const takePermit = (permit: DispatchPermit): UsedPermit => {
+    const used = permit.use();
+    if (used === undefined) {
+        throw SchedulerError.create("InternalError", { reason: "the dispatch permit was used before" });
+    }
+    return used;
+};
+
+const findOtherRun = (engine: EngineModel, run: EngineRun): EngineRun =>
+    [...engine.runs.values()].find(candidate => candidate !== run) ?? run;
+
+const createError = (endpoint: Endpoint, reason: string): SchedulerError =>
+    SchedulerError.create("EndpointFailed", { endpoint: endpoint.name, reason });
--- /dev/null
+++ b/packages/stand-ins/src/index.ts
@@ -0,0 +1,21 @@
+/** Stand-ins for everything outside of the system. Private: used by tests, benchmarks and the demo. */
+export {
+    createTokenText,
+    EngineModel,
+    type EngineOptions,
+    type EngineRun,
+    type EngineWork,
+} from "./engine/engine-model.js";
+export { createEngineServer } from "./engine/engine-server.js";
+export { type EndpointFault, ModelEndpointClient } from "./engine/model-endpoint-client.js";
+export { ModelPeerNetwork } from "./peers/model-peer-network.js";
+export {
+    type LogFault,
+    ModelLog,
+    ModelVmList,
+    PlatformModel,
+    type PlatformOptions,
+} from "./platform/platform-model.js";
+export { createPlatformServer } from "./platform/platform-server.js";
+export { ServiceModel } from "./service/service-model.js";
+export { createServiceServer } from "./service/service-server.js";
--- /dev/null
+++ b/packages/stand-ins/src/peers/model-peer-network.ts
@@ -0,0 +1,178 @@
+/** The network between VMs in memory: delays, cut links and frozen VMs. */
+import { Err, Ok, type Result } from "ts-results-es";
+import {
+    type ClaimRequest,
+    type ClaimResponse,
+    type ConfigurationVersion,
+    type GatewayMessage,
+    type MemberDigest,
+    MessageQueue,
+    type PeerHandler,
+    PeerTransport,
+    SchedulerError,
+    type SchedulerMessage,
+    type TimerService,
+    type VmEntry,
+} from "wigeonpulley";
+
+/** Time after which a call to an unreachable VM fails, in milliseconds. */
+const CALL_TIMEOUT_MS = 1_000;
+
+/** All VMs of one test. */
+export class ModelPeerNetwork {
+    private readonly handlers = new Map<string, PeerHandler>();
+    private readonly cuts = new Set<string>();
+    /** Streams that end when a VM dies or a link is cut, by the names of both ends. */
+    private readonly streams = new Map<string, Set<() => void>>();
+
+    private constructor(private readonly timers: TimerService, private readonly delayMs: number) {}
+
+    /** Creates a network without VMs; each message takes `delayMs` milliseconds. */
+    static create(timers: TimerService, delayMs = 1): ModelPeerNetwork {
+        return new ModelPeerNetwork(timers, delayMs);
+    }
+
+    /** Adds a VM, or replaces it. */
+    attach(name: string, handler: PeerHandler): void {
+        this.handlers.set(name, handler);
+    }
+
+    /** Kills a VM: its streams break at once. */
+    detach(name: string): void {
+        this.handlers.delete(name);
+        this.breakStreams(name);
+    }
+
+    /** Cuts the link between two VMs; messages vanish silently. */
+    cut(left: string, right: string): void {
+        this.cuts.add(createLinkName(left, right));
+    }
+
+    /** Restores the link between two VMs. */
+    restore(left: string, right: string): void {
+        this.cuts.delete(createLinkName(left, right));
+    }
+
+    /** The transport of one VM. */
+    createTransport(name: string): PeerTransport {
+        return ModelTransport.create(name, this);
+    }
+
+    /** Calls a VM. */
+    async call<Answer>(
+        from: string,
+        to: VmEntry,
+        run: (handler: PeerHandler) => Answer | Promise<Answer>,
+    ): Promise<Result<Answer, SchedulerError>> {
+        await this.timers.sleep(this.delayMs);
+        const handler = this.findHandler(from, to.name);
+        if (handler === undefined) {
+            await this.timers.sleep(CALL_TIMEOUT_MS);
+            return Err(createError(to.name));
+        }
+        const answer = await run(handler);
+        await this.timers.sleep(this.delayMs);
+        return this.findHandler(from, to.name) === handler ? Ok(answer) : Err(createError(to.name));
+    }
+
+    /** Opens a stream to a VM. */
+    async *open(
+        from: string,
+        to: VmEntry,
+        outgoing: AsyncIterable<GatewayMessage>,
+        signal: AbortSignal,
+    ): AsyncGenerator<SchedulerMessage, void, undefined> {
+        await this.timers.sleep(this.delayMs);
+        const handler = this.findHandler(from, to.name);
+        if (handler === undefined) {
+            await this.timers.sleep(CALL_TIMEOUT_MS);
+            throw createError(to.name);
+        }
+        const requests = MessageQueue.create<GatewayMessage>();
+        const answers = MessageQueue.create<SchedulerMessage>();
+        const end = (): void => {
+            requests.close();
+            answers.close();
+        };
+        const endStream = this.rememberStream([from, to.name], end);
+        signal.addEventListener("abort", endStream, { once: true });
+        const isOpen = (): boolean => this.findHandler(from, to.name) === handler;
+        void this.pump(outgoing, requests, isOpen);
+        void this.pump(handler.schedule(from, requests), answers, isOpen).then(endStream);
+        yield* answers;
+    }
+
+    private async pump<Message>(
+        source: AsyncIterable<Message>,
+        target: MessageQueue<Message>,
+        isOpen: () => boolean,
+    ): Promise<void> {
+        for await (const message of source) {
+            this.timers.schedule(this.delayMs, () => {
+                if (isOpen()) {
+                    target.push(message);
+                }
+            });
+        }
+    }
+
+    private findHandler(from: string, to: string): PeerHandler | undefined {
+        const isReachable = this.handlers.has(from) && !this.cuts.has(createLinkName(from, to));
+        return isReachable ? this.handlers.get(to) : undefined;
+    }
+
+    private rememberStream(names: readonly string[], end: () => void): () => void {
+        const remove = (): void => {
+            names.forEach(name => this.streams.get(name)?.delete(remove));
+            end();
+        };
+        for (const name of names) {
+            const ends = this.streams.get(name) ?? new Set();
+            ends.add(remove);
+            this.streams.set(name, ends);
+        }
+        return remove;
+    }
+
+    private breakStreams(name: string): void {
+        [...(this.streams.get(name) ?? [])].forEach(end => end());
+    }
+}
+
+class ModelTransport extends PeerTransport {
+    private constructor(private readonly name: string, private readonly network: ModelPeerNetwork) {
+        super();
+    }
+
+    static create(name: string, network: ModelPeerNetwork): ModelTransport {
+        return new ModelTransport(name, network);
+    }
+
+    override exchange(peer: VmEntry, digest: MemberDigest): Promise<Result<MemberDigest, SchedulerError>> {
+        return this.network.call(this.name, peer, handler => handler.exchange(digest));
+    }
+
+    override openSchedule(
+        peer: VmEntry,
+        outgoing: AsyncIterable<GatewayMessage>,
+        signal: AbortSignal,
+    ): AsyncIterable<SchedulerMessage> {
+        return this.network.open(this.name, peer, outgoing, signal);
+    }
+
+    override fetchConfiguration(
+        peer: VmEntry,
+        known: number,
+    ): Promise<Result<ConfigurationVersion | undefined, SchedulerError>> {
+        return this.network.call(this.name, peer, handler => handler.fetchConfiguration(known));
+    }
+
+    override claim(peer: VmEntry, request: ClaimRequest): Promise<Result<ClaimResponse, SchedulerError>> {
+        return this.network.call(this.name, peer, handler => handler.claim(request));
+    }
+}
+
+const createLinkName = (left: string, right: string): string => [left, right].sort().join(" ");
+
+const createError = (peer: string): SchedulerError =>
+    SchedulerError.create("PeerUnavailable", { peer, reason: "unreachable" });
--- /dev/null
+++ b/packages/stand-ins/src/platform/platform-model.ts
@@ -0,0 +1,233 @@
+/** The platform in memory: an append-only log, and lists of VMs and endpoints. Its faults are switches. */
+import { Err, Ok, type Result } from "ts-results-es";
+import {
+    type LogPage,
+    type LogRecord,
+    PlatformLog,
+    SchedulerError,
+    type TimerService,
+    type VmEntry,
+    VmList,
+    type VmListing,
+} from "wigeonpulley";
+
+/** What may happen to one append or read. */
+export type LogFault =
+    | "none"
+    /** Refused; nothing was taken. */
+    | "refused"
+    /** Lost on the way; nothing was taken. */
+    | "lost-request"
+    /** Taken, but the answer was lost. */
+    | "lost-answer"
+    /** The answer was lost at once, and the record lands later. */
+    | "lands-late";
+
+/** Behaviour of the platform. */
+export interface PlatformOptions {
+    readonly timers: TimerService;
+    /** Most appends in one second. */
+    readonly appendsPerSecond: number;
+    /** Records of a stream that are kept. */
+    readonly retainedRecords: number;
+    /** Time that an append or a read takes, in milliseconds. */
+    readonly latencyMs: number;
+    /** Time by which the list of VMs lags, in milliseconds. */
+    readonly vmListLagMs: number;
+}
+
+const DEFAULT_OPTIONS = {
+    appendsPerSecond: 300,
+    retainedRecords: 100_000,
+    latencyMs: 2,
+    vmListLagMs: 1_000,
+};
+
+/** Delay of an append that lands late, in milliseconds. */
+const LATE_LANDING_MS = 3_000;
+
+const PAGE_RECORDS = 500;
+const MILLISECONDS_PER_SECOND = 1_000;
+
+interface Stream {
+    readonly records: LogRecord[];
+    endOffset: number;
+}
+
+/** The platform. */
+export class PlatformModel {
+    /** True while the log refuses everything. */
+    isLogOut = false;
+    /** Extra time of each log operation, in milliseconds. */
+    slownessMs = 0;
+    /** Chooses the fault of each append. */
+    chooseAppendFault: (stream: string) => LogFault = () => "none";
+    /** Appends taken so far. */
+    appendCount = 0;
+    private readonly options: PlatformOptions;
+    private readonly streams = new Map<string, Stream>();
+    /** The list as it is, and as it is shown after its lag. */
+    private readonly vms = new Map<string, VmEntry>();
+    private shownVms: readonly VmEntry[] = [];
+    private readonly endpointStates = new Map<string, "live" | "leaving">();
+    private windowStart = 0;
+    private windowAppends = 0;
+
+    private constructor(options: PlatformOptions) {
+        this.options = options;
+    }
+
+    /** Creates an empty platform. */
+    static create(timers: TimerService, options: Partial<PlatformOptions> = {}): PlatformModel {
+        return new PlatformModel({ ...DEFAULT_OPTIONS, ...options, timers });
+    }
+
+    /** Appends values to a stream. */
+    async append(name: string, values: readonly unknown[]): Promise<Result<number, SchedulerError>> {
+        const { timers, latencyMs } = this.options;
+        const fault = this.chooseAppendFault(name);
+        await timers.sleep(latencyMs + this.slownessMs);
+        if (this.isLogOut || fault === "refused" || !this.takeAppendRate()) {
+            return Err(SchedulerError.create("LogUnavailable", { operation: "append", reason: "refused" }));
+        }
+        if (fault === "lands-late") {
+            timers.schedule(LATE_LANDING_MS, () => void this.write(name, values));
+        }
+        const offset = fault === "none" || fault === "lost-answer" ? this.write(name, values) : 0;
+        return fault === "none"
+            ? Ok(offset)
+            : Err(SchedulerError.create("LogAnswerUnknown", { operation: "append", reason: "no answer" }));
+    }
+
+    /** Reads a page of a stream. */
+    async read(name: string, fromOffset: number): Promise<Result<LogPage, SchedulerError>> {
+        await this.options.timers.sleep(this.options.latencyMs + this.slownessMs);
+        if (this.isLogOut) {
+            return Err(SchedulerError.create("LogUnavailable", { operation: "read", reason: "out" }));
+        }
+        const { records, endOffset } = this.findStream(name);
+        const firstOffset = records[0]?.offset ?? endOffset;
+        const start = Math.max(0, fromOffset - firstOffset);
+        return Ok({ records: records.slice(start, start + PAGE_RECORDS), firstOffset, endOffset });
+    }
+
+    /** Drops the records before an offset, as retention does. */
+    trim(name: string, beforeOffset: number): void {
+        const { records } = this.findStream(name);
+        const count = records.filter(record => record.offset < beforeOffset).length;
+        records.splice(0, count);
+    }
+
+    /** Every record that a stream still holds. */
+    listRecords(name: string): readonly LogRecord[] {
+        return this.findStream(name).records;
+    }
+
+    /** Registers a VM; the list shows it after its lag. */
+    registerVm(entry: VmEntry): void {
+        this.vms.set(entry.name, entry);
+        this.showLater();
+    }
+
+    /** Removes a VM; the list shows it until its lag has passed. */
+    removeVm(name: string): void {
+        this.vms.delete(name);
+        this.showLater();
+    }
+
+    /** Marks an endpoint as leaving or live. */
+    setEndpointState(name: string, state: "live" | "leaving"): void {
+        this.endpointStates.set(name, state);
+    }
+
+    /** Reads the lists. */
+    readListing(): VmListing {
+        return {
+            vms: [...this.shownVms],
+            endpoints: [...this.endpointStates].map(([name, state]) => ({ name, state })),
+        };
+    }
+
+    private showLater(): void {
+        const vms = [...this.vms.values()];
+        this.options.timers.schedule(this.options.vmListLagMs, () => {
+            this.shownVms = vms;
+        });
+    }
+
+    private write(name: string, values: readonly unknown[]): number {
+        const stream = this.findStream(name);
+        const offset = stream.endOffset;
+        for (const value of values) {
+            stream.records.push({ offset: stream.endOffset, value: structuredClone(value) });
+            stream.endOffset += 1;
+        }
+        stream.records.splice(0, Math.max(0, stream.records.length - this.options.retainedRecords));
+        this.appendCount += 1;
+        return offset;
+    }
+
+    private takeAppendRate(): boolean {
+        const now = this.options.timers.now();
+        if (now - this.windowStart >= MILLISECONDS_PER_SECOND) {
+            this.windowStart = now;
+            this.windowAppends = 0;
+        }
+        this.windowAppends += 1;
+        return this.windowAppends <= this.options.appendsPerSecond;
+    }
+
+    private findStream(name: string): Stream {
+        const stream = this.streams.get(name) ?? { records: [], endOffset: 0 };
+        this.streams.set(name, stream);
+        return stream;
+    }
+}
+
+/** The log as one VM sees it. */
+export class ModelLog extends PlatformLog {
+    /** True while this VM can't reach the log. */
+    isCut = false;
+
+    private constructor(private readonly platform: PlatformModel) {
+        super();
+    }
+
+    /** Creates a view of a platform. */
+    static create(platform: PlatformModel): ModelLog {
+        return new ModelLog(platform);
+    }
+
+    override append(stream: string, values: readonly unknown[]): Promise<Result<number, SchedulerError>> {
+        return this.isCut ? this.refuse("append") : this.platform.append(stream, values);
+    }
+
+    override read(stream: string, fromOffset: number): Promise<Result<LogPage, SchedulerError>> {
+        return this.isCut ? this.refuse("read") : this.platform.read(stream, fromOffset);
+    }
+
+    private refuse(operation: string): Promise<Result<never, SchedulerError>> {
+        return Promise.resolve(Err(SchedulerError.create("LogUnavailable", { operation, reason: "cut" })));
+    }
+}
+
+/** The list of VMs. */
+export class ModelVmList extends VmList {
+    private constructor(private readonly platform: PlatformModel) {
+        super();
+    }
+
+    /** Creates a view of a platform. */
+    static create(platform: PlatformModel): ModelVmList {
+        return new ModelVmList(platform);
+    }
+
+    override read(): Promise<Result<VmListing, SchedulerError>> {
+        return Promise.resolve(Ok(this.platform.readListing()));
+    }
+
+    override register(entry: VmEntry): Promise<Result<void, SchedulerError>> {
+        this.platform.registerVm(entry);
+        return Promise.resolve(Ok.EMPTY);
+    }
+}
--- /dev/null
+++ b/packages/stand-ins/src/platform/platform-server.ts
@@ -0,0 +1,64 @@
+/** The platform as a process. */
+import fastify, { type FastifyInstance } from "fastify";
+import { SystemTimerService, type VmEntry, vmEntrySchema } from "wigeonpulley";
+import { z } from "zod";
+import { type LogFault, PlatformModel } from "./platform-model.js";
+
+const HTTP_UNAVAILABLE = 503;
+
+const appendBodySchema = z.object({ values: z.array(z.unknown()) });
+const faultsSchema = z.object({
+    isLogOut: z.boolean().optional(),
+    slownessMs: z.number().optional(),
+    appendFault: z.enum(["none", "refused", "lost-request", "lost-answer", "lands-late"]).optional(),
+});
+
+/** Creates the server of a platform. */
+export const createPlatformServer = (): FastifyInstance => {
+    const timers = SystemTimerService.create();
+    const platform = PlatformModel.create(timers);
+    const app = fastify({ forceCloseConnections: true });
+    app.post<{ Params: { stream: string; }; }>("/log/streams/:stream", async (request, reply) => {
+        const { values } = appendBodySchema.parse(request.body);
+        const appended = await platform.append(request.params.stream, values);
+        if (appended.isOk()) {
+            return { offset: appended.value };
+        }
+        if (appended.error.name === "LogAnswerUnknown") {
+            reply.raw.destroy(); // The caller sees a lost connection.
+            return reply.hijack();
+        }
+        return reply.status(HTTP_UNAVAILABLE).send({});
+    });
+    app.get<{ Params: { stream: string; }; Querystring: { from?: string; }; }>(
+        "/log/streams/:stream",
+        async (request, reply) => {
+            const page = await platform.read(request.params.stream, Number(request.query.from ?? 0));
+            return page.isOk() ? page.value : reply.status(HTTP_UNAVAILABLE).send({});
+        },
+    );
+    app.get("/vms", () => platform.readListing());
+    app.put<{ Params: { name: string; }; }>("/vms/:name", request => {
+        const entry: VmEntry = vmEntrySchema.parse(request.body);
+        platform.registerVm(entry);
+        return {};
+    });
+    app.delete<{ Params: { name: string; }; }>("/vms/:name", request => {
+        platform.removeVm(request.params.name);
+        return {};
+    });
+    app.put<{ Params: { name: string; }; }>("/endpoints/:name", request => {
+        const { state } = z.object({ state: z.enum(["live", "leaving"]) }).parse(request.body);
+        platform.setEndpointState(request.params.name, state);
+        return {};
+    });
+    app.put("/faults", request => {
+        const faults = faultsSchema.parse(request.body);
+        platform.isLogOut = faults.isLogOut ?? platform.isLogOut;
+        platform.slownessMs = faults.slownessMs ?? platform.slownessMs;
+        const fault: LogFault = faults.appendFault ?? "none";
+        platform.chooseAppendFault = () => fault;
+        return {};
+    });
+    return app;
+};
--- /dev/null
+++ b/packages/stand-ins/src/service/service-server.ts
@@ -0,0 +1,22 @@
+/** A plain service as a process. */
+import fastify, { type FastifyInstance } from "fastify";
+import { SystemTimerService } from "wigeonpulley";
+import { ServiceModel } from "./service-model.js";
+
+/** Creates the server of one service. */
+export const createServiceServer = (name: string): FastifyInstance => {
+    const service = ServiceModel.create(SystemTimerService.create(), name);
+    const app = fastify({ forceCloseConnections: true });
+    app.get("/v1/report", () => ({ serves: name, version: "v1", running: 0, waiting: 0 }));
+    app.get("/runs", () => Object.fromEntries(service.runsByKey));
+    app.all("/*", async (request, reply) => {
+        const key = request.headers["idempotency-key"];
+        const answer = await service.run(
+            String(request.headers["x-request-id"] ?? ""),
+            typeof key === "string" ? key : undefined,
+            request.url,
+        );
+        return reply.status(answer.status).type(answer.contentType).send(answer.body);
+    });
+    return app;
+};
--- /dev/null
+++ b/packages/wigeonpulley/src/cli/config-check/index.ts
@@ -0,0 +1,8 @@
+/** `wigeonpulley config check`: checks a configuration file without publishing it. */
+import { checkConfiguration, readJsonFile } from "../../config/index.js";
+import { printResult } from "../output.js";
+
+/** Runs the command. */
+export const runConfigCheck = (path: string): void => {
+    printResult(readJsonFile(path).andThen(checkConfiguration).map(() => ({ valid: true })));
+};
--- /dev/null
+++ b/packages/wigeonpulley/src/cli/config-diff/index.ts
@@ -0,0 +1,19 @@
+/** `wigeonpulley config diff`: compares a file with the configuration in force. */
+import { checkConfiguration, listChanges, readCurrentVersion, readJsonFile } from "../../config/index.js";
+import type { ShowOptions } from "../config-show/index.js";
+import { createLogClient } from "../operator-client.js";
+import { printError, printResult } from "../output.js";
+
+/** Runs the command. */
+export const runConfigDiff = async (path: string, options: ShowOptions): Promise<void> => {
+    const configuration = readJsonFile(path).andThen(checkConfiguration);
+    if (configuration.isErr()) {
+        printError(configuration.error);
+        return;
+    }
+    const state = await readCurrentVersion(createLogClient(options.log));
+    printResult(state.map(({ current }) => ({
+        base: current?.version,
+        changes: listChanges(current?.configuration, configuration.value),
+    })));
+};
--- /dev/null
+++ b/packages/wigeonpulley/src/cli/config-show/index.ts
@@ -0,0 +1,16 @@
+/** `wigeonpulley config show`: prints the configuration in force according to the log. */
+import { readCurrentVersion } from "../../config/index.js";
+import { createLogClient } from "../operator-client.js";
+import { printResult } from "../output.js";
+
+/** Options of the command. */
+export interface ShowOptions {
+    /** @description URL of the platform's log. */
+    readonly log: string;
+}
+
+/** Runs the command. Prints an empty object when nothing was published yet. */
+export const runConfigShow = async (options: ShowOptions): Promise<void> => {
+    const state = await readCurrentVersion(createLogClient(options.log));
+    printResult(state.map(({ current }) => current ?? {}));
+};
--- /dev/null
+++ b/packages/wigeonpulley/src/cli/index.ts
@@ -0,0 +1,120 @@
+/** The `wigeonpulley` command. */
+import { cac } from "cac";
+import { describeCause, SchedulerError } from "../errors/index.js";
+import { runAudit } from "./audit/index.js";
+import { runConfigCheck } from "./config-check/index.js";
+import { runConfigDiff } from "./config-diff/index.js";
+import { type PublishOptions, runConfigPublish } from "./config-publish/index.js";
+import { runConfigShow, type ShowOptions } from "./config-show/index.js";
+import { runDrain } from "./drain/index.js";
+import type { VmOptions } from "./operator-client.js";
+import { printError } from "./output.js";
+import { runServe, type ServeOptions } from "./serve/index.js";
+import { runStatus } from "./status/index.js";
+
+const VERSION = "0.1.0";
+
+/** Options that every use of a command has to give. */
+const requiredOptions: Record<string, readonly string[]> = {
+    serve: ["settings"],
+    status: ["vm"],
+    drain: ["vm"],
+    audit: ["log"],
+    "config publish": ["log"],
+    "config show": ["log"],
+    "config diff": ["log"],
+};
+
+const runConfig = async (
+    action: string,
+    path: string | undefined,
+    options: PublishOptions & ShowOptions,
+): Promise<void> => {
+    checkRequired(`config ${action}`, { ...options });
+    if (action === "show") {
+        return runConfigShow(options);
+    }
+    if (path === undefined) {
+        throw SchedulerError.create("InvalidRequest", { problems: `config ${action} needs a file` });
+    }
+    switch (action) {
+        case "check":
+            return runConfigCheck(path);
+        case "publish":
+            return runConfigPublish(path, options);
+        case "diff":
+            return runConfigDiff(path, options);
+        default:
+            throw SchedulerError.create("InvalidRequest", {
+                problems: `there is no command "config ${action}"`,
+            });
+    }
+};
+
+const checkRequired = (command: string, options: Record<string, unknown>): void => {
+    const missing = (requiredOptions[command] ?? []).filter(name => options[name] === undefined);
+    if (missing.length > 0) {
+        const problems = `${command} needs ${missing.map(name => `--${name}`).join(", ")}`;
+        throw SchedulerError.create("InvalidRequest", { problems });
+    }
+};
+
+/** Runs the command line. */
+export const runCli = async (argv: readonly string[]): Promise<void> => {
+    const cli = cac("wigeonpulley");
+    cli.command("serve", "Runs one VM until SIGTERM")
+        .option("--settings <file>", "Settings of the VM as JSON")
+        .action((options: ServeOptions) => {
+            checkRequired("serve", { ...options });
+            return runServe(options);
+        });
+    cli.command("config <action> [file]", "check, publish, show or diff a configuration")
+        .option("--log <url>", "URL of the platform's log")
+        .option("--base <version>", "Version that the change is based on; the one in force if absent")
+        .option("--author <name>", "Name for the audit trail")
+        .option("--wait", "Wait until all live VMs report the version; needs --vm")
+        .option("--timeout <seconds>", "Longest wait, 12 if absent")
+        .option("--vm <url>", "Base URL of any VM")
+        .option("--key <key>", "Operator key; the variable WIGEONPULLEY_OPERATOR_KEY if absent")
+        .action(runConfig);
+    for (
+        const [name, description, run] of [
+            ["status", "Shows what one VM knows of the system", runStatus],
+            ["drain", "Begins the graceful shutdown of one VM", runDrain],
+        ] as const
+    ) {
+        cli.command(name, description)
+            .option("--vm <url>", "Base URL of the VM")
+            .option("--key <key>", "Operator key; the variable WIGEONPULLEY_OPERATOR_KEY if absent")
+            .action((options: VmOptions) => {
+                checkRequired(name, { ...options });
+                return run(options);
+            });
+    }
+    cli.command("audit", "Lists the changes of the configuration and what became of them")
+        .option("--log <url>", "URL of the platform's log")
+        .action((options: ShowOptions) => {
+            checkRequired("audit", { ...options });
+            return runAudit(options);
+        });
+    cli.help();
+    cli.version(VERSION);
+    try {
+        cli.parse([...argv], { run: false });
+        if (
+            cli.matchedCommand === undefined && cli.options["help"] !== true
+            && cli.options["version"] !== true
+        ) {
+            cli.outputHelp();
+            process.exitCode = 1;
+            return;
+        }
+        await cli.runMatchedCommand();
+    }
+    catch (cause) {
+        const isTyped = cause instanceof SchedulerError;
+        printError(
+            isTyped ? cause : SchedulerError.create("InvalidRequest", { problems: describeCause(cause) }),
+        );
+    }
+};
--- /dev/null
+++ b/packages/wigeonpulley/src/cli/operator-client.ts
@@ -0,0 +1,89 @@
+/** Calls of operators to running VMs. */
+import { Err, Ok, type Result } from "ts-results-es";
+import { request } from "undici";
+import { z } from "zod";
+import { describeCause, SchedulerError } from "../errors/index.js";
+import { HttpPlatformLog } from "../platform/index.js";
+import { SystemTimerService } from "../time/index.js";
+
+/** Options that commands about running VMs share. */
+export interface VmOptions {
+    /** @description Base URL of any VM. */
+    readonly vm: string;
+    /** @description Operator key. @default the environment variable WIGEONPULLEY_OPERATOR_KEY */
+    readonly key?: string;
+}
+
+const HTTP_ERROR = 400;
+const WAIT_INTERVAL_MS = 200;
+
+const statusSchema = z.looseObject({
+    members: z.array(z.looseObject({ vm: z.string(), isLive: z.boolean(), configuration: z.number() })),
+});
+
+/** Calls a path under /operator. Fails with PeerUnavailable or NotPermitted. */
+export const callOperator = async (
+    options: VmOptions,
+    method: "GET" | "POST",
+    path: string,
+): Promise<Result<unknown, SchedulerError>> => {
+    const key = options.key ?? process.env["WIGEONPULLEY_OPERATOR_KEY"] ?? "";
+    try {
+        const answer = await request(`${options.vm}${path}`, {
+            method,
+            headers: { authorization: `Bearer ${key}` },
+        });
+        const body = await answer.body.json();
+        if (answer.statusCode < HTTP_ERROR) {
+            return Ok(body);
+        }
+        return Err(
+            answer.statusCode === 403
+                ? SchedulerError.create("NotPermitted", {})
+                : SchedulerError.create("PeerUnavailable", {
+                    peer: options.vm,
+                    reason: `status ${answer.statusCode}`,
+                }),
+        );
+    }
+    catch (cause) {
+        return Err(
+            SchedulerError.create("PeerUnavailable", { peer: options.vm, reason: describeCause(cause) }),
+        );
+    }
+};
+
+/** What a wait for a version found. */
+export interface InForceReport {
+    readonly version: number;
+    readonly isInForceEverywhere: boolean;
+    /** Live VMs that do not report the version yet. */
+    readonly missing: readonly string[];
+}
+
+/** Waits until all live VMs report a version, or until the time has passed. */
+export const waitInForce = async (
+    options: VmOptions,
+    version: number,
+    limitMs: number,
+): Promise<Result<InForceReport, SchedulerError>> => {
+    const timers = SystemTimerService.create();
+    const end = timers.now() + limitMs;
+    for (;;) {
+        const status = await callOperator(options, "GET", "/operator/status");
+        if (status.isErr()) {
+            return status;
+        }
+        const { members } = statusSchema.parse(status.value);
+        const missing = members.filter(member => member.isLive && member.configuration < version).map((
+            { vm },
+        ) => vm);
+        if (missing.length === 0 || timers.now() >= end) {
+            return Ok({ version, isInForceEverywhere: missing.length === 0, missing });
+        }
+        await timers.sleep(WAIT_INTERVAL_MS);
+    }
+};
+
+/** Creates the log client for commands that read or write the log directly. */
+export const createLogClient = (url: string): HttpPlatformLog => HttpPlatformLog.create(url);
--- /dev/null
+++ b/packages/wigeonpulley/src/cli/serve/index.ts
@@ -0,0 +1,24 @@
+/** `wigeonpulley serve`: runs one VM until it is told to stop. */
+import { checkSettings, readJsonFile } from "../../config/index.js";
+import { startDaemon } from "../../vm/index.js";
+import { printError } from "../output.js";
+
+/** Options of the command. */
+export interface ServeOptions {
+    /** @description Path of the settings file. */
+    readonly settings: string;
+}
+
+/** Runs the command. SIGTERM and SIGINT begin a graceful shutdown; a second signal ends the process. */
+export const runServe = async (options: ServeOptions): Promise<void> => {
+    const settings = readJsonFile(options.settings).andThen(checkSettings);
+    if (settings.isErr()) {
+        printError(settings.error);
+        return;
+    }
+    const daemon = await startDaemon(settings.value);
+    process.on("SIGTERM", daemon.stop);
+    process.on("SIGINT", daemon.stop);
+    await daemon.stopped;
+    process.exit();
+};
--- /dev/null
+++ b/packages/wigeonpulley/src/config/commands/follow.ts
@@ -0,0 +1,162 @@
+/** Follows the configuration in force: from the log, and from peers while the log is out. */
+import { SchedulerError } from "../../errors/index.js";
+import type { EventLogger } from "../../logging/index.js";
+import type { PlatformLog } from "../../platform/index.js";
+import type { CancelTimer, TimerService } from "../../time/index.js";
+import {
+    adoptVersion,
+    CONFIGURATION_STREAM,
+    type ConfigurationState,
+    type ConfigurationVersion,
+    createConfigurationState,
+    NO_VERSION,
+    type RepeatRecord,
+} from "../config-fold.js";
+import { readCurrentVersion } from "../queries/read-current.js";
+
+/** What a follower is built from. */
+export interface FollowerOptions {
+    readonly log: PlatformLog;
+    readonly timers: TimerService;
+    readonly logger: EventLogger;
+    /** Interval of reading the log, in milliseconds. */
+    readonly pollMs: number;
+    /** Asks a peer for a version newer than the given one. */
+    readonly fetchFromPeer: (known: number) => Promise<ConfigurationVersion | undefined>;
+    /** True when this VM is the one that repeats the version in force. */
+    readonly isRepeater: () => boolean;
+}
+
+/** Records that may follow the latest copy of the version before it is repeated. */
+const REPEAT_AFTER_RECORDS = 50;
+
+/** Time after which the version is repeated, in milliseconds. */
+const REPEAT_AFTER_MS = 600_000;
+
+type Listener = (version: ConfigurationVersion) => void;
+
+/** Holds the version in force on this VM. It never goes back to an earlier one. */
+export class ConfigurationFollower {
+    private state: ConfigurationState | undefined;
+    private readonly listeners: Listener[] = [];
+    private isReading = false;
+    private cancelPoll: CancelTimer = () => undefined;
+    private copiedAt: number;
+    private version: ConfigurationVersion | undefined;
+
+    private constructor(private readonly options: FollowerOptions) {
+        this.copiedAt = options.timers.now();
+    }
+
+    /** Creates a follower that knows no version yet. */
+    static create(options: FollowerOptions): ConfigurationFollower {
+        return new ConfigurationFollower(options);
+    }
+
+    /** The version in force, if any is known. */
+    get current(): ConfigurationVersion | undefined {
+        return this.version;
+    }
+
+    /** Calls back with every new version, and at once with the current one. */
+    subscribe(listener: Listener): void {
+        this.listeners.push(listener);
+        if (this.version !== undefined) {
+            listener(this.version);
+        }
+    }
+
+    /** Begins to follow. */
+    start(): void {
+        this.cancelPoll = this.options.timers.subscribe(this.options.pollMs, () => void this.refresh());
+        void this.refresh();
+    }
+
+    /** Ends the polling. */
+    stop(): void {
+        this.cancelPoll();
+    }
+
+    /** Reads the log once, or asks a peer when the log is out or does not tell. */
+    async refresh(): Promise<void> {
+        if (this.isReading) {
+            return;
+        }
+        this.isReading = true;
+        try {
+            const read = await readCurrentVersion(this.options.log, this.state);
+            if (read.isOk()) {
+                this.state = read.value;
+                this.accept(this.state.current);
+            }
+            if (read.isErr() || this.state?.current === undefined) {
+                await this.readFromPeer();
+            }
+            await this.repeatIfDue();
+        }
+        finally {
+            this.isReading = false;
+        }
+    }
+
+    private async readFromPeer(): Promise<void> {
+        const known = this.version?.version ?? NO_VERSION;
+        const fetched = await this.options.fetchFromPeer(known);
+        if (fetched !== undefined) {
+            this.state = adoptVersion(this.state ?? createConfigurationState(0), fetched);
+            this.accept(fetched);
+        }
+    }
+
+    private accept(candidate: ConfigurationVersion | undefined): void {
+        if (candidate === undefined) {
+            return;
+        }
+        if (
+            candidate.version === this.version?.version && candidate.recordOffset > this.version.recordOffset
+        ) {
+            this.copiedAt = this.options.timers.now();
+            this.version = candidate;
+        }
+        if (candidate.version <= (this.version?.version ?? NO_VERSION)) {
+            return;
+        }
+        this.version = candidate;
+        this.copiedAt = this.options.timers.now();
+        this.options.logger.write("ConfigurationInForce", {
+            version: candidate.version,
+            author: candidate.author,
+            changeId: candidate.changeId,
+        });
+        this.listeners.forEach(listener => listener(candidate));
+    }
+
+    /** Appends a copy of the version before retention can drop the latest one. */
+    private async repeatIfDue(): Promise<void> {
+        const { version, state } = this;
+        if (
+            version === undefined || state?.current?.version !== version.version || !this.options.isRepeater()
+        ) {
+            return;
+        }
+        const age = this.options.timers.now() - this.copiedAt;
+        const followers = state.nextOffset - version.recordOffset;
+        if (age < REPEAT_AFTER_MS && followers < REPEAT_AFTER_RECORDS) {
+            return;
+        }
+        const { changeId, author, publishedAt, configuration } = version;
+        const record: RepeatRecord = {
+            kind: "repeat",
+            version: version.version,
+            readThrough: state.nextOffset - 1,
+            changeId,
+            author,
+            publishedAt,
+            configuration,
+        };
+        const appended = await this.options.log.append(CONFIGURATION_STREAM, [record]);
+        if (appended.isErr()) {
+            this.options.logger.writeError(SchedulerError.fromUnknown(appended.error));
+        }
+    }
+}
--- /dev/null
+++ b/packages/wigeonpulley/src/config/index.ts
@@ -0,0 +1,37 @@
+/**
+ * Configuration: settings of a process, the configuration that operators publish, and which version is in force.
+ * Decides which selector a request matches; may not touch requests, endpoints or peers.
+ */
+export { ConfigurationFollower, type FollowerOptions } from "./commands/follow.js";
+export { createPublishRecord, publishConfiguration, type PublishOutcome } from "./commands/publish.js";
+export {
+    adoptVersion,
+    CONFIGURATION_STREAM,
+    type ConfigurationState,
+    type ConfigurationVersion,
+    configurationVersionSchema,
+    createConfigurationState,
+    foldConfiguration,
+    NO_VERSION,
+    type PublishRecord,
+    type RepeatRecord,
+} from "./config-fold.js";
+export {
+    type Caller,
+    type Configuration,
+    type ConfigurationInput,
+    configurationSchema,
+    type Endpoint,
+    type Maintenance,
+    type Selector,
+    type Tier,
+} from "./configuration.js";
+export { type Labels, labelsSchema, matchLabels } from "./labels.js";
+export { type AuditEntry, readAuditTrail } from "./queries/audit.js";
+export { checkConfiguration, checkSettings, formatProblems, readJsonFile } from "./queries/check.js";
+export { type ConfigurationChange, listChanges } from "./queries/diff.js";
+export { findCaller, hashKey } from "./queries/find-caller.js";
+export { isUnderMaintenance } from "./queries/maintenance.js";
+export { type MatchedRequest, matchRequest } from "./queries/match.js";
+export { readCurrentVersion } from "./queries/read-current.js";
+export { type ListenAddress, type Settings, type SettingsInput, settingsSchema } from "./settings.js";
--- /dev/null
+++ b/packages/wigeonpulley/src/config/labels.ts
@@ -0,0 +1,17 @@
+/** Labels and their matching. */
+import { z } from "zod";
+
+/** Longest label name or value, in characters. */
+const LABEL_MAX_LENGTH = 63;
+
+const labelTextSchema = z.string().min(1).max(LABEL_MAX_LENGTH).regex(/^[A-Za-z0-9._/-]+$/);
+
+/** Names and values that operators and callers attach to endpoints, callers and requests. */
+export const labelsSchema = z.record(labelTextSchema, labelTextSchema);
+
+/** A set of labels. */
+export type Labels = z.infer<typeof labelsSchema>;
+
+/** True when every label of `wanted` is present with the same value. */
+export const matchLabels = (wanted: Labels, present: Labels): boolean =>
+    Object.entries(wanted).every(([name, value]) => present[name] === value);
--- /dev/null
+++ b/packages/wigeonpulley/src/config/queries/audit.ts
@@ -0,0 +1,71 @@
+/** Lists the changes that the log still holds, with what became of each. */
+import { Err, Ok, type Result } from "ts-results-es";
+import type { SchedulerError } from "../../errors/index.js";
+import type { LogRecord, PlatformLog } from "../../platform/index.js";
+import {
+    CONFIGURATION_STREAM,
+    type ConfigurationState,
+    createConfigurationState,
+    foldConfiguration,
+    publishRecordSchema,
+} from "../config-fold.js";
+import { type ConfigurationChange, listChanges } from "./diff.js";
+
+/** One change in the audit trail. */
+export interface AuditEntry {
+    readonly offset: number;
+    readonly author: string;
+    /** Time of publication as an ISO 8601 date. */
+    readonly publishedAt: string;
+    readonly changeId: string;
+    readonly base: number;
+    /** Unknown when retention has dropped the version that it was based on. */
+    readonly verdict: "effective" | "conflict" | "unknown";
+    readonly changes: readonly ConfigurationChange[];
+}
+
+/** Reads the audit trail. Fails with LogUnavailable. */
+export const readAuditTrail = async (
+    log: PlatformLog,
+): Promise<Result<readonly AuditEntry[], SchedulerError>> => {
+    const entries: AuditEntry[] = [];
+    let state: ConfigurationState | undefined;
+    for (;;) {
+        const page = await log.read(CONFIGURATION_STREAM, state?.nextOffset ?? 0);
+        if (page.isErr()) {
+            return Err(page.error);
+        }
+        state ??= createConfigurationState(page.value.firstOffset);
+        for (const record of page.value.records) {
+            const after: ConfigurationState = foldConfiguration(state, record);
+            entries.push(...createEntry(state, after, record));
+            state = after;
+        }
+        if (page.value.records.length === 0 || state.nextOffset >= page.value.endOffset) {
+            return Ok(entries);
+        }
+    }
+};
+
+const createEntry = (
+    before: ConfigurationState,
+    after: ConfigurationState,
+    record: LogRecord,
+): readonly AuditEntry[] => {
+    const parsed = publishRecordSchema.safeParse(record.value);
+    if (!parsed.success) {
+        return []; // A repetition changes nothing.
+    }
+    const { author, publishedAt, changeId, base, configuration } = parsed.data;
+    const isEffective = after.current?.version === record.offset;
+    const isUnknown = before.current === undefined && before.startOffset > 0;
+    return [{
+        offset: record.offset,
+        author,
+        publishedAt: new Date(publishedAt).toISOString(),
+        changeId,
+        base,
+        verdict: isEffective ? "effective" : isUnknown ? "unknown" : "conflict",
+        changes: isEffective ? listChanges(before.current?.configuration, configuration) : [],
+    }];
+};
--- /dev/null
+++ b/packages/wigeonpulley/src/config/queries/diff.ts
@@ -0,0 +1,44 @@
+/** Compares two configurations. */
+import type { Configuration } from "../configuration.js";
+
+/** One difference between two configurations. */
+export interface ConfigurationChange {
+    readonly kind: "added" | "removed" | "changed";
+    /** Section and name, as in `endpoints/engine-1`. */
+    readonly path: string;
+}
+
+const sections = ["tiers", "models", "endpoints", "callers", "selectors", "maintenance"] as const;
+
+/** Lists what differs, section by section. A changed order of tiers or selectors counts as a change of each moved entry. */
+export const listChanges = (
+    before: Configuration | undefined,
+    after: Configuration,
+): readonly ConfigurationChange[] =>
+    sections.flatMap((section): readonly ConfigurationChange[] => {
+        const old = new Map(describeEntries(before?.[section] ?? [], section));
+        const current = new Map(describeEntries(after[section], section));
+        return [
+            ...[...old.keys()].filter(path => !current.has(path)).map(path => ({
+                kind: "removed" as const,
+                path,
+            })),
+            ...[...current.keys()].filter(path => !old.has(path)).map(path => ({
+                kind: "added" as const,
+                path,
+            })),
+            ...[...current].filter(([path, text]) => old.has(path) && old.get(path) !== text)
+                .map(([path]) => ({ kind: "changed" as const, path })),
+        ];
+    });
+
+const describeEntries = (
+    entries: readonly { readonly name: string; }[],
+    section: (typeof sections)[number],
+): readonly (readonly [string, string])[] => {
+    const isOrdered = section === "tiers" || section === "selectors";
+    return entries.map((entry, index) => [
+        `${section}/${entry.name}`,
+        JSON.stringify(isOrdered ? { ...entry, index } : entry),
+    ]);
+};
--- /dev/null
+++ b/packages/wigeonpulley/src/config/queries/maintenance.ts
@@ -0,0 +1,19 @@
+/** Tells which endpoints a maintenance keeps from new work. */
+import type { Configuration, Endpoint, Maintenance } from "../configuration.js";
+
+const concerns = (maintenance: Maintenance, endpoint: Endpoint): boolean =>
+    (maintenance.dataCentre === undefined || maintenance.dataCentre === endpoint.dataCentre)
+    && (maintenance.rack === undefined || maintenance.rack === endpoint.rack)
+    && (maintenance.endpoint === undefined || maintenance.endpoint === endpoint.name);
+
+/** True from `drainMs` before the start of a maintenance until its end. `wallClock` is in milliseconds since 1970. */
+export const isUnderMaintenance = (
+    configuration: Configuration,
+    endpoint: Endpoint,
+    wallClock: number,
+): boolean =>
+    configuration.maintenance.some(maintenance =>
+        concerns(maintenance, endpoint)
+        && wallClock >= Date.parse(maintenance.from) - maintenance.drainMs
+        && wallClock < Date.parse(maintenance.until)
+    );
--- /dev/null
+++ b/packages/wigeonpulley/src/config/queries/match.ts
@@ -0,0 +1,43 @@
+/** Matches a request against the selectors. */
+import { pipe } from "fp-ts/lib/function.js";
+import * as Option from "fp-ts/lib/Option.js";
+import * as ReadonlyArray from "fp-ts/lib/ReadonlyArray.js";
+import type { Caller, Configuration, Selector, Tier } from "../configuration.js";
+import { type Labels, matchLabels } from "../labels.js";
+
+/** The selector of a request with its tier. */
+export interface MatchedRequest {
+    readonly selector: Selector;
+    readonly tier: Tier;
+    /** Position of the tier; 0 is the most important. */
+    readonly tierIndex: number;
+}
+
+/** Finds the first selector for a target whose labels the caller and the request have. */
+export const matchRequest = (
+    configuration: Configuration,
+    caller: Caller,
+    labels: Labels,
+    serves: string,
+): Option.Option<MatchedRequest> =>
+    pipe(
+        configuration.selectors,
+        ReadonlyArray.findFirst(selector =>
+            selector.target.serves === serves
+            && matchLabels(selector.caller, caller.labels)
+            && matchLabels(selector.request, labels)
+        ),
+        Option.chain(selector =>
+            pipe(
+                configuration.tiers,
+                ReadonlyArray.findIndex(tier => tier.name === selector.tier),
+                Option.chain(tierIndex =>
+                    pipe(
+                        configuration.tiers,
+                        ReadonlyArray.lookup(tierIndex),
+                        Option.map(tier => ({ selector, tier, tierIndex })),
+                    )
+                ),
+            )
+        ),
+    );
--- /dev/null
+++ b/packages/wigeonpulley/src/endpoints/http-endpoint-client.ts
@@ -0,0 +1,238 @@
+/** Endpoints over HTTP: OpenAI-style server-sent events from engines, whole answers from services. */
+import { EventSourceParserStream } from "eventsource-parser/stream";
+import { Readable } from "node:stream";
+import { Err, Ok, type Result } from "ts-results-es";
+import { Agent, type Dispatcher, request as sendRequest } from "undici";
+import { z } from "zod";
+import type { Endpoint } from "../config/index.js";
+import { describeCause, SchedulerError } from "../errors/index.js";
+import { isConnectFailure } from "../platform/index.js";
+import type { DispatchPermit, UsedPermit } from "./dispatch-permit.js";
+import {
+    type CancelOutcome,
+    type DispatchFailure,
+    type DispatchResult,
+    EndpointClient,
+    type EndpointReport,
+    endpointReportSchema,
+    type EndpointRequest,
+    type EngineEvent,
+    type EngineStream,
+    type ServiceAnswer,
+    type StartedStream,
+} from "./endpoint-client.js";
+
+const HTTP_OK = 200;
+const HTTP_NOT_FOUND = 404;
+const HTTP_SERVER_ERROR = 500;
+const REQUEST_ID_HEADER = "x-request-id";
+const CONTROL_TIMEOUT_MS = 2_000;
+
+const cancelAnswerSchema = z.object({ outcome: z.enum(["never-seen", "cancelled", "finished"]) });
+
+/** Timeouts of the client. */
+export interface HttpEndpointOptions {
+    /** Time for a connection, in milliseconds. */
+    readonly connectMs: number;
+    /** Age after which an idle connection is no longer used, in milliseconds. */
+    readonly idleMs: number;
+    /** Time for an engine to begin its answer, in milliseconds. */
+    readonly firstByteMs: number;
+}
+
+/** Client of all endpoints over HTTP. */
+export class HttpEndpointClient extends EndpointClient {
+    private readonly agent: Agent;
+    /** For resumption: its connections are never used twice, since an old one may be silent for good. */
+    private readonly freshAgent: Agent;
+
+    private constructor(private readonly options: HttpEndpointOptions) {
+        super();
+        this.freshAgent = new Agent({ connect: { timeout: options.connectMs }, bodyTimeout: 0 });
+        this.agent = new Agent({
+            connect: { timeout: options.connectMs },
+            keepAliveTimeout: options.idleMs,
+            keepAliveMaxTimeout: options.idleMs,
+            pipelining: 1,
+            headersTimeout: 0,
+            bodyTimeout: 0,
+        });
+    }
+
+    /** Creates a client with its own connections. */
+    static create(options: HttpEndpointOptions): HttpEndpointClient {
+        return new HttpEndpointClient(options);
+    }
+
+    override async dispatchToEngine(
+        endpoint: Endpoint,
+        permit: DispatchPermit,
+        request: EndpointRequest,
+    ): Promise<DispatchResult<StartedStream>> {
+        const answer = await this.send(endpoint, permit, request, {
+            headersTimeout: this.options.firstByteMs,
+        });
+        if (answer.isErr()) {
+            return answer;
+        }
+        const { used, data } = answer.value;
+        if (data.statusCode === HTTP_OK) {
+            return Ok({ used, stream: openStream(data) });
+        }
+        await data.body.dump();
+        const error = createError(endpoint, `status ${data.statusCode}`);
+        return Err(
+            data.statusCode < HTTP_SERVER_ERROR
+                ? { kind: "rejected", error }
+                : { kind: "maybe-sent", used, error },
+        );
+    }
+
+    override async dispatchToService(
+        endpoint: Endpoint,
+        permit: DispatchPermit,
+        request: EndpointRequest,
+        signal: AbortSignal,
+    ): Promise<DispatchResult<ServiceAnswer>> {
+        const answer = await this.send(endpoint, permit, request, { signal });
+        if (answer.isErr()) {
+            return answer;
+        }
+        const { used, data } = answer.value;
+        try {
+            const contentType = String(data.headers["content-type"] ?? "application/octet-stream");
+            return Ok({ status: data.statusCode, contentType, body: await data.body.text() });
+        }
+        catch (cause) {
+            return Err({ kind: "maybe-sent", used, error: createError(endpoint, describeCause(cause)) });
+        }
+    }
+
+    override async resume(
+        endpoint: Endpoint,
+        requestId: string,
+        sequence: number,
+    ): Promise<Result<EngineStream | undefined, SchedulerError>> {
+        try {
+            const answer = await sendRequest(`${endpoint.url}/v1/requests/${requestId}/events`, {
+                dispatcher: this.freshAgent,
+                query: { from: sequence },
+                reset: true,
+                headersTimeout: CONTROL_TIMEOUT_MS,
+            });
+            if (answer.statusCode === HTTP_NOT_FOUND) {
+                await answer.body.dump();
+                return Ok(undefined);
+            }
+            if (answer.statusCode !== HTTP_OK) {
+                await answer.body.dump();
+                return Err(createError(endpoint, `status ${answer.statusCode}`));
+            }
+            return Ok(openStream(answer));
+        }
+        catch (cause) {
+            return Err(createError(endpoint, describeCause(cause)));
+        }
+    }
+
+    override async cancel(
+        endpoint: Endpoint,
+        requestId: string,
+    ): Promise<Result<CancelOutcome, SchedulerError>> {
+        try {
+            const answer = await sendRequest(`${endpoint.url}/v1/requests/${requestId}`, {
+                method: "DELETE",
+                dispatcher: this.agent,
+                headersTimeout: CONTROL_TIMEOUT_MS,
+            });
+            return Ok(cancelAnswerSchema.parse(await answer.body.json()).outcome);
+        }
+        catch (cause) {
+            return Err(createError(endpoint, describeCause(cause)));
+        }
+    }
+
+    override async readReport(endpoint: Endpoint): Promise<Result<EndpointReport, SchedulerError>> {
+        try {
+            const answer = await sendRequest(`${endpoint.url}/v1/report`, {
+                dispatcher: this.agent,
+                headersTimeout: CONTROL_TIMEOUT_MS,
+                bodyTimeout: CONTROL_TIMEOUT_MS,
+            });
+            return Ok(endpointReportSchema.parse(await answer.body.json()));
+        }
+        catch (cause) {
+            return Err(createError(endpoint, describeCause(cause)));
+        }
+    }
+
+    /** Uses the permit and sends the request. */
+    private async send(
+        endpoint: Endpoint,
+        permit: DispatchPermit,
+        request: EndpointRequest,
+        limits: { readonly signal?: AbortSignal; readonly headersTimeout?: number; },
+    ): Promise<DispatchResult<{ readonly used: UsedPermit; readonly data: Dispatcher.ResponseData; }>> {
+        const used = permit.use();
+        if (used === undefined) {
+            throw SchedulerError.create("InternalError", { reason: "the dispatch permit was used before" });
+        }
+        const hasBody = request.method !== "GET" && request.method !== "HEAD";
+        try {
+            const data = await sendRequest(`${endpoint.url}${request.path}`, {
+                method: request.method as Dispatcher.HttpMethod,
+                dispatcher: this.agent,
+                headers: {
+                    [REQUEST_ID_HEADER]: request.id,
+                    ...(hasBody ? { "content-type": request.contentType } : {}),
+                    ...(request.idempotencyKey === undefined
+                        ? {}
+                        : { "idempotency-key": request.idempotencyKey }),
+                },
+                ...(hasBody ? { body: request.body } : {}),
+                ...limits,
+            });
+            return Ok({ used, data });
+        }
+        catch (cause) {
+            return Err(createFailure(endpoint, used, cause));
+        }
+    }
+}
+
+const createError = (endpoint: Endpoint, reason: string): SchedulerError =>
+    SchedulerError.create("EndpointFailed", { endpoint: endpoint.name, reason });
+
+const createFailure = (
+    endpoint: Endpoint,
+    used: UsedPermit,
+    cause: unknown,
+): DispatchFailure => {
+    const reason = describeCause(cause);
+    return isConnectFailure(cause)
+        ? {
+            kind: "not-sent",
+            permit: used.restore("no-connection"),
+            error: SchedulerError.create("EndpointUnreachable", { endpoint: endpoint.name, reason }),
+        }
+        : { kind: "maybe-sent", used, error: createError(endpoint, reason) };
+};
+
+const openStream = (answer: Dispatcher.ResponseData): EngineStream => {
+    const body = answer.body;
+    body.on("error", () => undefined); // The reader of the events reports the loss.
+    return {
+        requestId: String(answer.headers[REQUEST_ID_HEADER] ?? ""),
+        events: readEvents(body),
+        close: () => body.destroy(),
+    };
+};
+
+async function* readEvents(body: Readable): AsyncGenerator<EngineEvent, void, undefined> {
+    const parser = new EventSourceParserStream();
+    const text = Readable.toWeb(body) as ReadableStream<Uint8Array>;
+    const events = text.pipeThrough(new TextDecoderStream()).pipeThrough(parser);
+    for await (const { id, data } of events) {
+        yield { sequence: Number(id), data };
+    }
+}
--- /dev/null
+++ b/packages/wigeonpulley/src/endpoints/index.ts
@@ -0,0 +1,20 @@
+/**
+ * Endpoints: the clients of engines and plain services, and the permit that makes a second dispatch impossible.
+ * Decides whether a failed dispatch provably did not arrive; may not choose endpoints.
+ */
+export { DispatchPermit, type NotRunProof, type UsedPermit } from "./dispatch-permit.js";
+export {
+    type CancelOutcome,
+    type DispatchFailure,
+    type DispatchResult,
+    END_OF_STREAM,
+    EndpointClient,
+    type EndpointReport,
+    endpointReportSchema,
+    type EndpointRequest,
+    type EngineEvent,
+    type EngineStream,
+    type ServiceAnswer,
+    type StartedStream,
+} from "./endpoint-client.js";
+export { HttpEndpointClient, type HttpEndpointOptions } from "./http-endpoint-client.js";
--- /dev/null
+++ b/packages/wigeonpulley/src/errors/error-catalogue.ts
@@ -0,0 +1,237 @@
+/**
+ * The catalogue of every failure that wigeonpulley reports.
+ * docs/ERRORS.md is generated from it.
+ */
+
+/** One entry of the error catalogue. */
+export interface ErrorEntry<Details> {
+    /** Short sentence for the `title` of a problem+json body. */
+    readonly title: string;
+    /** Builds the full message from the details of one occurrence. */
+    readonly message: (details: Details) => string;
+    /** What the reader can do about it. */
+    readonly hint: string;
+    /** HTTP status sent to a caller. */
+    readonly status: number;
+    /** True when the error proves that the request did not run on any endpoint. */
+    readonly notRun: boolean;
+}
+
+const defineError = <Details>(entry: ErrorEntry<Details>): ErrorEntry<Details> => entry;
+
+/** All errors by name. */
+export const errorCatalogue = {
+    InvalidSettings: defineError<{ problems: string; }>({
+        title: "The settings are not valid.",
+        message: ({ problems }) => `The settings are not valid: ${problems}`,
+        hint: "Correct every listed path; docs/CONFIGURATION.md describes each option.",
+        status: 500,
+        notRun: true,
+    }),
+    InvalidConfiguration: defineError<{ problems: string; }>({
+        title: "The configuration is not valid.",
+        message: ({ problems }) => `The configuration is not valid: ${problems}`,
+        hint: "Correct every listed path, then run `wigeonpulley config check` again.",
+        status: 422,
+        notRun: true,
+    }),
+    UnreadableFile: defineError<{ path: string; reason: string; }>({
+        title: "A file could not be read.",
+        message: ({ path, reason }) => `Could not read ${path}: ${reason}`,
+        hint: "Check that the path exists and holds JSON.",
+        status: 500,
+        notRun: true,
+    }),
+    ConfigurationConflict: defineError<{ base: number; current: number; }>({
+        title: "Another change was published first.",
+        message: ({ base, current }) =>
+            `The change is based on version ${base}, but version ${current} is in force.`,
+        hint: "Run `wigeonpulley config diff` against the current version and publish again.",
+        status: 409,
+        notRun: true,
+    }),
+    ConfigurationUnavailable: defineError<Record<never, never>>({
+        title: "No configuration is known yet.",
+        message: () => "This VM has not received any configuration yet.",
+        hint: "Publish a configuration, or wait until the log or a peer answers.",
+        status: 503,
+        notRun: true,
+    }),
+    LogUnavailable: defineError<{ operation: string; reason: string; }>({
+        title: "The platform log did not answer.",
+        message: ({ operation, reason }) => `The platform log did not answer to ${operation}: ${reason}`,
+        hint: "Wait for the platform; requests without an idempotency key are unaffected.",
+        status: 503,
+        notRun: true,
+    }),
+    LogAnswerUnknown: defineError<{ operation: string; reason: string; }>({
+        title: "It is unknown whether the log took the record.",
+        message: ({ operation, reason }) => `The answer to ${operation} was lost: ${reason}`,
+        hint: "The writer reads the log to settle it; no action is needed.",
+        status: 503,
+        notRun: true,
+    }),
+    LogTrimmed: defineError<{ offset: number; firstOffset: number; }>({
+        title: "The log no longer holds the records asked for.",
+        message: ({ offset, firstOffset }) =>
+            `Offset ${offset} is past retention; the first retained is ${firstOffset}.`,
+        hint: "The reader starts again at the first retained offset.",
+        status: 503,
+        notRun: true,
+    }),
+    UnknownCaller: defineError<Record<never, never>>({
+        title: "The caller is not known.",
+        message: () => "The Authorization header holds no key of a declared caller.",
+        hint: "Send `Authorization: Bearer <key>` with a key that the configuration declares.",
+        status: 401,
+        notRun: true,
+    }),
+    NotPermitted: defineError<Record<never, never>>({
+        title: "Operators only.",
+        message: () => "This path needs the operator key.",
+        hint: "Send `Authorization: Bearer <key>` with the key whose hash the settings hold.",
+        status: 403,
+        notRun: true,
+    }),
+    InvalidRequest: defineError<{ problems: string; }>({
+        title: "The request is not valid.",
+        message: ({ problems }) => `The request is not valid: ${problems}`,
+        hint: "Correct the listed fields and send the request again.",
+        status: 400,
+        notRun: true,
+    }),
+    NoSelectorMatches: defineError<{ labels: string; }>({
+        title: "No selector matches the request.",
+        message: ({ labels }) => `No selector matches the labels ${labels}.`,
+        hint: "Check the labels of the request, or ask an operator to declare a selector.",
+        status: 422,
+        notRun: true,
+    }),
+    NoEndpoint: defineError<{ target: string; }>({
+        title: "No endpoint serves the target.",
+        message: ({ target }) => `No live endpoint serves ${target}.`,
+        hint: "Try again later; operators see the endpoints with `wigeonpulley status`.",
+        status: 503,
+        notRun: true,
+    }),
+    Overloaded: defineError<{ tier: string; }>({
+        title: "The request was refused because of load.",
+        message: ({ tier }) => `Tier ${tier} is not admitted at the moment; the request did not run.`,
+        hint: "Send the request again after the time in Retry-After.",
+        status: 503,
+        notRun: true,
+    }),
+    DeadlineUnattainable: defineError<{ estimateMs: number; deadlineMs: number; }>({
+        title: "The request can't finish by its deadline.",
+        message: ({ estimateMs, deadlineMs }) =>
+            `The request needs about ${estimateMs} ms and has ${deadlineMs} ms; it did not run.`,
+        hint: "Ask for a shorter answer or allow more time.",
+        status: 503,
+        notRun: true,
+    }),
+    DeadlineExceeded: defineError<Record<never, never>>({
+        title: "The deadline passed while the request was running.",
+        message: () => "The deadline passed after the request had been dispatched.",
+        hint: "The outcome is unknown unless the request is idempotent.",
+        status: 504,
+        notRun: false,
+    }),
+    EndpointFailed: defineError<{ endpoint: string; reason: string; }>({
+        title: "The endpoint failed after the request was dispatched.",
+        message: ({ endpoint, reason }) => `Endpoint ${endpoint} failed: ${reason}`,
+        hint: "Send an idempotent request again; for others ask for the outcome first.",
+        status: 502,
+        notRun: false,
+    }),
+    EndpointUnreachable: defineError<{ endpoint: string; reason: string; }>({
+        title: "No connection to the endpoint could be made.",
+        message: ({ endpoint, reason }) =>
+            `Endpoint ${endpoint} took no connection (${reason}); the request did not run.`,
+        hint: "Send the request again after the time in Retry-After.",
+        status: 503,
+        notRun: true,
+    }),
+    KeyRequired: defineError<Record<never, never>>({
+        title: "The request needs an idempotency key.",
+        message: () => "The selector declares the request as not idempotent, and it has no Idempotency-Key.",
+        hint: "Send an Idempotency-Key header with a value that is unique to the operation.",
+        status: 400,
+        notRun: true,
+    }),
+    KeyReused: defineError<Record<never, never>>({
+        title: "The idempotency key belongs to another request.",
+        message: () => "The Idempotency-Key was used before with another body.",
+        hint: "Use a new key for a new operation.",
+        status: 422,
+        notRun: true,
+    }),
+    KeyInProgress: defineError<Record<never, never>>({
+        title: "A request with this idempotency key is in progress.",
+        message: () => "Another request with the same Idempotency-Key holds the claim.",
+        hint: "Send the request again after the time in Retry-After to read its outcome.",
+        status: 409,
+        notRun: false,
+    }),
+    OutcomeUnknown: defineError<Record<never, never>>({
+        title: "The outcome of the request is unknown.",
+        message: () => "The request was claimed, but its outcome was never recorded; it may have run.",
+        hint: "Check the state of the service before using a new key.",
+        status: 409,
+        notRun: false,
+    }),
+    ResumeTokenInvalid: defineError<Record<never, never>>({
+        title: "The Last-Event-ID is not valid.",
+        message: () => "The Last-Event-ID is forged, expired, or belongs to another caller.",
+        hint: "Send the request again without Last-Event-ID.",
+        status: 403,
+        notRun: false,
+    }),
+    ResumeUnavailable: defineError<{ endpoint: string; }>({
+        title: "The answer can't be resumed.",
+        message: ({ endpoint }) => `Endpoint ${endpoint} no longer holds the answer.`,
+        hint: "Send an idempotent request again.",
+        status: 410,
+        notRun: false,
+    }),
+    Stopping: defineError<Record<never, never>>({
+        title: "This VM is stopping.",
+        message: () => "This VM takes no new requests; the request did not run.",
+        hint: "Send the request again; the balancer picks another VM.",
+        status: 503,
+        notRun: true,
+    }),
+    TooManyStreams: defineError<{ limit: number; }>({
+        title: "This VM has too many open requests.",
+        message: ({ limit }) => `This VM has reached its limit of ${limit} open requests.`,
+        hint: "Send the request again after the time in Retry-After.",
+        status: 503,
+        notRun: true,
+    }),
+    PeerUnavailable: defineError<{ peer: string; reason: string; }>({
+        title: "A peer did not answer.",
+        message: ({ peer, reason }) => `Peer ${peer} did not answer: ${reason}`,
+        hint: "No action is needed; another peer takes over.",
+        status: 503,
+        notRun: true,
+    }),
+    RequestCancelled: defineError<Record<never, never>>({
+        title: "The caller closed the request.",
+        message: () => "The caller closed the request before it was dispatched.",
+        hint: "No action is needed.",
+        status: 499,
+        notRun: true,
+    }),
+    InternalError: defineError<{ reason: string; }>({
+        title: "Something unexpected failed.",
+        message: ({ reason }) => `Unexpected failure: ${reason}`,
+        hint: "Report it with the logs of the VM.",
+        status: 500,
+        notRun: false,
+    }),
+} as const;
+
+/** The name of an entry of the catalogue. */
+export type ErrorName = keyof typeof errorCatalogue;
+
+/** The details that one kind of error carries. */
+export type ErrorDetails<Name extends ErrorName> = Parameters<(typeof errorCatalogue)[Name]["message"]>[0];
--- /dev/null
+++ b/packages/wigeonpulley/src/errors/scheduler-error.ts
@@ -0,0 +1,47 @@
+/** The one error type of the library: a catalogue entry with the details of an occurrence. */
+import { errorCatalogue, type ErrorDetails, type ErrorEntry, type ErrorName } from "./error-catalogue.js";
+
+/** What a caller may be told besides the message. */
+export interface ErrorOptions {
+    /** Time after which the caller may try again, in milliseconds. */
+    readonly retryAfterMs?: number | undefined;
+}
+
+/** A typed failure. Its `name` is a key of the error catalogue. */
+export class SchedulerError extends Error {
+    override readonly name: ErrorName;
+    /** Time after which the caller may try again, in milliseconds. */
+    readonly retryAfterMs: number | undefined;
+
+    private constructor(name: ErrorName, message: string, options: ErrorOptions) {
+        super(message);
+        this.name = name;
+        this.retryAfterMs = options.retryAfterMs;
+    }
+
+    /** Builds an error from its catalogue entry. */
+    static create<Name extends ErrorName>(
+        name: Name,
+        details: ErrorDetails<Name>,
+        options: ErrorOptions = {},
+    ): SchedulerError {
+        const entry = errorCatalogue[name] as ErrorEntry<ErrorDetails<Name>>;
+        return new SchedulerError(name, entry.message(details), options);
+    }
+
+    /** Wraps whatever a library threw. */
+    static fromUnknown(cause: unknown): SchedulerError {
+        return cause instanceof SchedulerError
+            ? cause
+            : SchedulerError.create("InternalError", { reason: describeCause(cause) });
+    }
+
+    /** The catalogue entry without its message. */
+    get entry(): Pick<ErrorEntry<never>, "title" | "hint" | "status" | "notRun"> {
+        return errorCatalogue[this.name];
+    }
+}
+
+/** Describes a thrown value in one line. */
+export const describeCause = (cause: unknown): string =>
+    cause instanceof Error ? cause.message || cause.name : String(cause);
--- /dev/null
+++ b/packages/wigeonpulley/src/gateway/answer-reader.ts
@@ -0,0 +1,187 @@
+/**
+ * Reads an engine's answer to its end: checks that every event belongs to the request and is the next one, and
+ * resumes on a new connection when the old one is lost, silent, or carries another answer.
+ */
+import { Err, Ok, type Result } from "ts-results-es";
+import type { Endpoint } from "../config/index.js";
+import {
+    END_OF_STREAM,
+    type EndpointClient,
+    type EngineEvent,
+    type EngineStream,
+} from "../endpoints/index.js";
+import { SchedulerError } from "../errors/index.js";
+import type { EventLogger } from "../logging/index.js";
+import type { TimerService } from "../time/index.js";
+
+/** What a reader is built from. */
+export interface AnswerReaderOptions {
+    readonly endpoints: EndpointClient;
+    readonly timers: TimerService;
+    readonly logger: EventLogger;
+    readonly endpoint: Endpoint;
+    readonly requestId: string;
+    /** Silence after which the answer is resumed on a new connection, in milliseconds. */
+    readonly silenceMs: number;
+    /** Sequence number of the first event to deliver. */
+    readonly firstSequence: number;
+}
+
+/** Why a connection gives no further event. */
+type ConnectionEnd = "lost" | "silent" | "mismatch";
+
+/** Answers a read that found the request never ran. */
+export const NEVER_RAN = "never-ran";
+
+/** What became of an attempt to open an answer again. */
+type ReopenOutcome = "open" | "failed" | "forgotten" | "cancelled" | typeof NEVER_RAN;
+
+/** Tries in a row to open an answer again. */
+const RESUME_TRIES = 12;
+
+/** Time between two tries, in milliseconds. */
+const RESUME_INTERVAL_MS = 250;
+
+const SILENT: unique symbol = Symbol("silent");
+
+/** Reader of one answer. */
+export class AnswerReader {
+    private next: number;
+    private stream: EngineStream | undefined;
+    private iterator: AsyncIterator<EngineEvent> | undefined;
+    private isDone = false;
+
+    private constructor(private readonly options: AnswerReaderOptions) {
+        this.next = options.firstSequence;
+    }
+
+    /** Creates a reader; without a stream it begins by resuming. */
+    static create(options: AnswerReaderOptions, stream: EngineStream | undefined): AnswerReader {
+        const reader = new AnswerReader(options);
+        reader.attach(stream);
+        return reader;
+    }
+
+    /**
+     * The next event; undefined after the last one.
+     * NEVER_RAN proves that the engine did not run the request and will not.
+     * Fails with EndpointFailed or ResumeUnavailable.
+     */
+    async read(): Promise<Result<EngineEvent | undefined | typeof NEVER_RAN, SchedulerError>> {
+        for (let failures = 0; failures < RESUME_TRIES;) {
+            if (this.isDone) {
+                return Ok(undefined);
+            }
+            const item = await this.readConnection();
+            if (typeof item !== "string") {
+                this.next = item.sequence + 1;
+                this.isDone = item.data === END_OF_STREAM;
+                return Ok(item);
+            }
+            switch (await this.reopen()) {
+                case "open":
+                    break;
+                case "failed":
+                    failures += 1;
+                    await this.options.timers.sleep(RESUME_INTERVAL_MS);
+                    break;
+                case "forgotten":
+                    return Err(
+                        SchedulerError.create("ResumeUnavailable", { endpoint: this.options.endpoint.name }),
+                    );
+                case "cancelled":
+                    return Err(this.createFailure("the request was cancelled"));
+                case NEVER_RAN:
+                    return Ok(NEVER_RAN);
+            }
+        }
+        return Err(this.createFailure("the answer could not be resumed"));
+    }
+
+    /** Closes the connection; the engine goes on. */
+    close(): void {
+        this.stream?.close();
+    }
+
+    private attach(stream: EngineStream | undefined): void {
+        this.stream?.close();
+        this.stream = stream;
+        this.iterator = stream?.events[Symbol.asyncIterator]();
+    }
+
+    /** The next event in order from the present connection, or why it gives none. */
+    private async readConnection(): Promise<EngineEvent | ConnectionEnd> {
+        if (this.stream === undefined || this.iterator === undefined) {
+            return "lost";
+        }
+        if (this.stream.requestId !== this.options.requestId) {
+            this.options.logger.write("AnswerMismatch", {
+                id: this.options.requestId,
+                endpoint: this.options.endpoint.name,
+                received: this.stream.requestId,
+            });
+            return "mismatch";
+        }
+        for (;;) {
+            const item = await this.readWithin(this.iterator, this.options.silenceMs);
+            if (item === SILENT) {
+                return "silent";
+            }
+            if (item === undefined || item.sequence > this.next) {
+                return "lost"; // The connection ended early, or events are missing.
+            }
+            if (item.sequence === this.next) {
+                return item;
+            }
+        }
+    }
+
+    private readWithin(
+        iterator: AsyncIterator<EngineEvent>,
+        limitMs: number,
+    ): Promise<EngineEvent | undefined | typeof SILENT> {
+        return new Promise(resolve => {
+            const cancel = this.options.timers.schedule(limitMs, () => resolve(SILENT));
+            const finish = (event: EngineEvent | undefined): void => {
+                cancel();
+                resolve(event);
+            };
+            iterator.next().then(
+                result => finish(result.done === true ? undefined : result.value),
+                () => finish(undefined),
+            );
+        });
+    }
+
+    /** Opens the answer again at the next event. */
+    private async reopen(): Promise<ReopenOutcome> {
+        const { endpoints, endpoint, requestId, logger } = this.options;
+        this.attach(undefined);
+        const resumed = await endpoints.resume(endpoint, requestId, this.next);
+        if (resumed.isErr()) {
+            return "failed";
+        }
+        if (resumed.value !== undefined) {
+            logger.write("StreamResumed", { id: requestId, endpoint: endpoint.name, sequence: this.next });
+            this.attach(resumed.value);
+            return "open";
+        }
+        if (this.next > 0) {
+            return "forgotten";
+        }
+        const cancelled = await endpoints.cancel(endpoint, requestId);
+        const outcome = cancelled.unwrapOr(undefined);
+        switch (outcome) {
+            case "never-seen":
+                return NEVER_RAN;
+            case "cancelled":
+                return "cancelled";
+            default:
+                return "failed"; // Finished in the meantime, or no answer: the next try resumes.
+        }
+    }
+
+    private createFailure(reason: string): SchedulerError {
+        return SchedulerError.create("EndpointFailed", { endpoint: this.options.endpoint.name, reason });
+    }
+}
--- /dev/null
+++ b/packages/wigeonpulley/src/gateway/chat-completion.ts
@@ -0,0 +1,33 @@
+/** Gathers a streamed chat completion into one body, for callers that do not stream. */
+import { z } from "zod";
+import { END_OF_STREAM } from "../endpoints/index.js";
+
+const chunkSchema = z.looseObject({
+    id: z.string(),
+    model: z.string().optional(),
+    choices: z.array(z.looseObject({
+        delta: z.looseObject({ content: z.string().nullish() }).default({}),
+        finish_reason: z.string().nullish(),
+    })),
+});
+
+/** Builds the body of a whole completion from the data of its events. */
+export const joinChunks = (events: readonly string[]): string => {
+    const chunks = events.filter(data => data !== END_OF_STREAM).map(data =>
+        chunkSchema.parse(JSON.parse(data))
+    );
+    const choices = chunks.flatMap(chunk => chunk.choices.slice(0, 1));
+    return JSON.stringify({
+        id: chunks[0]?.id ?? "",
+        object: "chat.completion",
+        model: chunks[0]?.model ?? "",
+        choices: [{
+            index: 0,
+            message: {
+                role: "assistant",
+                content: choices.map(choice => choice.delta.content ?? "").join(""),
+            },
+            finish_reason: choices.at(-1)?.finish_reason ?? "stop",
+        }],
+    });
+};
--- /dev/null
+++ b/packages/wigeonpulley/src/gateway/engine-answer.ts
@@ -0,0 +1,110 @@
+/** Carries one engine answer from its endpoint to its caller. */
+import { Err, Ok, type Result } from "ts-results-es";
+import { MessageQueue } from "../concurrency/index.js";
+import { END_OF_STREAM, type EngineEvent } from "../endpoints/index.js";
+import type { SchedulerError } from "../errors/index.js";
+import { Outcome } from "../gen/wigeonpulley/peer/v1/peer_pb.js";
+import type { MetricsRegistry } from "../metrics/index.js";
+import type { Slot, TicketClient } from "../scheduling/index.js";
+import type { TimerService } from "../time/index.js";
+import { type AnswerReader, NEVER_RAN } from "./answer-reader.js";
+import type { PaceRecorder } from "./pace-recorder.js";
+
+/** What an answer is built from. */
+export interface EngineAnswerOptions {
+    readonly reader: AnswerReader;
+    readonly slot: Slot;
+    readonly tier: string;
+    /** Monotonic times in milliseconds. */
+    readonly receivedAt: number;
+    readonly dispatchedAt: number;
+    readonly tickets: TicketClient;
+    readonly pace: PaceRecorder;
+    readonly metrics: MetricsRegistry;
+    readonly timers: TimerService;
+    /** Called once when the answer has ended. */
+    readonly onEnd: () => void;
+}
+
+/** One item for the caller: an event, or the failure that ends the answer. */
+export type AnswerItem = Result<EngineEvent, SchedulerError>;
+
+/**
+ * One answer. A task of its own reads it to the end even when the caller has gone, so that the slot is held as long
+ * as the engine works and the caller can resume through another VM.
+ */
+export class EngineAnswer {
+    private readonly items = MessageQueue.create<AnswerItem>();
+    private tokens = 0;
+    private firstTokenAt: number | undefined;
+    private previousAt: number | undefined;
+
+    private constructor(private readonly options: EngineAnswerOptions) {}
+
+    /** Delivers the first event, then goes on reading in the background. */
+    static create(options: EngineAnswerOptions, first: EngineEvent): EngineAnswer {
+        const answer = new EngineAnswer(options);
+        answer.deliver(first);
+        void answer.run();
+        return answer;
+    }
+
+    /** The events in order, each exactly once; a failure comes last. */
+    get events(): AsyncIterable<AnswerItem> {
+        return this.items;
+    }
+
+    private async run(): Promise<void> {
+        for (;;) {
+            const item = await this.options.reader.read();
+            if (item.isErr()) {
+                this.finish(item.error);
+                return;
+            }
+            if (item.value === undefined || item.value === NEVER_RAN) {
+                this.finish(undefined);
+                return;
+            }
+            this.deliver(item.value);
+        }
+    }
+
+    private deliver(event: EngineEvent): void {
+        this.items.push(Ok(event));
+        if (event.data === END_OF_STREAM) {
+            return;
+        }
+        const { timers, slot, pace, metrics, tier, receivedAt } = this.options;
+        const now = timers.now();
+        if (this.previousAt === undefined) {
+            metrics.record(tier, "first-token", now - receivedAt);
+        }
+        else {
+            pace.record(slot.endpoint, slot.group, now - this.previousAt);
+            metrics.record(tier, "inter-token", now - this.previousAt);
+        }
+        this.firstTokenAt ??= now;
+        this.previousAt = now;
+        this.tokens += 1;
+    }
+
+    private finish(error: SchedulerError | undefined): void {
+        const { reader, tickets, slot, timers, dispatchedAt, receivedAt, metrics, tier, onEnd } =
+            this.options;
+        reader.close();
+        const now = timers.now();
+        tickets.release(slot, {
+            outcome: error === undefined ? Outcome.COMPLETED : Outcome.FAILED,
+            firstTokenMs: Math.round((this.firstTokenAt ?? now) - dispatchedAt),
+            tokens: this.tokens,
+            durationMs: Math.round(now - dispatchedAt),
+        });
+        metrics.record(tier, "total", now - receivedAt);
+        metrics.countRequest(tier, error?.name ?? "completed");
+        if (error !== undefined) {
+            this.items.push(Err(error));
+        }
+        this.items.close();
+        onEnd();
+    }
+}
--- /dev/null
+++ b/packages/wigeonpulley/src/gateway/gateway.ts
@@ -0,0 +1,419 @@
+/** Serves callers' requests: match, claim, schedule, dispatch, answer. */
+import * as Option from "fp-ts/lib/Option.js";
+import { Err, Ok, type Result } from "ts-results-es";
+import type { ClaimHandle, ClaimService } from "../claims/index.js";
+import {
+    type Caller,
+    type ConfigurationVersion,
+    type Endpoint,
+    type MatchedRequest,
+    matchRequest,
+} from "../config/index.js";
+import {
+    type DispatchPermit,
+    type DispatchResult,
+    type EndpointClient,
+    type EndpointRequest,
+    type EngineEvent,
+    type EngineStream,
+    type ServiceAnswer,
+} from "../endpoints/index.js";
+import { createProblemBody, SchedulerError } from "../errors/index.js";
+import { Outcome } from "../gen/wigeonpulley/peer/v1/peer_pb.js";
+import { computeDigest } from "../hashing/index.js";
+import type { EventLogger } from "../logging/index.js";
+import type { MetricsRegistry } from "../metrics/index.js";
+import type { RandomSource } from "../random/index.js";
+import type { Slot, TicketClient } from "../scheduling/index.js";
+import type { TimerService } from "../time/index.js";
+import { AnswerReader, NEVER_RAN } from "./answer-reader.js";
+import type { CallerRequest, EngineRequest, ServiceRequest } from "./caller-request.js";
+import { EngineAnswer } from "./engine-answer.js";
+import type { OpenRequest, OpenRequests } from "./open-requests.js";
+import type { PaceRecorder } from "./pace-recorder.js";
+import { Placement, type PlacementRequest } from "./placement.js";
+import type { ResumeTokens } from "./resume-token.js";
+import { RetryBudgets } from "./retry-budget.js";
+
+/** What a gateway is built from. */
+export interface GatewayOptions {
+    readonly timers: TimerService;
+    readonly random: RandomSource;
+    readonly logger: EventLogger;
+    readonly metrics: MetricsRegistry;
+    readonly tickets: TicketClient;
+    readonly endpoints: EndpointClient;
+    readonly claims: ClaimService;
+    readonly tokens: ResumeTokens;
+    readonly pace: PaceRecorder;
+    readonly openRequests: OpenRequests;
+    readonly readConfiguration: () => ConfigurationVersion | undefined;
+    readonly findEndpointGroup: (endpoint: string) => string | undefined;
+    /** Silence after which a stream is resumed on a new connection, in milliseconds. */
+    readonly streamSilenceMs: number;
+    /** Validity of a resume token, in milliseconds. */
+    readonly resumeTokenMs: number;
+}
+
+/** A streamed answer. */
+export interface StreamAnswer {
+    readonly kind: "stream";
+    readonly requestId: string;
+    /** Stands behind the position in each event identifier. */
+    readonly token: string;
+    readonly answer: EngineAnswer;
+}
+
+/** An answer in one piece. */
+export interface WholeAnswer extends ServiceAnswer {
+    readonly kind: "whole";
+    readonly requestId: string;
+}
+
+/** An answer to a caller. */
+export type Answer = StreamAnswer | WholeAnswer;
+
+/** Time after which a refused caller may try again when nothing better is known, in milliseconds. */
+const DEFAULT_RETRY_MS = 1_000;
+
+/** An answer whose first event has arrived. */
+interface StartedAnswer {
+    readonly reader: AnswerReader;
+    readonly first: EngineEvent;
+}
+
+/** A request after it was matched. */
+interface MatchedCall<Request extends CallerRequest> {
+    readonly id: string;
+    readonly caller: Caller;
+    readonly request: Request;
+    readonly match: MatchedRequest;
+    readonly receivedAt: number;
+    readonly deadlineAt: number;
+    readonly open: OpenRequest;
+}
+
+/** Gateway of one VM. */
+export class Gateway {
+    private readonly placement: Placement;
+    private isStopping = false;
+
+    private constructor(private readonly options: GatewayOptions) {
+        this.placement = Placement.create({
+            tickets: options.tickets,
+            timers: options.timers,
+            logger: options.logger,
+            retries: RetryBudgets.create(),
+            findEndpoint: name => this.findEndpoint(name),
+        });
+    }
+
+    /** Creates a gateway. */
+    static create(options: GatewayOptions): Gateway {
+        return new Gateway(options);
+    }
+
+    /** Refuses new requests from now on. */
+    refuseNew(): void {
+        this.isStopping = true;
+    }
+
+    /** Serves a request. An error with `notRun` means that no endpoint ran it or will. */
+    async serve(caller: Caller, request: CallerRequest): Promise<Result<Answer, SchedulerError>> {
+        const call = this.openCall(caller, request);
+        if (call.isErr()) {
+            return call;
+        }
+        const { id, match, open } = call.value;
+        const answer = call.value.request.kind === "engine"
+            ? await this.serveEngine(call.value as MatchedCall<EngineRequest>)
+            : await this.serveService(call.value as MatchedCall<ServiceRequest>);
+        if (answer.isErr()) {
+            open.leave();
+            this.options.logger.write("RequestRefused", { id, error: answer.error.name });
+            this.options.metrics.countRequest(match.tier.name, answer.error.name);
+        }
+        return answer;
+    }
+
+    /** Continues the stream that an event identifier belongs to, behind that event. */
+    async resume(caller: Caller, eventIdentifier: string): Promise<Result<StreamAnswer, SchedulerError>> {
+        const { tokens, timers, tickets, openRequests } = this.options;
+        const position = tokens.verify(eventIdentifier, caller.name, timers.readWallClock());
+        if (Option.isNone(position)) {
+            return Err(SchedulerError.create("ResumeTokenInvalid", {}));
+        }
+        const { payload, sequence } = position.value;
+        const endpoint = this.findEndpoint(payload.endpoint);
+        const group = this.options.findEndpointGroup(payload.endpoint);
+        const open = openRequests.tryEnter(true);
+        const unavailable = SchedulerError.create("ResumeUnavailable", { endpoint: payload.endpoint });
+        if (endpoint === undefined || group === undefined || open === undefined) {
+            open?.leave();
+            return Err(unavailable);
+        }
+        const reader = this.createReader(endpoint, payload.id, sequence + 1, undefined);
+        const first = await reader.read();
+        if (first.isErr() || first.value === NEVER_RAN || first.value === undefined) {
+            open.leave();
+            return Err(first.isErr() ? first.error : unavailable);
+        }
+        const slot: Slot = {
+            id: payload.id,
+            group,
+            endpoint: endpoint.name,
+            tier: payload.tier,
+            expectedMs: 0,
+        };
+        tickets.adopt(slot);
+        const now = timers.now();
+        const times = { receivedAt: now, dispatchedAt: now };
+        const started = { reader, first: first.value };
+        const answer = this.openAnswer(slot, started, this.readTierName(payload.tier), times, open);
+        return Ok({ kind: "stream", requestId: payload.id, token: tokens.sign(payload), answer });
+    }
+
+    /** Checks what can be checked before scheduling. */
+    private openCall<Request extends CallerRequest>(
+        caller: Caller,
+        request: Request,
+    ): Result<MatchedCall<Request>, SchedulerError> {
+        const { timers, random, openRequests, readConfiguration } = this.options;
+        const version = readConfiguration();
+        if (this.isStopping) {
+            return Err(SchedulerError.create("Stopping", {}, { retryAfterMs: DEFAULT_RETRY_MS }));
+        }
+        if (version === undefined) {
+            return Err(
+                SchedulerError.create("ConfigurationUnavailable", {}, { retryAfterMs: DEFAULT_RETRY_MS }),
+            );
+        }
+        const serves = request.kind === "engine" ? request.model : request.service;
+        const match = matchRequest(version.configuration, caller, request.labels, serves);
+        if (Option.isNone(match)) {
+            const labels = JSON.stringify({ ...request.labels, serves });
+            return Err(SchedulerError.create("NoSelectorMatches", { labels }));
+        }
+        const { tier, selector } = match.value;
+        if (!selector.idempotent && request.idempotencyKey === undefined) {
+            return Err(SchedulerError.create("KeyRequired", {}));
+        }
+        const open = openRequests.tryEnter(tier.durable);
+        if (open === undefined) {
+            const limit = openRequests.count;
+            return Err(
+                SchedulerError.create("TooManyStreams", { limit }, { retryAfterMs: DEFAULT_RETRY_MS }),
+            );
+        }
+        const receivedAt = timers.now();
+        const allowedMs = Math.min(request.deadlineMs ?? tier.deadlineMs, tier.deadlineMs);
+        const deadlineAt = receivedAt + allowedMs;
+        const id = random.createIdentifier();
+        return Ok({ id, caller, request, match: match.value, receivedAt, deadlineAt, open });
+    }
+
+    private async serveEngine(call: MatchedCall<EngineRequest>): Promise<Result<Answer, SchedulerError>> {
+        const { tokens, timers, metrics } = this.options;
+        const { id, caller, request, match, receivedAt, open } = call;
+        const placed = await this.placement.place(
+            this.createPlacement(call, request),
+            (endpoint, permit) => this.dispatchToEngine(endpoint, permit, createEndpointRequest(id, request)),
+        );
+        if (placed.isErr()) {
+            return placed;
+        }
+        const { slot, endpoint, answer: started, dispatchedAt } = placed.value;
+        metrics.record(match.tier.name, "queue", dispatchedAt - receivedAt);
+        const answer = this.openAnswer(slot, started, match.tier.name, { receivedAt, dispatchedAt }, open);
+        const token = tokens.sign({
+            id,
+            endpoint: endpoint.name,
+            caller: caller.name,
+            tier: match.tierIndex,
+            expiresAt: timers.readWallClock() + this.options.resumeTokenMs,
+        });
+        return Ok({ kind: "stream", requestId: id, token, answer });
+    }
+
+    /**
+     * Dispatches to an engine and waits for the first event.
+     * Whether a request whose connection was lost did arrive is settled with the engine.
+     */
+    private async dispatchToEngine(
+        endpoint: Endpoint,
+        permit: DispatchPermit,
+        request: EndpointRequest,
+    ): Promise<DispatchResult<StartedAnswer>> {
+        const dispatched = await this.options.endpoints.dispatchToEngine(endpoint, permit, request);
+        const started = dispatched.isOk() ? dispatched.value : dispatched.error;
+        if ("kind" in started && started.kind !== "maybe-sent") {
+            return Err(started);
+        }
+        const { used } = started;
+        const reader = this.createReader(
+            endpoint,
+            request.id,
+            0,
+            "stream" in started ? started.stream : undefined,
+        );
+        const first = await reader.read();
+        if (first.isErr()) {
+            return Err({ kind: "maybe-sent", used, error: first.error });
+        }
+        if (first.value === NEVER_RAN || first.value === undefined) {
+            const error = SchedulerError.create("EndpointUnreachable", {
+                endpoint: endpoint.name,
+                reason: "the request did not arrive",
+            });
+            return Err({ kind: "not-sent", permit: used.restore("cancelled-before-arrival"), error });
+        }
+        return Ok({ reader, first: first.value });
+    }
+
+    private async serveService(call: MatchedCall<ServiceRequest>): Promise<Result<Answer, SchedulerError>> {
+        const { id, caller, request, match, open } = call;
+        if (match.selector.idempotent || request.idempotencyKey === undefined) {
+            const answer = await this.runService(call);
+            open.leave();
+            return answer;
+        }
+        const key = computeDigest(`${caller.workspace}\n${request.idempotencyKey}`);
+        const digest = computeDigest(
+            `${request.method}\n${request.service}\n${request.path}\n${request.body}`,
+        );
+        const decision = await this.options.claims.claim(key, digest, call.deadlineAt);
+        if (decision.isErr()) {
+            return decision;
+        }
+        if (decision.value.kind === "repeat") {
+            open.leave();
+            return Ok({ kind: "whole", requestId: id, ...decision.value.answer });
+        }
+        const answer = await this.runService(call);
+        this.recordOutcome(decision.value.claim, answer);
+        open.leave();
+        return answer;
+    }
+
+    /** Writes to the log what became of a claimed request; goes on in the background. */
+    private recordOutcome(claim: ClaimHandle, answer: Result<WholeAnswer, SchedulerError>): void {
+        const { claims } = this.options;
+        if (answer.isErr() && answer.error.entry.notRun) {
+            void claims.release(claim);
+        }
+        else if (answer.isErr()) {
+            const problem = createProblemBody(SchedulerError.create("OutcomeUnknown", {}));
+            void claims.complete(claim, problem.status, "application/problem+json", JSON.stringify(problem));
+        }
+        else {
+            void claims.complete(claim, answer.value.status, answer.value.contentType, answer.value.body);
+        }
+    }
+
+    private async runService(
+        call: MatchedCall<ServiceRequest>,
+    ): Promise<Result<WholeAnswer, SchedulerError>> {
+        const { timers, tickets, metrics, endpoints } = this.options;
+        const { id, request, match, receivedAt, deadlineAt } = call;
+        const deadline = new AbortController();
+        const cancelDeadline = timers.schedule(deadlineAt - timers.now(), () => deadline.abort());
+        const placed = await this.placement.place(
+            this.createPlacement(call, undefined),
+            (endpoint, permit) =>
+                endpoints.dispatchToService(
+                    endpoint,
+                    permit,
+                    createEndpointRequest(id, request),
+                    deadline.signal,
+                ),
+        );
+        cancelDeadline();
+        if (placed.isErr()) {
+            return Err(
+                deadline.signal.aborted && !placed.error.entry.notRun
+                    ? SchedulerError.create("DeadlineExceeded", {})
+                    : placed.error,
+            );
+        }
+        const { slot, answer, dispatchedAt } = placed.value;
+        const durationMs = Math.round(timers.now() - dispatchedAt);
+        tickets.release(slot, {
+            outcome: Outcome.COMPLETED,
+            firstTokenMs: durationMs,
+            tokens: 1,
+            durationMs,
+        });
+        metrics.record(match.tier.name, "total", timers.now() - receivedAt);
+        metrics.countRequest(match.tier.name, "completed");
+        return Ok({ kind: "whole", requestId: id, ...answer });
+    }
+
+    private openAnswer(
+        slot: Slot,
+        { reader, first }: StartedAnswer,
+        tier: string,
+        times: { readonly receivedAt: number; readonly dispatchedAt: number; },
+        open: OpenRequest,
+    ): EngineAnswer {
+        const { tickets, pace, metrics, timers } = this.options;
+        return EngineAnswer.create(
+            { reader, slot, tier, ...times, tickets, pace, metrics, timers, onEnd: open.leave },
+            first,
+        );
+    }
+
+    private createPlacement(
+        call: MatchedCall<CallerRequest>,
+        engineRequest: EngineRequest | undefined,
+    ): PlacementRequest {
+        return {
+            id: call.id,
+            caller: call.caller.name,
+            match: call.match,
+            deadlineAt: call.deadlineAt,
+            promptTokens: engineRequest?.promptTokens ?? 0,
+            answerTokens: engineRequest === undefined
+                ? 0
+                : engineRequest.maximumTokens ?? call.match.selector.expectedTokens,
+            prefixBlocks: engineRequest?.prefixBlocks ?? [],
+            signal: call.request.signal,
+        };
+    }
+
+    private createReader(
+        endpoint: Endpoint,
+        requestId: string,
+        firstSequence: number,
+        stream: EngineStream | undefined,
+    ): AnswerReader {
+        const { endpoints, timers, logger, streamSilenceMs: silenceMs } = this.options;
+        return AnswerReader.create({
+            endpoints,
+            timers,
+            logger,
+            endpoint,
+            requestId,
+            silenceMs,
+            firstSequence,
+        }, stream);
+    }
+
+    private findEndpoint(name: string): Endpoint | undefined {
+        return this.options.readConfiguration()?.configuration.endpoints.find(endpoint =>
+            endpoint.name === name
+        );
+    }
+
+    private readTierName(index: number): string {
+        return this.options.readConfiguration()?.configuration.tiers[index]?.name ?? "unknown";
+    }
+}
+
+const createEndpointRequest = (id: string, request: CallerRequest): EndpointRequest => ({
+    id,
+    method: request.kind === "engine" ? "POST" : request.method,
+    path: request.kind === "engine" ? "/v1/chat/completions" : request.path,
+    contentType: request.contentType,
+    body: request.body,
+    idempotencyKey: request.idempotencyKey,
+});
--- /dev/null
+++ b/packages/wigeonpulley/src/gateway/http-server.ts
@@ -0,0 +1,259 @@
+/** The address for callers and operators. Reads requests and writes answers; decides nothing. */
+import fastify, { type FastifyInstance, type FastifyReply, type FastifyRequest } from "fastify";
+import * as Option from "fp-ts/lib/Option.js";
+import { timingSafeEqual } from "node:crypto";
+import { Readable } from "node:stream";
+import { Err, Ok, type Result } from "ts-results-es";
+import { z } from "zod";
+import { type Caller, findCaller, hashKey, type Settings } from "../config/index.js";
+import { createProblemBody, readRetryAfterSeconds, SchedulerError } from "../errors/index.js";
+import type { MetricsRegistry } from "../metrics/index.js";
+import { type CallerRequest, parseChatBody, parseHeaders } from "./caller-request.js";
+import { joinChunks } from "./chat-completion.js";
+import type { Answer, Gateway, StreamAnswer } from "./gateway.js";
+
+/** What operators can ask a VM. */
+export interface OperatorQueries {
+    readonly readStatus: () => unknown;
+    /** Begins a graceful shutdown. */
+    readonly drain: () => void;
+}
+
+/** What the server is built from. */
+export interface HttpServerOptions {
+    readonly settings: Settings;
+    readonly gateway: Gateway;
+    readonly metrics: MetricsRegistry;
+    readonly readCallers: () => ReadonlyMap<string, Caller>;
+    readonly isReady: () => boolean;
+    readonly operators: OperatorQueries;
+}
+
+const HTTP_OK = 200;
+const HTTP_ACCEPTED = 202;
+const HTTP_UNAVAILABLE = 503;
+const BEARER_PREFIX = "Bearer ";
+const EVENT_STREAM = "text/event-stream";
+const PROBLEM = "application/problem+json";
+
+const streamingBodySchema = z.looseObject({ stream: z.literal(true) });
+
+/** Server for callers and operators. */
+export class HttpServer {
+    private constructor(private readonly app: FastifyInstance, private readonly options: HttpServerOptions) {}
+
+    /** Creates a server that does not listen yet. */
+    static create(options: HttpServerOptions): HttpServer {
+        const { limits } = options.settings;
+        const app = fastify({
+            bodyLimit: limits.bodyBytes,
+            requestTimeout: limits.headerTimeoutMs,
+            http: { headersTimeout: limits.headerTimeoutMs },
+            forceCloseConnections: "idle",
+        });
+        const server = new HttpServer(app, options);
+        server.addCallerRoutes();
+        server.addOperatorRoutes();
+        app.setErrorHandler((cause, request, reply) => {
+            const isClientError = cause instanceof Error && "statusCode" in cause
+                && Number(cause.statusCode) < 500;
+            const problems = cause instanceof Error ? cause.message : String(cause);
+            const error = isClientError
+                ? SchedulerError.create("InvalidRequest", { problems })
+                : SchedulerError.fromUnknown(cause);
+            return sendProblem(reply, error);
+        });
+        return server;
+    }
+
+    /** Begins to listen and returns the port in use. */
+    async listen(): Promise<number> {
+        const { host, port } = this.options.settings.listen;
+        const url = await this.app.listen({ host, port });
+        return Number(new URL(url).port);
+    }
+
+    /** Ends idle connections at once and the others when their answers are complete. */
+    close(): Promise<void> {
+        return this.app.close();
+    }
+
+    private addCallerRoutes(): void {
+        const { gateway } = this.options;
+        this.app.post(
+            "/v1/chat/completions",
+            (request, reply) =>
+                this.handle(
+                    request,
+                    reply,
+                    caller =>
+                        parseHeaders(request.headers).andThen(headers =>
+                            parseChatBody(request.body).map(chat => ({ ...headers, ...chat }))
+                        ).map(fields =>
+                            gateway.serve(caller, {
+                                ...fields,
+                                kind: "engine",
+                                contentType: "application/json",
+                                signal: createCloseSignal(reply),
+                            })
+                        ),
+                    readIsStreaming(request.body),
+                ),
+        );
+        this.app.get(
+            "/v1/answers",
+            (request, reply) =>
+                this.handle(
+                    request,
+                    reply,
+                    caller => Ok(gateway.resume(caller, String(request.headers["last-event-id"] ?? ""))),
+                    true,
+                ),
+        );
+        void this.app.register((scope, options, done) => {
+            scope.removeAllContentTypeParsers();
+            scope.addContentTypeParser(
+                "*",
+                { parseAs: "string" },
+                (request: unknown, body: string) => Promise.resolve(body),
+            );
+            scope.all<{ Params: { service: string; "*": string; }; }>(
+                "/services/:service/*",
+                (request, reply) =>
+                    this.handle(
+                        request,
+                        reply,
+                        caller =>
+                            parseHeaders(request.headers).map(headers =>
+                                gateway.serve(caller, createServiceRequest(request, reply, headers))
+                            ),
+                        false,
+                    ),
+            );
+            done();
+        });
+    }
+
+    private addOperatorRoutes(): void {
+        const { metrics, operators, isReady } = this.options;
+        this.app.get("/health/live", () => ({ status: "live" }));
+        this.app.get(
+            "/health/ready",
+            (request, reply) =>
+                reply.status(isReady() ? HTTP_OK : HTTP_UNAVAILABLE).send({
+                    status: isReady() ? "ready" : "not ready",
+                }),
+        );
+        this.app.get("/metrics", async (request, reply) => {
+            reply.type(metrics.contentType);
+            return metrics.readText();
+        });
+        this.app.get("/operator/status", (request, reply) =>
+            this.isOperator(request)
+                ? reply.send(operators.readStatus())
+                : sendProblem(reply, SchedulerError.create("NotPermitted", {})));
+        this.app.post("/operator/drain", (request, reply) => {
+            if (!this.isOperator(request)) {
+                return sendProblem(reply, SchedulerError.create("NotPermitted", {}));
+            }
+            operators.drain();
+            return reply.status(HTTP_ACCEPTED).send({ status: "draining" });
+        });
+    }
+
+    /** Authenticates the caller, runs the request and writes its answer. */
+    private async handle(
+        request: FastifyRequest,
+        reply: FastifyReply,
+        run: (caller: Caller) => Result<Promise<Result<Answer, SchedulerError>>, SchedulerError>,
+        isStreaming: boolean,
+    ): Promise<FastifyReply> {
+        const caller = findCaller(this.options.readCallers(), readBearer(request));
+        if (Option.isNone(caller)) {
+            return sendProblem(reply, SchedulerError.create("UnknownCaller", {}));
+        }
+        const started = run(caller.value);
+        const answer = started.isOk() ? await started.value : Err(started.error);
+        if (answer.isErr()) {
+            return sendProblem(reply, answer.error);
+        }
+        reply.header("x-request-id", answer.value.requestId);
+        if (answer.value.kind === "whole") {
+            return reply.status(answer.value.status).type(answer.value.contentType).send(answer.value.body);
+        }
+        return isStreaming ? sendStream(reply, answer.value) : sendCompletion(reply, answer.value);
+    }
+
+    private isOperator(request: FastifyRequest): boolean {
+        const presented = Buffer.from(hashKey(readBearer(request)));
+        return timingSafeEqual(presented, Buffer.from(this.options.settings.operatorKeyHash));
+    }
+}
+
+const readBearer = (request: FastifyRequest): string => {
+    const header = request.headers.authorization ?? "";
+    return header.startsWith(BEARER_PREFIX) ? header.slice(BEARER_PREFIX.length) : "";
+};
+
+const readIsStreaming = (body: unknown): boolean => streamingBodySchema.safeParse(body).success;
+
+const createServiceRequest = (
+    request: FastifyRequest<{ Params: { service: string; "*": string; }; }>,
+    reply: FastifyReply,
+    headers: Pick<CallerRequest, "labels" | "deadlineMs" | "idempotencyKey">,
+): CallerRequest => {
+    const { search } = new URL(request.url, "http://service");
+    return {
+        ...headers,
+        kind: "service",
+        service: request.params.service,
+        method: request.method,
+        path: `/${request.params["*"]}${search}`,
+        contentType: request.headers["content-type"] ?? "application/octet-stream",
+        body: typeof request.body === "string" ? request.body : "",
+        signal: createCloseSignal(reply),
+    };
+};
+
+/** A signal that aborts when the caller closes its connection before the answer is complete. */
+const createCloseSignal = (reply: FastifyReply): AbortSignal => {
+    const abort = new AbortController();
+    reply.raw.once("close", () => {
+        if (!reply.raw.writableFinished) {
+            abort.abort();
+        }
+    });
+    return abort.signal;
+};
+
+const sendProblem = (reply: FastifyReply, error: SchedulerError): FastifyReply => {
+    if (error.retryAfterMs !== undefined) {
+        reply.header("retry-after", readRetryAfterSeconds(error.retryAfterMs));
+    }
+    return reply.status(error.entry.status).type(PROBLEM).send(JSON.stringify(createProblemBody(error)));
+};
+
+const sendStream = (reply: FastifyReply, stream: StreamAnswer): FastifyReply =>
+    reply
+        .type(EVENT_STREAM)
+        .header("cache-control", "no-store")
+        .send(Readable.from(formatEvents(stream), { objectMode: false }));
+
+async function* formatEvents({ answer, token }: StreamAnswer): AsyncGenerator<string, void, undefined> {
+    for await (const item of answer.events) {
+        yield item.isOk()
+            ? `id: ${item.value.sequence}.${token}\ndata: ${item.value.data}\n\n`
+            : `event: error\ndata: ${JSON.stringify(createProblemBody(item.error))}\n\n`;
+    }
+}
+
+const sendCompletion = async (reply: FastifyReply, { answer }: StreamAnswer): Promise<FastifyReply> => {
+    const events: string[] = [];
+    for await (const item of answer.events) {
+        if (item.isErr()) {
+            return sendProblem(reply, item.error);
+        }
+        events.push(item.value.data);
+    }
+    return reply.type("application/json").send(joinChunks(events));
+};
--- /dev/null
+++ b/packages/wigeonpulley/src/gateway/placement.ts
@@ -0,0 +1,120 @@
+/** Finds a slot for a request and dispatches it there, again only while it provably has not run. */
+import { Err, Ok, type Result } from "ts-results-es";
+import type { Endpoint, MatchedRequest } from "../config/index.js";
+import { DispatchPermit, type DispatchResult } from "../endpoints/index.js";
+import { SchedulerError } from "../errors/index.js";
+import { Outcome } from "../gen/wigeonpulley/peer/v1/peer_pb.js";
+import type { EventLogger } from "../logging/index.js";
+import type { Slot, SlotRequest, TicketClient } from "../scheduling/index.js";
+import type { TimerService } from "../time/index.js";
+import type { RetryBudgets } from "./retry-budget.js";
+
+/** What placement is built from. */
+export interface PlacementOptions {
+    readonly tickets: TicketClient;
+    readonly timers: TimerService;
+    readonly logger: EventLogger;
+    readonly retries: RetryBudgets;
+    readonly findEndpoint: (name: string) => Endpoint | undefined;
+}
+
+/** A request to place. */
+export interface PlacementRequest {
+    readonly id: string;
+    readonly caller: string;
+    readonly match: MatchedRequest;
+    readonly deadlineAt: number;
+    readonly promptTokens: number;
+    readonly answerTokens: number;
+    readonly prefixBlocks: readonly number[];
+    readonly signal: AbortSignal;
+}
+
+/** A dispatched request. */
+export interface Placed<Answer> {
+    readonly slot: Slot;
+    readonly endpoint: Endpoint;
+    readonly answer: Answer;
+    /** Monotonic time of the dispatch, in milliseconds. */
+    readonly dispatchedAt: number;
+}
+
+const EMPTY_REPORT = { firstTokenMs: 0, tokens: 0, durationMs: 0 };
+
+/** Time after which a caller may try again when no endpoint could be reached, in milliseconds. */
+const UNREACHABLE_RETRY_MS = 1_000;
+
+/** Placement of requests on one gateway. */
+export class Placement {
+    private constructor(private readonly options: PlacementOptions) {}
+
+    /** Creates a placement. */
+    static create(options: PlacementOptions): Placement {
+        return new Placement(options);
+    }
+
+    /**
+     * Acquires slots and dispatches until an endpoint has taken the request.
+     * `dispatch` has to prove that the request did not run before it returns a permit.
+     */
+    async place<Answer>(
+        request: PlacementRequest,
+        dispatch: (endpoint: Endpoint, permit: DispatchPermit) => Promise<DispatchResult<Answer>>,
+    ): Promise<Result<Placed<Answer>, SchedulerError>> {
+        const { tickets, timers, logger, retries } = this.options;
+        const excludedEndpoints: string[] = [];
+        let permit = DispatchPermit.create(request.id);
+        for (;;) {
+            const slotRequest: SlotRequest = { ...request, excludedEndpoints };
+            const acquired = await tickets.acquire(slotRequest);
+            if (acquired.isErr()) {
+                permit.destroy();
+                return acquired;
+            }
+            const slot = acquired.value;
+            const endpoint = this.options.findEndpoint(slot.endpoint);
+            if (endpoint === undefined || request.signal.aborted) {
+                tickets.release(slot, { outcome: Outcome.UNUSED, ...EMPTY_REPORT });
+                if (request.signal.aborted) {
+                    permit.destroy();
+                    return Err(SchedulerError.create("RequestCancelled", {}));
+                }
+                excludedEndpoints.push(slot.endpoint);
+                continue;
+            }
+            logger.write("RequestDispatched", {
+                id: request.id,
+                endpoint: endpoint.name,
+                tier: request.match.tier.name,
+            });
+            retries.earn(request.caller);
+            const dispatchedAt = timers.now();
+            const result = await dispatch(endpoint, permit);
+            if (result.isOk()) {
+                return Ok({ slot, endpoint, answer: result.value, dispatchedAt });
+            }
+            const failure = result.error;
+            const outcome = failure.kind === "not-sent" ? Outcome.NOT_SENT : Outcome.FAILED;
+            tickets.release(slot, { outcome, ...EMPTY_REPORT });
+            if (failure.kind !== "not-sent") {
+                return Err(failure.error);
+            }
+            logger.write("DispatchReturned", {
+                id: request.id,
+                endpoint: endpoint.name,
+                reason: failure.error.message,
+            });
+            if (!retries.trySpend(request.caller)) {
+                failure.permit.destroy();
+                const reason = "the retry budget is used up";
+                return Err(SchedulerError.create(
+                    "EndpointUnreachable",
+                    { endpoint: endpoint.name, reason },
+                    { retryAfterMs: UNREACHABLE_RETRY_MS },
+                ));
+            }
+            excludedEndpoints.push(endpoint.name);
+            permit = failure.permit;
+        }
+    }
+}
--- /dev/null
+++ b/packages/wigeonpulley/src/logging/event-catalogue.ts
@@ -0,0 +1,119 @@
+/**
+ * The catalogue of logged events. Numbers are never reused.
+ * docs/EVENTS.md is generated from it.
+ */
+
+/** Level of an event. */
+export type EventLevel = "error" | "warn" | "info" | "debug";
+
+/** One entry of the event catalogue. */
+export interface EventEntry<Details> {
+    /** Number of the event; never reused. */
+    readonly number: number;
+    readonly level: EventLevel;
+    /** Builds the message from the details of one occurrence. */
+    readonly message: (details: Details) => string;
+}
+
+const defineEvent = <Details>(
+    number: number,
+    level: EventLevel,
+    message: (details: Details) => string,
+): EventEntry<Details> => ({ number, level, message });
+
+type NoDetails = Record<never, never>;
+
+/** All events by name. Hundreds: 1 process, 2 configuration, 3 members, 4 requests, 5 claims, 9 failures. */
+export const eventCatalogue = {
+    VmStarted: defineEvent<{ vm: string; callers: string; peers: string; }>(
+        101,
+        "info",
+        ({ vm, callers, peers }) => `VM ${vm} listens on ${callers} for callers and on ${peers} for peers`,
+    ),
+    VmStopping: defineEvent<{ open: number; }>(
+        102,
+        "info",
+        ({ open }) => `graceful shutdown began with ${open} open requests`,
+    ),
+    VmStopped: defineEvent<NoDetails>(103, "info", () => "graceful shutdown is complete"),
+    StopLimitReached: defineEvent<{ open: number; }>(
+        104,
+        "error",
+        ({ open }) => `the shutdown limit passed with ${open} open requests, which are cut`,
+    ),
+    StopForced: defineEvent<{ open: number; }>(
+        105,
+        "warn",
+        ({ open }) => `a second signal ended the shutdown with ${open} open requests, which are cut`,
+    ),
+    ConfigurationInForce: defineEvent<{ version: number; author: string; changeId: string; }>(
+        201,
+        "info",
+        ({ version, author, changeId }) =>
+            `configuration ${version} by ${author} (change ${changeId}) is in force`,
+    ),
+    MemberLive: defineEvent<{ vm: string; }>(301, "info", ({ vm }) => `VM ${vm} is live`),
+    MemberDead: defineEvent<{ vm: string; }>(302, "warn", ({ vm }) => `VM ${vm} is no longer live`),
+    LinkLost: defineEvent<{ vm: string; reason: string; }>(
+        303,
+        "warn",
+        ({ vm, reason }) => `the link to the scheduler on VM ${vm} ended: ${reason}`,
+    ),
+    GatewayLost: defineEvent<{ vm: string; }>(
+        304,
+        "warn",
+        ({ vm }) => `the gateway on VM ${vm} is gone; its waiting tickets are dropped`,
+    ),
+    RequestDispatched: defineEvent<{ id: string; endpoint: string; tier: string; }>(
+        401,
+        "debug",
+        ({ id, endpoint, tier }) => `request ${id} of tier ${tier} was dispatched to ${endpoint}`,
+    ),
+    RequestRefused: defineEvent<{ id: string; error: string; }>(
+        402,
+        "info",
+        ({ id, error }) => `request ${id} was refused: ${error}`,
+    ),
+    DispatchReturned: defineEvent<{ id: string; endpoint: string; reason: string; }>(
+        403,
+        "warn",
+        ({ id, endpoint, reason }) =>
+            `request ${id} did not reach ${endpoint} (${reason}) and is placed again`,
+    ),
+    StreamResumed: defineEvent<{ id: string; endpoint: string; sequence: number; }>(
+        404,
+        "warn",
+        ({ id, endpoint, sequence }) => `request ${id} is resumed at event ${sequence} of ${endpoint}`,
+    ),
+    AnswerMismatch: defineEvent<{ id: string; endpoint: string; received: string; }>(
+        405,
+        "error",
+        ({ id, endpoint, received }) => `${endpoint} answered request ${id} with the answer of ${received}`,
+    ),
+    ClaimSettled: defineEvent<{ verdict: string; partition: number; }>(
+        501,
+        "debug",
+        ({ verdict, partition }) => `a claim in partition ${partition} is ${verdict}`,
+    ),
+    ClaimReleased: defineEvent<{ partition: number; }>(
+        502,
+        "info",
+        ({ partition }) => `a claim in partition ${partition} was released before dispatch`,
+    ),
+    EndpointStateChanged: defineEvent<{ endpoint: string; state: string; }>(
+        503,
+        "info",
+        ({ endpoint, state }) => `endpoint ${endpoint} is ${state}`,
+    ),
+    Failure: defineEvent<{ error: string; message: string; }>(
+        901,
+        "error",
+        ({ error, message }) => `${error}: ${message}`,
+    ),
+} as const;
+
+/** The name of an event. */
+export type EventName = keyof typeof eventCatalogue;
+
+/** The details that one kind of event carries. */
+export type EventDetails<Name extends EventName> = Parameters<(typeof eventCatalogue)[Name]["message"]>[0];
--- /dev/null
+++ b/packages/wigeonpulley/src/logging/event-logger.ts
@@ -0,0 +1,95 @@
+/** Writes events of the catalogue through consola, one JSON object a line. */
+import { type ConsolaInstance, createConsola } from "consola";
+import type { SchedulerError } from "../errors/index.js";
+import {
+    eventCatalogue,
+    type EventDetails,
+    type EventEntry,
+    type EventLevel,
+    type EventName,
+} from "./event-catalogue.js";
+
+/** Levels of consola. */
+const CONSOLA_LEVELS: Record<EventLevel, number> = { error: 0, warn: 1, info: 3, debug: 4 };
+
+/** One logged event. */
+export interface LoggedEvent {
+    readonly number: number;
+    readonly name: EventName;
+    readonly level: EventLevel;
+    readonly message: string;
+    readonly details: object;
+}
+
+/** Where events go. */
+export abstract class EventSink {
+    /** Writes one event. */
+    abstract write(event: LoggedEvent): void;
+}
+
+/** Sends events to standard error as JSON. */
+export class ConsolaSink extends EventSink {
+    private readonly consola: ConsolaInstance;
+
+    private constructor(level: EventLevel, vm: string) {
+        super();
+        this.consola = createConsola({
+            level: CONSOLA_LEVELS[level],
+            reporters: [{
+                log: ({ date, args: [name, fields] }) => {
+                    process.stderr.write(
+                        `${JSON.stringify({ time: date.toISOString(), vm, name, ...fields })}\n`,
+                    );
+                },
+            }],
+        });
+    }
+
+    /** Creates a sink for one VM. */
+    static create(level: EventLevel, vm: string): ConsolaSink {
+        return new ConsolaSink(level, vm);
+    }
+
+    override write(event: LoggedEvent): void {
+        const { number, name, level, message, details } = event;
+        // Two arguments: consola would take a single object with a `message` apart.
+        this.consola[level](name, { event: number, level, message, ...details });
+    }
+}
+
+/** Keeps events in memory; for tests. */
+export class MemorySink extends EventSink {
+    /** Everything written so far. */
+    readonly events: LoggedEvent[] = [];
+
+    /** Creates an empty sink. */
+    static create(): MemorySink {
+        return new MemorySink();
+    }
+
+    override write(event: LoggedEvent): void {
+        this.events.push(event);
+    }
+}
+
+/** Logger of one process. */
+export class EventLogger {
+    private constructor(private readonly sink: EventSink) {}
+
+    /** Creates a logger that writes to a sink. */
+    static create(sink: EventSink): EventLogger {
+        return new EventLogger(sink);
+    }
+
+    /** Writes an event of the catalogue. */
+    write<Name extends EventName>(name: Name, details: EventDetails<Name>): void {
+        const entry = eventCatalogue[name] as EventEntry<EventDetails<Name>>;
+        const { number, level } = entry;
+        this.sink.write({ number, name, level, message: entry.message(details), details });
+    }
+
+    /** Writes a failure. */
+    writeError(error: SchedulerError): void {
+        this.write("Failure", { error: error.name, message: error.message });
+    }
+}
--- /dev/null
+++ b/packages/wigeonpulley/src/membership/index.ts
@@ -0,0 +1,10 @@
+/**
+ * Membership: which VMs are live and which of them owns a key.
+ * Decides ownership only as a hint that spreads load; may not be used where a promise needs agreement.
+ */
+export {
+    type Member,
+    type MembershipOptions,
+    MembershipService,
+    type ReceivedLoad,
+} from "./membership-service.js";
--- /dev/null
+++ b/packages/wigeonpulley/src/metrics/metrics-registry.ts
@@ -0,0 +1,93 @@
+/** Metrics of one VM: histograms of each tier and phase, and counters, in Prometheus text. */
+import { build, type Histogram } from "hdr-histogram-js";
+import { Counter, Gauge, Registry } from "prom-client";
+
+/** Phases of a request whose times are recorded, in milliseconds. */
+export type Phase = "queue" | "first-token" | "inter-token" | "total";
+
+const QUANTILES = [50, 95, 99] as const;
+const PERCENT = 100;
+const HIGHEST_MS = 3_600_000;
+const SIGNIFICANT_DIGITS = 2;
+
+/** Creates a histogram of milliseconds. */
+export const createHistogram = (): Histogram =>
+    build({
+        lowestDiscernibleValue: 1,
+        highestTrackableValue: HIGHEST_MS,
+        numberOfSignificantValueDigits: SIGNIFICANT_DIGITS,
+        useWebAssembly: false,
+    });
+
+/** Metrics of one VM. */
+export class MetricsRegistry {
+    private readonly registry = new Registry();
+    private readonly histograms = new Map<string, Histogram>();
+    private readonly requests: Counter<"tier" | "outcome">;
+    private readonly controlBytes: Counter<"kind">;
+
+    private constructor() {
+        const registers = [this.registry];
+        this.requests = new Counter({
+            name: "wigeonpulley_requests_total",
+            help: "Requests by tier and outcome; the outcome is completed or the name of an error.",
+            labelNames: ["tier", "outcome"],
+            registers,
+        });
+        this.controlBytes = new Counter({
+            name: "wigeonpulley_control_sent_bytes_total",
+            help: "Bytes of control messages sent to peers, without packet headers.",
+            labelNames: ["kind"],
+            registers,
+        });
+        const phases = new Gauge({
+            name: "wigeonpulley_phase_milliseconds",
+            help: "Quantiles of the time that requests spent in each phase.",
+            labelNames: ["tier", "phase", "quantile"],
+            registers,
+            collect: () =>
+                this.histograms.forEach((histogram, key) => {
+                    const [tier = "", phase = ""] = key.split(" ");
+                    QUANTILES.forEach(quantile =>
+                        phases.set(
+                            { tier, phase, quantile: String(quantile / PERCENT) },
+                            histogram.getValueAtPercentile(quantile),
+                        )
+                    );
+                }),
+        });
+    }
+
+    /** Creates empty metrics. */
+    static create(): MetricsRegistry {
+        return new MetricsRegistry();
+    }
+
+    /** Records the time of one phase, in milliseconds. */
+    record(tier: string, phase: Phase, milliseconds: number): void {
+        const key = `${tier} ${phase}`;
+        const histogram = this.histograms.get(key) ?? createHistogram();
+        this.histograms.set(key, histogram);
+        histogram.recordValue(Math.min(HIGHEST_MS, Math.max(0, Math.round(milliseconds))));
+    }
+
+    /** Counts a finished request. */
+    countRequest(tier: string, outcome: string): void {
+        this.requests.inc({ tier, outcome });
+    }
+
+    /** Counts bytes of control messages. */
+    countControlBytes(kind: string, bytes: number): void {
+        this.controlBytes.inc({ kind }, bytes);
+    }
+
+    /** The metrics in Prometheus text. */
+    readText(): Promise<string> {
+        return this.registry.metrics();
+    }
+
+    /** Content type of `readText`. */
+    get contentType(): string {
+        return this.registry.contentType;
+    }
+}
--- /dev/null
+++ b/packages/wigeonpulley/src/peers/connect-peer-transport.ts
@@ -0,0 +1,210 @@
+/** Peer calls over gRPC with connect-es. */
+import { create, toBinary } from "@bufbuild/protobuf";
+import {
+    type Client,
+    Code,
+    ConnectError,
+    type ConnectRouter,
+    createClient,
+    type Interceptor,
+} from "@connectrpc/connect";
+import { connectNodeAdapter, createGrpcTransport, Http2SessionManager } from "@connectrpc/connect-node";
+import { timingSafeEqual } from "node:crypto";
+import { createServer, type Http2Server, type ServerHttp2Session } from "node:http2";
+import type { AddressInfo } from "node:net";
+import { Err, Ok, type Result } from "ts-results-es";
+import {
+    type ConfigurationVersion,
+    configurationVersionSchema,
+    hashKey,
+    type ListenAddress,
+} from "../config/index.js";
+import { describeCause, SchedulerError } from "../errors/index.js";
+import {
+    type ClaimRequest,
+    type ClaimResponse,
+    FetchConfigurationResponseSchema,
+    type GatewayMessage,
+    GatewayMessageSchema,
+    type MemberDigest,
+    MemberDigestSchema,
+    PeerService,
+    type SchedulerMessage,
+} from "../gen/wigeonpulley/peer/v1/peer_pb.js";
+import type { VmEntry } from "../platform/index.js";
+import { type PeerHandler, PeerTransport } from "./peer-transport.js";
+
+const CALL_TIMEOUT_MS = 2_000;
+const VM_HEADER = "x-vm-name";
+const KEY_HEADER = "x-peer-key";
+
+/** Bytes that gRPC puts before each message. */
+const MESSAGE_FRAME_BYTES = 5;
+
+/** Counts bytes of control messages that this VM sent. */
+export interface ByteCounter {
+    /** Adds bytes of one kind of message. */
+    readonly add: (kind: "exchange" | "schedule" | "claim", bytes: number) => void;
+}
+
+const createIdentity = (vm: string, key: string): Interceptor => next => request => {
+    request.header.set(VM_HEADER, vm);
+    request.header.set(KEY_HEADER, key);
+    return next(request);
+};
+
+/** Peer calls of one VM. */
+export class ConnectPeerTransport extends PeerTransport {
+    private readonly clients = new Map<string, Client<typeof PeerService>>();
+
+    private constructor(
+        private readonly vm: string,
+        private readonly key: string,
+        private readonly counter: ByteCounter,
+    ) {
+        super();
+    }
+
+    /** Creates the calls of a VM; every VM knows the same key. */
+    static create(vm: string, key: string, counter: ByteCounter): ConnectPeerTransport {
+        return new ConnectPeerTransport(vm, key, counter);
+    }
+
+    override async exchange(
+        peer: VmEntry,
+        digest: MemberDigest,
+    ): Promise<Result<MemberDigest, SchedulerError>> {
+        this.counter.add("exchange", toBinary(MemberDigestSchema, digest).length + MESSAGE_FRAME_BYTES);
+        return this.call(peer, client => client.exchange(digest, { timeoutMs: CALL_TIMEOUT_MS }));
+    }
+
+    override openSchedule(
+        peer: VmEntry,
+        outgoing: AsyncIterable<GatewayMessage>,
+        signal: AbortSignal,
+    ): AsyncIterable<SchedulerMessage> {
+        return this.findClient(peer).schedule(this.countMessages(outgoing), { signal });
+    }
+
+    override async fetchConfiguration(
+        peer: VmEntry,
+        known: number,
+    ): Promise<Result<ConfigurationVersion | undefined, SchedulerError>> {
+        const answer = await this.call(
+            peer,
+            client => client.fetchConfiguration({ known: known + 1 }, { timeoutMs: CALL_TIMEOUT_MS }),
+        );
+        return answer.map(({ versionJson }) =>
+            versionJson === "" ? undefined : configurationVersionSchema.parse(JSON.parse(versionJson))
+        );
+    }
+
+    override claim(peer: VmEntry, request: ClaimRequest): Promise<Result<ClaimResponse, SchedulerError>> {
+        this.counter.add("claim", request.recordJson.length + MESSAGE_FRAME_BYTES);
+        return this.call(peer, client => client.claim(request, { timeoutMs: CALL_TIMEOUT_MS }));
+    }
+
+    private findClient(peer: VmEntry): Client<typeof PeerService> {
+        const known = this.clients.get(peer.peerUrl);
+        if (known !== undefined) {
+            return known;
+        }
+        const transport = createGrpcTransport({
+            baseUrl: peer.peerUrl,
+            interceptors: [createIdentity(this.vm, this.key)],
+            sessionManager: new Http2SessionManager(peer.peerUrl, { pingIntervalMs: CALL_TIMEOUT_MS }),
+        });
+        const client = createClient(PeerService, transport);
+        this.clients.set(peer.peerUrl, client);
+        return client;
+    }
+
+    private async call<Answer>(
+        peer: VmEntry,
+        run: (client: Client<typeof PeerService>) => Promise<Answer>,
+    ): Promise<Result<Answer, SchedulerError>> {
+        try {
+            return Ok(await run(this.findClient(peer)));
+        }
+        catch (cause) {
+            return Err(
+                SchedulerError.create("PeerUnavailable", { peer: peer.name, reason: describeCause(cause) }),
+            );
+        }
+    }
+
+    private async *countMessages(outgoing: AsyncIterable<GatewayMessage>): AsyncIterable<GatewayMessage> {
+        for await (const message of outgoing) {
+            this.counter.add(
+                "schedule",
+                toBinary(GatewayMessageSchema, message).length + MESSAGE_FRAME_BYTES,
+            );
+            yield message;
+        }
+    }
+}
+
+/** The address that other VMs call. */
+export class PeerServer {
+    private readonly sessions = new Set<ServerHttp2Session>();
+
+    private constructor(private readonly server: Http2Server) {
+        server.on("session", session => {
+            this.sessions.add(session);
+            session.on("close", () => this.sessions.delete(session));
+        });
+    }
+
+    /** Creates a server for a handler; calls without the shared key are refused. */
+    static create(handler: PeerHandler, key: string): PeerServer {
+        return new PeerServer(createServer(connectNodeAdapter({ routes: createRoutes(handler, key) })));
+    }
+
+    /** Begins to listen and returns the port in use. */
+    listen(address: ListenAddress): Promise<number> {
+        return new Promise((resolve, reject) => {
+            this.server.once("error", reject);
+            this.server.listen(
+                address.port,
+                address.host,
+                () => resolve((this.server.address() as AddressInfo).port),
+            );
+        });
+    }
+
+    /** Ends all connections. */
+    close(): Promise<void> {
+        this.sessions.forEach(session => session.destroy());
+        return new Promise(resolve => {
+            this.server.close(() => resolve());
+        });
+    }
+}
+
+const readIdentity = (headers: Headers, key: string): string => {
+    const presented = Buffer.from(hashKey(headers.get(KEY_HEADER) ?? ""));
+    if (!timingSafeEqual(presented, Buffer.from(hashKey(key)))) {
+        throw new ConnectError("the peer key is wrong", Code.Unauthenticated);
+    }
+    return headers.get(VM_HEADER) ?? "";
+};
+
+const createRoutes = (handler: PeerHandler, key: string) => (router: ConnectRouter): void => {
+    router.service(PeerService, {
+        exchange: (digest, context) => {
+            readIdentity(context.requestHeader, key);
+            return handler.exchange(digest);
+        },
+        schedule: (incoming, context) => handler.schedule(readIdentity(context.requestHeader, key), incoming),
+        fetchConfiguration: ({ known }, context) => {
+            readIdentity(context.requestHeader, key);
+            const version = handler.fetchConfiguration(known - 1);
+            const versionJson = version === undefined ? "" : JSON.stringify(version);
+            return create(FetchConfigurationResponseSchema, { versionJson });
+        },
+        claim: (request, context) => {
+            readIdentity(context.requestHeader, key);
+            return handler.claim(request);
+        },
+    });
+};
--- /dev/null
+++ b/packages/wigeonpulley/src/peers/peer-transport.ts
@@ -0,0 +1,55 @@
+/** How one VM reaches another. */
+import type { Result } from "ts-results-es";
+import type { ConfigurationVersion } from "../config/index.js";
+import type { SchedulerError } from "../errors/index.js";
+import type {
+    ClaimRequest,
+    ClaimResponse,
+    GatewayMessage,
+    MemberDigest,
+    SchedulerMessage,
+} from "../gen/wigeonpulley/peer/v1/peer_pb.js";
+import type { VmEntry } from "../platform/index.js";
+
+/** Calls to other VMs. */
+export abstract class PeerTransport {
+    /** Exchanges member digests. Fails with PeerUnavailable. */
+    abstract exchange(peer: VmEntry, digest: MemberDigest): Promise<Result<MemberDigest, SchedulerError>>;
+
+    /**
+     * Opens the stream of tickets to a peer's schedulers.
+     * The iteration ends or throws when the stream is lost or the signal aborts.
+     */
+    abstract openSchedule(
+        peer: VmEntry,
+        outgoing: AsyncIterable<GatewayMessage>,
+        signal: AbortSignal,
+    ): AsyncIterable<SchedulerMessage>;
+
+    /** Asks for a configuration newer than a version. Fails with PeerUnavailable. */
+    abstract fetchConfiguration(
+        peer: VmEntry,
+        known: number,
+    ): Promise<Result<ConfigurationVersion | undefined, SchedulerError>>;
+
+    /** Asks the owner of a claim partition to append a record. Fails with PeerUnavailable. */
+    abstract claim(peer: VmEntry, request: ClaimRequest): Promise<Result<ClaimResponse, SchedulerError>>;
+}
+
+/** What a VM offers to its peers. */
+export abstract class PeerHandler {
+    /** Merges a digest and answers with this VM's. */
+    abstract exchange(digest: MemberDigest): MemberDigest;
+
+    /** Serves the tickets of one gateway until its stream ends. */
+    abstract schedule(
+        gateway: string,
+        incoming: AsyncIterable<GatewayMessage>,
+    ): AsyncIterable<SchedulerMessage>;
+
+    /** The configuration in force, if it is newer than a version. */
+    abstract fetchConfiguration(known: number): ConfigurationVersion | undefined;
+
+    /** Appends a claim record. */
+    abstract claim(request: ClaimRequest): Promise<ClaimResponse>;
+}
--- /dev/null
+++ b/packages/wigeonpulley/src/platform/http-platform.ts
@@ -0,0 +1,150 @@
+/** Adapters to the platform's HTTP interface. Another wire format needs only another file like this one. */
+import { Err, Ok, type Result } from "ts-results-es";
+import { Agent, request } from "undici";
+import { z } from "zod";
+import { describeCause, SchedulerError } from "../errors/index.js";
+import { type LogPage, PlatformLog } from "./platform-log.js";
+import { type VmEntry, VmList, type VmListing, vmListSchema } from "./vm-list.js";
+
+const REQUEST_TIMEOUT_MS = 2_000;
+const HTTP_OK = 200;
+const HTTP_TOO_MANY_REQUESTS = 429;
+const HTTP_UNAVAILABLE = 503;
+
+const appendAnswerSchema = z.object({ offset: z.number().int() });
+const pageSchema = z.object({
+    records: z.array(z.object({ offset: z.number().int(), value: z.unknown() })),
+    firstOffset: z.number().int(),
+    endOffset: z.number().int(),
+});
+
+const createAgent = (): Agent =>
+    new Agent({
+        headersTimeout: REQUEST_TIMEOUT_MS,
+        bodyTimeout: REQUEST_TIMEOUT_MS,
+        connect: { timeout: REQUEST_TIMEOUT_MS },
+        keepAliveTimeout: REQUEST_TIMEOUT_MS,
+    });
+
+const connectFailureSchema = z.looseObject({
+    code: z.enum(["ECONNREFUSED", "UND_ERR_CONNECT_TIMEOUT", "EHOSTUNREACH", "ENETUNREACH"]),
+});
+
+/** True when the connection was never made, so that nothing can have reached the other side. */
+export const isConnectFailure = (cause: unknown): boolean => connectFailureSchema.safeParse(cause).success;
+
+/** The log over HTTP. */
+export class HttpPlatformLog extends PlatformLog {
+    private readonly agent = createAgent();
+
+    private constructor(private readonly baseUrl: string) {
+        super();
+    }
+
+    /** Creates a client for the log at a base URL. */
+    static create(baseUrl: string): HttpPlatformLog {
+        return new HttpPlatformLog(baseUrl);
+    }
+
+    override async append(
+        stream: string,
+        values: readonly unknown[],
+    ): Promise<Result<number, SchedulerError>> {
+        const operation = `append to ${stream}`;
+        try {
+            const answer = await request(`${this.baseUrl}/streams/${stream}`, {
+                method: "POST",
+                dispatcher: this.agent,
+                headers: { "content-type": "application/json" },
+                body: JSON.stringify({ values }),
+            });
+            if (answer.statusCode === HTTP_OK) {
+                return Ok(appendAnswerSchema.parse(await answer.body.json()).offset);
+            }
+            await answer.body.dump();
+            const reason = `status ${answer.statusCode}`;
+            const isRefused = answer.statusCode === HTTP_TOO_MANY_REQUESTS
+                || answer.statusCode === HTTP_UNAVAILABLE;
+            return Err(
+                SchedulerError.create(isRefused ? "LogUnavailable" : "LogAnswerUnknown", {
+                    operation,
+                    reason,
+                }),
+            );
+        }
+        catch (cause) {
+            const errorName = isConnectFailure(cause) ? "LogUnavailable" : "LogAnswerUnknown";
+            return Err(SchedulerError.create(errorName, { operation, reason: describeCause(cause) }));
+        }
+    }
+
+    override async read(stream: string, fromOffset: number): Promise<Result<LogPage, SchedulerError>> {
+        const operation = `read of ${stream}`;
+        try {
+            const answer = await request(`${this.baseUrl}/streams/${stream}`, {
+                dispatcher: this.agent,
+                query: { from: fromOffset },
+            });
+            if (answer.statusCode !== HTTP_OK) {
+                await answer.body.dump();
+                return Err(
+                    SchedulerError.create("LogUnavailable", {
+                        operation,
+                        reason: `status ${answer.statusCode}`,
+                    }),
+                );
+            }
+            return Ok(pageSchema.parse(await answer.body.json()));
+        }
+        catch (cause) {
+            return Err(SchedulerError.create("LogUnavailable", { operation, reason: describeCause(cause) }));
+        }
+    }
+}
+
+/** The list of VMs over HTTP. */
+export class HttpVmList extends VmList {
+    private readonly agent = createAgent();
+
+    private constructor(private readonly baseUrl: string) {
+        super();
+    }
+
+    /** Creates a client for the list at a base URL. */
+    static create(baseUrl: string): HttpVmList {
+        return new HttpVmList(baseUrl);
+    }
+
+    override async read(): Promise<Result<VmListing, SchedulerError>> {
+        try {
+            const answer = await request(`${this.baseUrl}/vms`, { dispatcher: this.agent });
+            return Ok(vmListSchema.parse(await answer.body.json()));
+        }
+        catch (cause) {
+            return Err(this.createError(cause));
+        }
+    }
+
+    override async register(entry: VmEntry): Promise<Result<void, SchedulerError>> {
+        try {
+            const answer = await request(`${this.baseUrl}/vms/${entry.name}`, {
+                method: "PUT",
+                dispatcher: this.agent,
+                headers: { "content-type": "application/json" },
+                body: JSON.stringify(entry),
+            });
+            await answer.body.dump();
+            return Ok.EMPTY;
+        }
+        catch (cause) {
+            return Err(this.createError(cause));
+        }
+    }
+
+    private createError(cause: unknown): SchedulerError {
+        return SchedulerError.create("PeerUnavailable", {
+            peer: "the list of VMs",
+            reason: describeCause(cause),
+        });
+    }
+}
--- /dev/null
+++ b/packages/wigeonpulley/src/platform/index.ts
@@ -0,0 +1,11 @@
+/** Platform: the append-only log and the list of VMs. Decides nothing; only talks. */
+export { HttpPlatformLog, HttpVmList, isConnectFailure } from "./http-platform.js";
+export { type LogPage, type LogRecord, PlatformLog } from "./platform-log.js";
+export {
+    endpointEntrySchema,
+    type VmEntry,
+    vmEntrySchema,
+    VmList,
+    type VmListing,
+    vmListSchema,
+} from "./vm-list.js";
--- /dev/null
+++ b/packages/wigeonpulley/src/scheduling/endpoint-state.ts
@@ -0,0 +1,161 @@
+/** What a scheduler knows of one endpoint: its limit, its speed, its running requests and its cached prefixes. */
+import type { Endpoint } from "../config/index.js";
+import type { Observation, Release, Ticket } from "../gen/wigeonpulley/peer/v1/peer_pb.js";
+import { AdaptiveLimit, type ConcurrencyLimit, FixedLimit } from "./concurrency-limit.js";
+import { PrefixIndex } from "./prefix-index.js";
+
+/** A request that occupies a slot. Times are monotonic milliseconds. */
+export interface RunningSlot {
+    readonly id: string;
+    /** Gateway that dispatched the request. */
+    readonly gateway: string;
+    readonly tier: number;
+    readonly startedAt: number;
+    readonly expectedMs: number;
+    /** Prompt tokens that were not expected in the cache. */
+    readonly uncachedTokens: number;
+    /** Time at which the slot is freed without a release; undefined while its gateway is connected. */
+    expiresAt: number | undefined;
+}
+
+/** Estimates before anything was observed. */
+const INITIAL_PREFILL_MS_PER_TOKEN = 0.1;
+const INITIAL_INTER_TOKEN_MS = 30;
+const INITIAL_SERVICE_MS = 50;
+
+/** Weight of a new observation in the moving averages. */
+const AVERAGE_WEIGHT = 0.2;
+
+/** Prompts below this many uncached tokens say little about the prefill speed. */
+const MIN_PREFILL_SAMPLE_TOKENS = 64;
+
+const mix = (average: number, sample: number): number => average + AVERAGE_WEIGHT * (sample - average);
+
+/** State of one endpoint within its group. */
+export class EndpointState {
+    private readonly slots = new Map<string, RunningSlot>();
+    private readonly prefixes = PrefixIndex.create();
+    private readonly limit: ConcurrencyLimit;
+    private prefillMsPerToken = INITIAL_PREFILL_MS_PER_TOKEN;
+    private interTokenMs = INITIAL_INTER_TOKEN_MS;
+    private serviceMs = INITIAL_SERVICE_MS;
+    /** False while the endpoint takes no new work. */
+    acceptsWork = true;
+
+    private constructor(public endpoint: Endpoint) {
+        this.limit = endpoint.kind === "engine"
+            ? AdaptiveLimit.create(endpoint.concurrency)
+            : FixedLimit.create(endpoint.concurrency.maximum);
+    }
+
+    /** Creates the state of an endpoint about which nothing is known yet. */
+    static create(endpoint: Endpoint): EndpointState {
+        return new EndpointState(endpoint);
+    }
+
+    /** Requests that the endpoint may handle at the same time. */
+    readLimit(): number {
+        return this.limit.readLimit();
+    }
+
+    /** Running requests. */
+    listSlots(): IterableIterator<RunningSlot> {
+        return this.slots.values();
+    }
+
+    /** Number of running requests. */
+    countRunning(): number {
+        return this.slots.size;
+    }
+
+    /** Slots free for a tier, keeping `reserved` slots for more important ones. */
+    countFree(reserved: number): number {
+        return this.acceptsWork ? Math.max(0, this.readLimit() - reserved - this.slots.size) : 0;
+    }
+
+    /** Prompt tokens of a ticket that the endpoint would have to compute. */
+    countUncachedTokens(ticket: Ticket, now: number): number {
+        return Math.max(0, ticket.promptTokens - this.prefixes.countCachedTokens(ticket.prefixBlocks, now));
+    }
+
+    /** Time that a ticket is expected to take on this endpoint, in milliseconds. */
+    estimateDuration(ticket: Ticket, now: number): number {
+        return this.endpoint.kind === "service"
+            ? this.serviceMs
+            : this.countUncachedTokens(ticket, now) * this.prefillMsPerToken
+                + ticket.answerTokens * this.interTokenMs;
+    }
+
+    /** Time until the running requests are expected to end, summed, in milliseconds. */
+    sumRemaining(now: number): number {
+        let sum = 0;
+        for (const slot of this.slots.values()) {
+            sum += Math.max(slot.startedAt + slot.expectedMs - now, 0);
+        }
+        return sum;
+    }
+
+    /** Occupies a slot for a granted ticket. */
+    occupy(ticket: Ticket, gateway: string, now: number): RunningSlot {
+        const slot: RunningSlot = {
+            id: ticket.id,
+            gateway,
+            tier: ticket.tier,
+            startedAt: now,
+            expectedMs: this.estimateDuration(ticket, now),
+            uncachedTokens: this.countUncachedTokens(ticket, now),
+            expiresAt: undefined,
+        };
+        this.slots.set(slot.id, slot);
+        this.prefixes.addBlocks(ticket.prefixBlocks, now);
+        return slot;
+    }
+
+    /** Takes over a slot that another scheduler granted. */
+    adopt(slot: RunningSlot): void {
+        this.slots.set(slot.id, slot);
+    }
+
+    /** True when the request occupies a slot here. */
+    hasSlot(id: string): boolean {
+        return this.slots.has(id);
+    }
+
+    /** Frees a slot and learns from what its gateway saw. */
+    release(release: Release): void {
+        const slot = this.slots.get(release.id);
+        this.slots.delete(release.id);
+        if (slot !== undefined && release.durationMs > 0 && release.tokens > 0) {
+            this.learn(slot, release);
+        }
+    }
+
+    /** Frees a slot without learning anything. */
+    drop(id: string): void {
+        this.slots.delete(id);
+    }
+
+    /** Lowers the limit after a failure. */
+    observeFailure(): void {
+        this.limit.observeFailure();
+    }
+
+    /** Takes a gateway's readings of the running streams into account. */
+    observe(observation: Observation): void {
+        this.interTokenMs = mix(this.interTokenMs, observation.interTokenMeanMs);
+        this.limit.observe({ interTokenMs: observation.interTokenP95Ms, running: this.slots.size });
+    }
+
+    private learn(slot: RunningSlot, release: Release): void {
+        if (this.endpoint.kind === "service") {
+            this.serviceMs = mix(this.serviceMs, release.durationMs);
+            return;
+        }
+        if (slot.uncachedTokens >= MIN_PREFILL_SAMPLE_TOKENS) {
+            const sample = release.firstTokenMs / slot.uncachedTokens;
+            this.prefillMsPerToken = mix(this.prefillMsPerToken, sample);
+        }
+        const decodeMs = Math.max(0, release.durationMs - release.firstTokenMs);
+        this.interTokenMs = mix(this.interTokenMs, decodeMs / release.tokens);
+    }
+}
--- /dev/null
+++ b/packages/wigeonpulley/src/scheduling/group-chooser.ts
@@ -0,0 +1,104 @@
+/** Chooses the endpoint group that a request is offered to first. */
+import type { MembershipService } from "../membership/index.js";
+import type { RandomSource } from "../random/index.js";
+import type { TimerService } from "../time/index.js";
+import type { EndpointGroup } from "./groups.js";
+
+/** Age after which a reported load is no longer trusted, in milliseconds. */
+const LOAD_MAX_AGE_MS = 3_000;
+
+/** Wait that another region's group must save to be preferred, in milliseconds. */
+const REMOTE_REGION_COST_MS = 500;
+
+/** Wait that a group which holds the prompt's prefix may exceed others by, in milliseconds. */
+const PREFIX_GAIN_MS = 400;
+
+/** Most prompt prefixes whose group is remembered. */
+const MAX_PREFIXES = 10_000;
+
+/** What the chooser is built from. */
+export interface GroupChooserOptions {
+    readonly region: string;
+    readonly timers: TimerService;
+    readonly random: RandomSource;
+    readonly membership: Pick<MembershipService, "findLoad">;
+}
+
+/** Power of two choices over reported loads, with a preference for the own region and for cached prefixes. */
+export class GroupChooser {
+    /** Group that last answered a prompt with a first block; insertion order is order of use. */
+    private readonly groupByPrefix = new Map<number, string>();
+
+    private constructor(private readonly options: GroupChooserOptions) {}
+
+    /** Creates a chooser that remembers no prefix. */
+    static create(options: GroupChooserOptions): GroupChooser {
+        return new GroupChooser(options);
+    }
+
+    /** The group to offer a request to; undefined when there is no candidate. */
+    choose(candidates: readonly EndpointGroup[], prefixBlocks: readonly number[]): EndpointGroup | undefined {
+        const local = candidates.filter(group => group.region === this.options.region);
+        const pool = local.length > 0 ? local : candidates;
+        const preferred = this.findPrefixGroup(prefixBlocks);
+        const sample = [
+            ...this.pickTwo(pool),
+            ...this.pickTwo(candidates).slice(0, 1),
+            ...candidates.filter(group => group.name === preferred),
+        ];
+        return sample.reduce<EndpointGroup | undefined>(
+            (best, group) =>
+                best === undefined || this.score(group, preferred) < this.score(best, preferred)
+                    ? group
+                    : best,
+            undefined,
+        );
+    }
+
+    /** True when a recent report shows free slots and nobody waiting. */
+    isIdle(group: EndpointGroup): boolean {
+        const received = this.options.membership.findLoad(group.name);
+        return received !== undefined
+            && this.options.timers.now() - received.receivedAt < LOAD_MAX_AGE_MS
+            && received.load.freeSlots > 0
+            && received.load.waiting === 0;
+    }
+
+    /** Remembers which group computed a prompt's prefix. */
+    noteGrant(group: EndpointGroup, prefixBlocks: readonly number[]): void {
+        const [first] = prefixBlocks;
+        if (first === undefined) {
+            return;
+        }
+        this.groupByPrefix.delete(first);
+        this.groupByPrefix.set(first, group.name);
+        if (this.groupByPrefix.size > MAX_PREFIXES) {
+            const [oldest] = this.groupByPrefix.keys();
+            this.groupByPrefix.delete(oldest ?? first);
+        }
+    }
+
+    private findPrefixGroup(prefixBlocks: readonly number[]): string | undefined {
+        const [first] = prefixBlocks;
+        return first === undefined ? undefined : this.groupByPrefix.get(first);
+    }
+
+    private pickTwo(groups: readonly EndpointGroup[]): readonly EndpointGroup[] {
+        if (groups.length <= 2) {
+            return groups;
+        }
+        const first = this.options.random.pickInteger(groups.length);
+        const second = (first + 1 + this.options.random.pickInteger(groups.length - 1)) % groups.length;
+        return [groups[first], groups[second]].flatMap(group => group ?? []);
+    }
+
+    /** Expected wait in milliseconds with the preferences added; smaller is better. */
+    private score(group: EndpointGroup, preferred: string | undefined): number {
+        const received = this.options.membership.findLoad(group.name);
+        const isFresh = received !== undefined
+            && this.options.timers.now() - received.receivedAt < LOAD_MAX_AGE_MS;
+        const waitMs = isFresh ? received.load.expectedWaitMs : 0;
+        const regionMs = group.region === this.options.region ? 0 : REMOTE_REGION_COST_MS;
+        return waitMs + regionMs - (group.name === preferred ? PREFIX_GAIN_MS : 0);
+    }
+}
--- /dev/null
+++ b/packages/wigeonpulley/src/scheduling/group-scheduler.ts
@@ -0,0 +1,408 @@
+/**
+ * Schedules one endpoint group: waiting tickets in strict order of tiers, slots on endpoints, early refusal.
+ * Nothing here is durable; a replacement starts empty and gateways announce what is running.
+ */
+import { Err, Ok, type Result } from "ts-results-es";
+import type { Endpoint, Selector } from "../config/index.js";
+import { SchedulerError } from "../errors/index.js";
+import {
+    type Observation,
+    Outcome,
+    RefusalReason,
+    type Release,
+    type RunningRequest,
+    type Ticket,
+} from "../gen/wigeonpulley/peer/v1/peer_pb.js";
+import type { CancelTimer, TimerService } from "../time/index.js";
+import { EndpointState } from "./endpoint-state.js";
+import { allowsEndpoint } from "./groups.js";
+import type { QueueEntry, QueueOrder } from "./queue-order.js";
+
+/** A slot on an endpoint. */
+export interface SlotGrant {
+    readonly endpoint: string;
+    /** Time that the request is expected to take, in milliseconds. */
+    readonly expectedMs: number;
+}
+
+/** Why a ticket gets no slot. */
+export interface SlotRefusal {
+    readonly reason: RefusalReason;
+    /** Time after which another try is worthwhile, in milliseconds. */
+    readonly retryAfterMs: number;
+    /** Expected time to the end of the request, in milliseconds. */
+    readonly estimateMs: number;
+}
+
+/** Answer to a ticket. */
+export type SlotResult = Result<SlotGrant, SlotRefusal>;
+
+/** What the scheduler of a group is built from. */
+export interface GroupSchedulerOptions {
+    readonly timers: TimerService;
+    readonly order: QueueOrder;
+    /** Finds a selector of the configuration in force. */
+    readonly findSelector: (name: string) => Selector | undefined;
+}
+
+interface Waiter extends QueueEntry {
+    readonly ticket: Ticket;
+    readonly gateway: string;
+    readonly selector: Selector;
+    readonly settle: (result: SlotResult) => void;
+}
+
+/** Interval at which waiting tickets are checked against their deadlines, in milliseconds. */
+const REVIEW_INTERVAL_MS = 100;
+
+/** Time for which lower tiers stay refused after a tier was refused, in milliseconds. */
+const SHED_HOLD_MS = 1_000;
+
+/** Share of an endpoint's slots that only the most important tier may take. */
+const RESERVED_SHARE = 0.1;
+
+/** Shortest and longest time that a refused caller is told to wait, in milliseconds. */
+const MIN_RETRY_MS = 1_000;
+const MAX_RETRY_MS = 30_000;
+
+/** Time that a slot of a vanished gateway stays occupied beyond its expected end, in milliseconds. */
+const ORPHAN_GRACE_MS = 2_000;
+
+/** Scheduler of one group. */
+export class GroupScheduler {
+    private readonly endpoints = new Map<string, EndpointState>();
+    /** Waiting tickets by tier, each list in queue order. */
+    private waiting: Waiter[][] = [];
+    private shedTier = Number.POSITIVE_INFINITY;
+    private shedUntil = 0;
+    private readonly cancelReview: CancelTimer;
+
+    private constructor(private readonly options: GroupSchedulerOptions) {
+        this.cancelReview = options.timers.subscribe(REVIEW_INTERVAL_MS, () => this.reviewWaiters());
+    }
+
+    /** Creates a scheduler without endpoints. */
+    static create(options: GroupSchedulerOptions): GroupScheduler {
+        return new GroupScheduler(options);
+    }
+
+    /** Takes over the declared endpoints and which of them take new work. */
+    updateEndpoints(endpoints: readonly Endpoint[], acceptsWork: (endpoint: Endpoint) => boolean): void {
+        const names = new Set(endpoints.map(endpoint => endpoint.name));
+        for (const [name, state] of this.endpoints) {
+            if (!names.has(name) && state.countRunning() === 0) {
+                this.endpoints.delete(name);
+            }
+            else if (!names.has(name)) {
+                state.acceptsWork = false;
+            }
+        }
+        for (const endpoint of endpoints) {
+            const state = this.endpoints.get(endpoint.name) ?? EndpointState.create(endpoint);
+            state.endpoint = endpoint;
+            state.acceptsWork = acceptsWork(endpoint);
+            this.endpoints.set(endpoint.name, state);
+        }
+        this.grantWaiting();
+    }
+
+    /** Waits for a slot. Resolves with a grant, or with a refusal as soon as one is certain. */
+    acquire(ticket: Ticket, gateway: string): Promise<SlotResult> {
+        const selector = this.options.findSelector(ticket.selector);
+        if (selector === undefined) {
+            return Promise.resolve(this.createRefusal(RefusalReason.UNKNOWN_SELECTOR));
+        }
+        const now = this.options.timers.now();
+        const eligible = this.listEligible(ticket, selector);
+        if (eligible.length === 0) {
+            return Promise.resolve(this.createRefusal(RefusalReason.NO_ENDPOINT));
+        }
+        return new Promise(settle => {
+            const waiter: Waiter = {
+                ticket,
+                gateway,
+                selector,
+                settle,
+                arrivedAt: now,
+                deadlineAt: now + ticket.remainingMs,
+                expectedMs: Math.min(...eligible.map(state => state.estimateDuration(ticket, now))),
+            };
+            this.admit(waiter);
+        });
+    }
+
+    /** Takes a waiting ticket back. Returns false when it does not wait here. */
+    withdraw(id: string): boolean {
+        const waiter = this.findWaiter(candidate => candidate.ticket.id === id);
+        if (waiter !== undefined) {
+            this.refuse(waiter, RefusalReason.WITHDRAWN);
+        }
+        return waiter !== undefined;
+    }
+
+    /** Counts a request that another scheduler granted. */
+    adopt(running: RunningRequest, gateway: string): void {
+        const state = this.endpoints.get(running.endpoint);
+        state?.adopt({
+            id: running.id,
+            gateway,
+            tier: running.tier,
+            startedAt: this.options.timers.now(),
+            expectedMs: running.expectedMs,
+            uncachedTokens: 0,
+            expiresAt: undefined,
+        });
+    }
+
+    /** Frees a slot. */
+    release(release: Release): void {
+        for (const state of this.endpoints.values()) {
+            if (!state.hasSlot(release.id)) {
+                continue;
+            }
+            state.release(release);
+            if (release.outcome === Outcome.FAILED || release.outcome === Outcome.NOT_SENT) {
+                state.observeFailure();
+            }
+        }
+        this.grantWaiting();
+    }
+
+    /** Takes a gateway's readings into account. */
+    observe(observation: Observation): void {
+        this.endpoints.get(observation.endpoint)?.observe(observation);
+        this.grantWaiting();
+    }
+
+    /** Forgets the waiting tickets of a gateway that is gone and lets its slots run out. */
+    dropGateway(gateway: string): void {
+        for (const waiter of this.waiting.flat().filter(candidate => candidate.gateway === gateway)) {
+            this.refuse(waiter, RefusalReason.WITHDRAWN);
+        }
+        const now = this.options.timers.now();
+        for (const state of this.endpoints.values()) {
+            for (const slot of state.listSlots()) {
+                if (slot.gateway === gateway) {
+                    slot.expiresAt = Math.max(now, slot.startedAt + slot.expectedMs) + ORPHAN_GRACE_MS;
+                }
+            }
+        }
+    }
+
+    /** Refuses everything that waits and ends the timers. */
+    stop(reason: RefusalReason): void {
+        this.cancelReview();
+        this.waiting.flat().forEach(waiter => this.refuse(waiter, reason));
+    }
+
+    /** Number of waiting tickets. */
+    countWaiting(): number {
+        return this.waiting.reduce((sum, tier) => sum + tier.length, 0);
+    }
+
+    /** Tiers of the waiting tickets. */
+    listWaitingTiers(): readonly number[] {
+        return this.waiting.flatMap((tier, index) => tier.map(() => index));
+    }
+
+    /** Slots that are free at this moment. */
+    countFree(): number {
+        return [...this.endpoints.values()].reduce((sum, state) => sum + state.countFree(0), 0);
+    }
+
+    /** Running requests by endpoint. */
+    listRunning(): ReadonlyMap<string, number> {
+        return new Map([...this.endpoints].map(([name, state]) => [name, state.countRunning()]));
+    }
+
+    /** Time that a new ticket of the lowest tier would wait, in milliseconds. */
+    estimateWait(): number {
+        return this.estimateWaitBehind(this.waiting.flat());
+    }
+
+    private admit(waiter: Waiter): void {
+        const now = this.options.timers.now();
+        if (waiter.expectedMs > waiter.ticket.remainingMs && !waiter.ticket.durable) {
+            this.settleRefused(waiter, RefusalReason.DEADLINE_UNATTAINABLE);
+            return;
+        }
+        if (waiter.ticket.tier > this.shedTier && now < this.shedUntil) {
+            this.settleRefused(waiter, RefusalReason.OVERLOADED);
+            return;
+        }
+        this.enqueue(waiter);
+        this.grantWaiting();
+        if (this.isWaiting(waiter) && this.isTooLate(waiter)) {
+            this.shed(waiter);
+        }
+    }
+
+    private enqueue(waiter: Waiter): void {
+        const { tier } = waiter.ticket;
+        while (this.waiting.length <= tier) {
+            this.waiting.push([]);
+        }
+        const queue = this.waiting[tier] ?? [];
+        const key = this.options.order.readKey(waiter);
+        const position = queue.findIndex(other => this.options.order.readKey(other) > key);
+        queue.splice(position === -1 ? queue.length : position, 0, waiter);
+    }
+
+    /** Grants slots in strict order of tiers as long as any is free. */
+    private grantWaiting(): void {
+        const now = this.options.timers.now();
+        for (const queue of this.waiting) {
+            for (const waiter of [...queue]) {
+                if (this.countFree() === 0) {
+                    return;
+                }
+                const state = this.chooseEndpoint(waiter, now);
+                if (state !== undefined) {
+                    this.removeWaiter(waiter);
+                    const slot = state.occupy(waiter.ticket, waiter.gateway, now);
+                    waiter.settle(Ok({ endpoint: state.endpoint.name, expectedMs: slot.expectedMs }));
+                }
+            }
+        }
+    }
+
+    /** The endpoint with a free slot that is expected to finish the ticket first. */
+    private chooseEndpoint(waiter: Waiter, now: number): EndpointState | undefined {
+        let best: EndpointState | undefined;
+        let bestMs = Number.POSITIVE_INFINITY;
+        for (const state of this.listEligible(waiter.ticket, waiter.selector)) {
+            const reserved = waiter.ticket.tier === 0 ? 0 : Math.floor(state.readLimit() * RESERVED_SHARE);
+            if (state.countFree(reserved) === 0) {
+                continue;
+            }
+            const crowding = 1 + state.countRunning() / state.readLimit();
+            const expectedMs = state.estimateDuration(waiter.ticket, now) * crowding;
+            if (expectedMs < bestMs) {
+                best = state;
+                bestMs = expectedMs;
+            }
+        }
+        return best;
+    }
+
+    private listEligible(ticket: Ticket, selector: Selector): readonly EndpointState[] {
+        return [...this.endpoints.values()].filter(state =>
+            state.acceptsWork
+            && !ticket.excludedEndpoints.includes(state.endpoint.name)
+            && allowsEndpoint(selector, state.endpoint)
+        );
+    }
+
+    /** True when the ticket can't finish by its deadline from where it stands in the queue. */
+    private isTooLate(waiter: Waiter): boolean {
+        if (waiter.ticket.durable) {
+            return false;
+        }
+        const ahead = this.listAhead(waiter);
+        const finishAt = this.options.timers.now() + this.estimateWaitBehind(ahead) + waiter.expectedMs;
+        return finishAt > waiter.deadlineAt;
+    }
+
+    private listAhead(waiter: Waiter): readonly Waiter[] {
+        const queue = this.waiting[waiter.ticket.tier] ?? [];
+        return [
+            ...this.waiting.slice(0, waiter.ticket.tier).flat(),
+            ...queue.slice(0, queue.indexOf(waiter)),
+        ];
+    }
+
+    private estimateWaitBehind(ahead: readonly Waiter[]): number {
+        if (this.countFree() > 0) {
+            return 0;
+        }
+        const now = this.options.timers.now();
+        let workMs = ahead.reduce((sum, waiter) => sum + waiter.expectedMs, 0);
+        let slots = 0;
+        for (const state of this.endpoints.values()) {
+            workMs += state.sumRemaining(now);
+            slots += state.acceptsWork ? state.readLimit() : 0;
+        }
+        return slots === 0 ? Number.POSITIVE_INFINITY : workMs / slots;
+    }
+
+    /** Refuses tickets that became too late and frees the slots of vanished gateways. */
+    private reviewWaiters(): void {
+        const now = this.options.timers.now();
+        for (const state of this.endpoints.values()) {
+            for (const slot of [...state.listSlots()]) {
+                if (slot.expiresAt !== undefined && slot.expiresAt <= now) {
+                    state.drop(slot.id);
+                }
+            }
+        }
+        for (const waiter of this.waiting.toReversed().flat()) {
+            if (this.isWaiting(waiter) && this.isTooLate(waiter)) {
+                this.shed(waiter);
+            }
+        }
+        this.grantWaiting();
+    }
+
+    /** Refuses a ticket because of load, after every ticket of a lower tier. */
+    private shed(waiter: Waiter): void {
+        const { tier } = waiter.ticket;
+        const lower = this.waiting.slice(tier + 1).reverse().flat();
+        lower.filter(candidate => !candidate.ticket.durable).forEach(candidate =>
+            this.refuse(candidate, RefusalReason.OVERLOADED)
+        );
+        const now = this.options.timers.now();
+        this.shedTier = now < this.shedUntil ? Math.min(this.shedTier, tier) : tier;
+        this.shedUntil = now + SHED_HOLD_MS;
+        this.refuse(waiter, RefusalReason.OVERLOADED);
+    }
+
+    private refuse(waiter: Waiter, reason: RefusalReason): void {
+        this.removeWaiter(waiter);
+        this.settleRefused(waiter, reason);
+    }
+
+    private settleRefused(waiter: Waiter, reason: RefusalReason): void {
+        waiter.settle(this.createRefusal(reason, waiter.expectedMs));
+    }
+
+    private createRefusal(reason: RefusalReason, estimateMs = 0): SlotResult {
+        const waitMs = this.estimateWaitBehind(this.waiting.flat());
+        const retryAfterMs = Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, waitMs));
+        return Err({ reason, retryAfterMs: Math.ceil(retryAfterMs), estimateMs: Math.ceil(estimateMs) });
+    }
+
+    private isWaiting(waiter: Waiter): boolean {
+        return this.waiting[waiter.ticket.tier]?.includes(waiter) ?? false;
+    }
+
+    private findWaiter(matches: (waiter: Waiter) => boolean): Waiter | undefined {
+        return this.waiting.flat().find(matches);
+    }
+
+    private removeWaiter(waiter: Waiter): void {
+        const queue = this.waiting[waiter.ticket.tier] ?? [];
+        const index = queue.indexOf(waiter);
+        if (index !== -1) {
+            queue.splice(index, 1);
+        }
+    }
+}
+
+/** The error that a caller sees for a refusal. */
+export const createRefusalError = (
+    refusal: SlotRefusal,
+    context: { readonly tier: string; readonly target: string; readonly remainingMs: number; },
+): SchedulerError => {
+    const options = { retryAfterMs: refusal.retryAfterMs };
+    switch (refusal.reason) {
+        case RefusalReason.DEADLINE_UNATTAINABLE:
+            return SchedulerError.create("DeadlineUnattainable", {
+                estimateMs: refusal.estimateMs,
+                deadlineMs: Math.round(context.remainingMs),
+            }, options);
+        case RefusalReason.NO_ENDPOINT:
+            return SchedulerError.create("NoEndpoint", { target: context.target }, options);
+        default:
+            return SchedulerError.create("Overloaded", { tier: context.tier }, options);
+    }
+};
