Measure the slopes of the control messages

Cause: the target's budgets need figures. Change: a capacity benchmark with whole VMs in virtual time, gRPC on loopback, and single decisions.

--- /dev/null
+++ b/bench/src/capacity/counting-transport.ts
@@ -0,0 +1,91 @@
+/** Counts the bytes and the messages that a VM sends to its peers. */
+import { toBinary } from "@bufbuild/protobuf";
+import type { Result } from "ts-results-es";
+import {
+    type ClaimRequest,
+    ClaimRequestSchema,
+    type ClaimResponse,
+    ClaimResponseSchema,
+    type ConfigurationVersion,
+    type GatewayMessage,
+    GatewayMessageSchema,
+    type MemberDigest,
+    MemberDigestSchema,
+    PeerTransport,
+    type SchedulerError,
+    type SchedulerMessage,
+    SchedulerMessageSchema,
+    type VmEntry,
+} from "wigeonpulley";
+
+/** Bytes that gRPC puts before each message. */
+const FRAME_BYTES = 5;
+
+/** HTTP/2 headers, trailers and frames of one unary call and its answer once the header table is warm. */
+const UNARY_HEADER_BYTES = 120;
+
+/** Totals of all VMs of one measurement. */
+export interface ByteTotals {
+    messages: number;
+    bytes: number;
+}
+
+/** Transport that counts what passes through it, in both directions. */
+export class CountingTransport extends PeerTransport {
+    private constructor(private readonly inner: PeerTransport, private readonly totals: ByteTotals) {
+        super();
+    }
+
+    /** Wraps a transport. */
+    static create(inner: PeerTransport, totals: ByteTotals): CountingTransport {
+        return new CountingTransport(inner, totals);
+    }
+
+    override async exchange(peer: VmEntry, digest: MemberDigest): Promise<Result<MemberDigest, SchedulerError>> {
+        this.count(toBinary(MemberDigestSchema, digest).length + UNARY_HEADER_BYTES);
+        const answer = await this.inner.exchange(peer, digest);
+        return answer.map(value => {
+            this.count(toBinary(MemberDigestSchema, value).length);
+            return value;
+        });
+    }
+
+    override async *openSchedule(
+        peer: VmEntry,
+        outgoing: AsyncIterable<GatewayMessage>,
+        signal: AbortSignal,
+    ): AsyncGenerator<SchedulerMessage, void, undefined> {
+        for await (const message of this.inner.openSchedule(peer, this.countOutgoing(outgoing), signal)) {
+            this.count(toBinary(SchedulerMessageSchema, message).length);
+            yield message;
+        }
+    }
+
+    override fetchConfiguration(
+        peer: VmEntry,
+        known: number,
+    ): Promise<Result<ConfigurationVersion | undefined, SchedulerError>> {
+        return this.inner.fetchConfiguration(peer, known);
+    }
+
+    override async claim(peer: VmEntry, request: ClaimRequest): Promise<Result<ClaimResponse, SchedulerError>> {
+        this.count(toBinary(ClaimRequestSchema, request).length + UNARY_HEADER_BYTES);
+        const answer = await this.inner.claim(peer, request);
+        return answer.map(value => {
+            this.count(toBinary(ClaimResponseSchema, value).length);
+            return value;
+        });
+    }
+
+    private async *countOutgoing(outgoing: AsyncIterable<GatewayMessage>): AsyncGenerator<GatewayMessage> {
+        for await (const message of outgoing) {
+            this.count(toBinary(GatewayMessageSchema, message).length);
+            yield message;
+        }
+    }
+
+    private count(bytes: number): void {
+        this.totals.messages += 1;
+        this.totals.bytes += bytes + FRAME_BYTES;
+    }
+}
--- a/bench/src/run.ts
+++ b/bench/src/run.ts
@@ -1,2 +1,30 @@
-/** Benchmarks. */
-export {};
+/** The benchmark command: `npm run bench -- [suite] [--quick]`. */
+import { cac } from "cac";
+import { measureClaims } from "./capacity/claims.js";
+import { measureConfiguration } from "./capacity/configuration.js";
+import { measureLinks } from "./capacity/links.js";
+import { measureMembers } from "./capacity/members.js";
+import { measureScheduler } from "./capacity/scheduler.js";
+import { printTables, writeTables } from "./table.js";
+
+const QUICK_SIZES = [3, 6, 12, 24] as const;
+const ALL_SIZES = [3, 6, 12, 24, 50, 100, 400] as const;
+
+const runCapacity = async (isQuick: boolean): Promise<void> => {
+    const tables = [
+        await measureMembers(isQuick ? QUICK_SIZES : ALL_SIZES),
+        ...(await measureScheduler()),
+        measureConfiguration(),
+        ...(await measureLinks()),
+        await measureClaims(),
+    ];
+    printTables(tables);
+    writeTables("capacity", tables);
+};
+
+const cli = cac("bench");
+cli.command("capacity", "Slopes for docs/CAPACITY.md")
+    .option("--quick", "Small sizes only")
+    .action(({ quick }: { quick?: boolean }) => runCapacity(quick === true));
+cli.help();
+cli.parse();
--- /dev/null
+++ b/bench/src/system.ts
@@ -0,0 +1,143 @@
+/** Whole VMs in one process under virtual time, for the benchmarks. */
+import {
+    EngineModel,
+    type EngineOptions,
+    ModelEndpointClient,
+    ModelLog,
+    ModelPeerNetwork,
+    ModelVmList,
+    PlatformModel,
+    ServiceModel,
+} from "@wigeonpulley/stand-ins";
+import {
+    type Configuration,
+    createPublishRecord,
+    EntryVm,
+    EventLogger,
+    EventSink,
+    MetricsRegistry,
+    NO_VERSION,
+    type PeerTransport,
+    publishConfiguration,
+    type QueueOrder,
+    SeededRandom,
+    settingsSchema,
+    type SettingsInput,
+    VirtualTimerService,
+} from "wigeonpulley";
+
+/** Where one VM stands. */
+export interface VmPlace {
+    readonly name: string;
+    readonly region: string;
+    readonly dataCentre: string;
+}
+
+/** What a system is built from. */
+export interface BenchSystemOptions {
+    readonly seed: number;
+    readonly places: readonly VmPlace[];
+    readonly configuration: Configuration;
+    readonly settings?: Partial<SettingsInput>;
+    readonly order?: QueueOrder;
+    readonly engineOptions?: (endpoint: string) => Partial<EngineOptions>;
+    readonly wrapTransport?: (transport: PeerTransport) => PeerTransport;
+}
+
+class NullSink extends EventSink {
+    override write(): void {
+        // Benchmarks look at figures only.
+    }
+}
+
+const PUBLISH_LIMIT_MS = 10_000;
+
+/** A running system. */
+export class BenchSystem {
+    readonly timers = VirtualTimerService.create(Date.UTC(2026, 0, 1));
+    readonly platform = PlatformModel.create(this.timers, { appendsPerSecond: 1_000 });
+    readonly network = ModelPeerNetwork.create(this.timers);
+    readonly endpoints = ModelEndpointClient.create(this.timers);
+    readonly vms = new Map<string, EntryVm>();
+    private readonly random: SeededRandom;
+    private version = NO_VERSION;
+
+    private constructor(private readonly options: BenchSystemOptions) {
+        this.random = SeededRandom.create(options.seed);
+    }
+
+    /** Publishes the configuration, starts the VMs, and lets them settle. */
+    static async create(options: BenchSystemOptions, settleMs: number): Promise<BenchSystem> {
+        const system = new BenchSystem(options);
+        system.createEndpoints();
+        await system.publish(options.configuration);
+        options.places.forEach(place => system.startVm(place));
+        await system.timers.advance(settleMs);
+        return system;
+    }
+
+    /** Publishes a configuration and returns its version. */
+    async publish(configuration: Configuration): Promise<number> {
+        const changeId = `change-${this.version}`;
+        const record = createPublishRecord({ base: this.version, changeId, author: "bench", configuration }, this.timers);
+        const published = publishConfiguration(ModelLog.create(this.platform), this.timers, record);
+        this.version = (await this.timers.runUntil(published, PUBLISH_LIMIT_MS)).unwrap().version;
+        return this.version;
+    }
+
+    /** Kills a VM. */
+    killVm(name: string): void {
+        this.vms.get(name)?.halt();
+        this.network.detach(name);
+        this.vms.delete(name);
+    }
+
+    /** Ends every VM. */
+    close(): void {
+        [...this.vms.keys()].forEach(name => this.killVm(name));
+    }
+
+    private startVm(place: VmPlace): void {
+        const settings = settingsSchema.parse({
+            ...place,
+            listen: { host: "127.0.0.1", port: 0 },
+            peer: { host: "127.0.0.1", port: 0 },
+            platform: { log: "http://127.0.0.1:1", vmList: "http://127.0.0.1:1" },
+            signingKeys: [{ id: "a", secret: "bench-signing-secret-of-32-characters" }],
+            peerKey: "bench-peer-key-of-at-least-32-characters",
+            operatorKeyHash: "0".repeat(64),
+            ...this.options.settings,
+        });
+        const transport = this.network.createTransport(place.name);
+        const { order, wrapTransport } = this.options;
+        const vm = EntryVm.create({
+            settings,
+            peerUrl: `model:${place.name}`,
+            timers: this.timers,
+            random: SeededRandom.create(this.random.pickInteger(2 ** 30)),
+            logger: EventLogger.create(new NullSink()),
+            metrics: MetricsRegistry.create(),
+            log: ModelLog.create(this.platform),
+            vmList: ModelVmList.create(this.platform),
+            transport: wrapTransport?.(transport) ?? transport,
+            endpoints: this.endpoints,
+            ...(order === undefined ? {} : { order }),
+        });
+        this.network.attach(place.name, vm.peerHandler);
+        this.vms.set(place.name, vm);
+        void vm.start();
+    }
+
+    private createEndpoints(): void {
+        for (const { name, kind, serves, version } of this.options.configuration.endpoints) {
+            if (kind === "engine") {
+                const changes = this.options.engineOptions?.(name) ?? {};
+                const engine = EngineModel.create({ timers: this.timers, name, serves, version, ...changes });
+                this.endpoints.engines.set(name, engine);
+            }
+            else {
+                this.endpoints.services.set(name, ServiceModel.create(this.timers, name));
+            }
+        }
+    }
+}
