--- a/bench/src/capacity/claims.ts
+++ b/bench/src/capacity/claims.ts
@@ -1,5 +1,6 @@
 /** Appends and processor time of claims, by rate and number of VMs. */
-import { configurationSchema, EntryVm, hashKey, type Caller } from "wigeonpulley";
+import type { EntryVm} from "wigeonpulley";
+import { type Caller, configurationSchema, hashKey } from "wigeonpulley";
 import { BenchSystem } from "../system.js";
 import { roundTo, type Row, type Table } from "../table.js";
 import { createPlaces } from "./configurations.js";
@@ -76,7 +77,9 @@
         "median ms": times[Math.floor(times.length / 2)] ?? 0,
         "p95 ms": times[Math.floor(times.length * 0.95)] ?? 0,
         failures,
-        "ms of processor per claim": roundTo((used.user + used.system) / MICROSECONDS_PER_SECOND * 1_000 / total),
+        "ms of processor per claim": roundTo(
+            (used.user + used.system) / MICROSECONDS_PER_SECOND * 1_000 / total,
+        ),
     };
 };
 
--- a/bench/src/capacity/configuration.ts
+++ b/bench/src/capacity/configuration.ts
@@ -8,7 +8,7 @@
 const LOOKUPS = 5_000;
 
 const collectGarbage = (): void => {
-    (globalThis as { gc?: () => void }).gc?.();
+    (globalThis as { gc?: () => void; }).gc?.();
 };
 
 const measureOne = (workspaces: number): Row => {
--- a/bench/src/capacity/configurations.ts
+++ b/bench/src/capacity/configurations.ts
@@ -5,7 +5,7 @@
 const DATA_CENTRES = 7;
 const MODELS = 6;
 
-const pickDataCentre = (index: number): { readonly region: string; readonly dataCentre: string } => {
+const pickDataCentre = (index: number): { readonly region: string; readonly dataCentre: string; } => {
     const number = index % DATA_CENTRES;
     return { region: number < 4 ? "south" : "north", dataCentre: `dc-${number}` };
 };
@@ -22,7 +22,10 @@
             deadlineMs: 60_000,
             durable: index === 0,
         })),
-        models: Array.from({ length: MODELS }, (unused, index) => ({ name: `model-${index}`, versions: ["v1"] })),
+        models: Array.from(
+            { length: MODELS },
+            (unused, index) => ({ name: `model-${index}`, versions: ["v1"] }),
+        ),
         endpoints: Array.from({ length: endpoints }, (unused, index) => ({
             name: `engine-${index}`,
             kind: "engine",
--- a/bench/src/capacity/counting-transport.ts
+++ b/bench/src/capacity/counting-transport.ts
@@ -41,7 +41,10 @@
         return new CountingTransport(inner, totals);
     }
 
-    override async exchange(peer: VmEntry, digest: MemberDigest): Promise<Result<MemberDigest, SchedulerError>> {
+    override async exchange(
+        peer: VmEntry,
+        digest: MemberDigest,
+    ): Promise<Result<MemberDigest, SchedulerError>> {
         this.count(toBinary(MemberDigestSchema, digest).length + UNARY_HEADER_BYTES);
         const answer = await this.inner.exchange(peer, digest);
         return answer.map(value => {
@@ -68,7 +71,10 @@
         return this.inner.fetchConfiguration(peer, known);
     }
 
-    override async claim(peer: VmEntry, request: ClaimRequest): Promise<Result<ClaimResponse, SchedulerError>> {
+    override async claim(
+        peer: VmEntry,
+        request: ClaimRequest,
+    ): Promise<Result<ClaimResponse, SchedulerError>> {
         this.count(toBinary(ClaimRequestSchema, request).length + UNARY_HEADER_BYTES);
         const answer = await this.inner.claim(peer, request);
         return answer.map(value => {
--- a/bench/src/capacity/links.ts
+++ b/bench/src/capacity/links.ts
@@ -3,8 +3,8 @@
 import {
     type ClaimRequest,
     type ClaimResponse,
-    ConnectPeerTransport,
     type ConfigurationVersion,
+    ConnectPeerTransport,
     type GatewayMessage,
     GatewayMessageSchema,
     GrantSchema,
@@ -35,7 +35,11 @@
     ): AsyncGenerator<SchedulerMessage, void, undefined> {
         for await (const { kind } of incoming) {
             if (kind.case === "ticket") {
-                const value = create(GrantSchema, { id: kind.value.id, endpoint: "engine-123", expectedMs: 6_000 });
+                const value = create(GrantSchema, {
+                    id: kind.value.id,
+                    endpoint: "engine-123",
+                    expectedMs: 6_000,
+                });
                 yield create(SchedulerMessageSchema, { kind: { case: "grant", value } });
             }
         }
@@ -140,7 +144,10 @@
     const grant = create(GrantSchema, { id, endpoint: "engine-123", expectedMs: 6_000 });
     const grantMessage = create(SchedulerMessageSchema, { kind: { case: "grant", value: grant } });
     const sizes: Row[] = [
-        { message: "ticket with 7 prefix blocks", bytes: toBinary(GatewayMessageSchema, createTicketMessage(id)).length },
+        {
+            message: "ticket with 7 prefix blocks",
+            bytes: toBinary(GatewayMessageSchema, createTicketMessage(id)).length,
+        },
         { message: "grant", bytes: toBinary(SchedulerMessageSchema, grantMessage).length },
         { message: "release", bytes: toBinary(GatewayMessageSchema, createReleaseMessage(id)).length },
     ];
--- a/bench/src/capacity/members.ts
+++ b/bench/src/capacity/members.ts
@@ -1,7 +1,7 @@
 /** Bytes, processor time, failure detection and spread of a configuration, by number of VMs. */
+import { BenchSystem } from "../system.js";
 import type { Row, Table } from "../table.js";
 import { roundTo } from "../table.js";
-import { BenchSystem } from "../system.js";
 import { createPlaces, createSizedConfiguration } from "./configurations.js";
 import { type ByteTotals, CountingTransport } from "./counting-transport.js";
 
@@ -45,15 +45,29 @@
     const nodeSeconds = count * IDLE_MS / MILLISECONDS_PER_SECOND;
     const bytes = totals.bytes / nodeSeconds;
     const cpuShare = (used.user + used.system) / MICROSECONDS_PER_SECOND / nodeSeconds;
-    const falseDeaths = [...system.vms.values()].reduce((sum, vm) => sum + count - vm.membership.listLive().length, 0);
+    const falseDeaths = [...system.vms.values()].reduce(
+        (sum, vm) => sum + count - vm.membership.listLive().length,
+        0,
+    );
     const version = await system.publish({ ...configuration, maintenance: [] });
-    const spread = await measureUntil(system, () =>
-        [...system.vms.values()].every(vm => vm.follower.current?.version === version));
-    const reported = await measureUntil(system, () =>
-        system.vms.get("vm-1")?.membership.listMembers().every(member => member.configuration === version) ?? false);
+    const spread = await measureUntil(
+        system,
+        () => [...system.vms.values()].every(vm => vm.follower.current?.version === version),
+    );
+    const reported = await measureUntil(
+        system,
+        () =>
+            system.vms.get("vm-1")?.membership.listMembers().every(member => member.configuration === version)
+                ?? false,
+    );
     system.killVm("vm-0");
-    const detection = await measureUntil(system, () =>
-        [...system.vms.values()].every(vm => !vm.membership.listLive().some(({ name }) => name === "vm-0")));
+    const detection = await measureUntil(
+        system,
+        () =>
+            [...system.vms.values()].every(vm =>
+                !vm.membership.listLive().some(({ name }) => name === "vm-0")
+            ),
+    );
     system.close();
     return {
         VMs: count,
--- a/bench/src/capacity/scheduler.ts
+++ b/bench/src/capacity/scheduler.ts
@@ -17,7 +17,10 @@
 const ROUNDS = 2_000;
 const NANOSECONDS_PER_MICROSECOND = 1_000;
 
-const measureMicroseconds = async (rounds: number, run: (round: number) => void | Promise<void>): Promise<number> => {
+const measureMicroseconds = async (
+    rounds: number,
+    run: (round: number) => void | Promise<void>,
+): Promise<number> => {
     const start = process.hrtime.bigint();
     for (let round = 0; round < rounds; round += 1) {
         await run(round);
--- a/bench/src/run.ts
+++ b/bench/src/run.ts
@@ -25,6 +25,6 @@
 const cli = cac("bench");
 cli.command("capacity", "Slopes for docs/CAPACITY.md")
     .option("--quick", "Small sizes only")
-    .action(({ quick }: { quick?: boolean }) => runCapacity(quick === true));
+    .action(({ quick }: { quick?: boolean; }) => runCapacity(quick === true));
 cli.help();
 cli.parse();
--- a/bench/src/system.ts
+++ b/bench/src/system.ts
@@ -21,8 +21,8 @@
     publishConfiguration,
     type QueueOrder,
     SeededRandom,
-    settingsSchema,
     type SettingsInput,
+    settingsSchema,
     VirtualTimerService,
 } from "wigeonpulley";
 
@@ -79,7 +79,10 @@
     /** Publishes a configuration and returns its version. */
     async publish(configuration: Configuration): Promise<number> {
         const changeId = `change-${this.version}`;
-        const record = createPublishRecord({ base: this.version, changeId, author: "bench", configuration }, this.timers);
+        const record = createPublishRecord(
+            { base: this.version, changeId, author: "bench", configuration },
+            this.timers,
+        );
         const published = publishConfiguration(ModelLog.create(this.platform), this.timers, record);
         this.version = (await this.timers.runUntil(published, PUBLISH_LIMIT_MS)).unwrap().version;
         return this.version;
--- /dev/null
+++ b/packages/wigeonpulley/test/config/follow.test.ts
@@ -0,0 +1,52 @@
+/** Every VM follows the configuration: through outages, replacements and retention. */
+import { expect, test } from "vitest";
+import { CONFIGURATION_STREAM } from "wigeonpulley";
+import { createTestConfiguration } from "../fixtures/test-configuration.js";
+import { TestSystem } from "../fixtures/test-system.js";
+
+const FORCE_LIMIT_MS = 12_000;
+const RETENTION_MS = 1_300_000;
+
+const listVersions = (system: TestSystem): readonly (number | undefined)[] =>
+    [...system.vms.values()].map(({ vm }) => vm.follower.current?.version);
+
+test("a published configuration is in force on every VM within the limit", async () => {
+    const system = await TestSystem.create({ vmCount: 6 });
+    const version = await system.publish(createTestConfiguration({ maintenance: [] }), 0);
+    await system.timers.advance(FORCE_LIMIT_MS);
+    expect(listVersions(system)).toEqual(Array.from({ length: 6 }, () => version));
+    system.close();
+});
+
+test("a VM that starts while the log is out takes the configuration from a peer", async () => {
+    const system = await TestSystem.create();
+    system.platform.isLogOut = true;
+    const { vm } = system.startVm("vm-9");
+    await system.timers.advance(FORCE_LIMIT_MS);
+    expect(vm.follower.current?.version).toBe(0);
+    expect(vm.isReady()).toBe(true);
+    system.close();
+});
+
+test("a VM that is cut off from the log alone catches up through its peers", async () => {
+    const system = await TestSystem.create();
+    system.findVm("vm-1").log.isCut = true;
+    const version = await system.publish(createTestConfiguration(), 0);
+    await system.timers.advance(FORCE_LIMIT_MS);
+    expect(listVersions(system)).toEqual([version, version, version]);
+    system.close();
+});
+
+test("the version is repeated before retention drops it, so that a late VM finds it in the log", async () => {
+    const system = await TestSystem.create();
+    await system.timers.advance(RETENTION_MS);
+    system.platform.trim(CONFIGURATION_STREAM, 1);
+    [...system.vms.keys()].forEach(name => system.killVm(name));
+    const { vm } = system.startVm("vm-9");
+    await system.timers.advance(FORCE_LIMIT_MS);
+    expect(vm.follower.current?.version).toBe(0);
+    const version = await system.publish(createTestConfiguration({ maintenance: [] }), 0);
+    await system.timers.advance(FORCE_LIMIT_MS);
+    expect(vm.follower.current?.version).toBe(version);
+    system.close();
+});
--- /dev/null
+++ b/packages/wigeonpulley/test/gateway/dispatch.test.ts
@@ -0,0 +1,95 @@
+/** Dispatch at most once, true refusals and whole answers, with faults on every connection and killed VMs. */
+import { fc, test } from "@fast-check/vitest";
+import type { EndpointFault } from "@wigeonpulley/stand-ins";
+import { expect } from "vitest";
+import { expectDispatchedOnce, expectTrueRefusals, expectWholeAnswer } from "../fixtures/judges.js";
+import { SYSTEM_PROPERTY } from "../fixtures/properties.js";
+import {
+    collectAnswer,
+    type CollectedAnswer,
+    createChatRequest,
+    findTestCaller,
+    TestSystem,
+} from "../fixtures/test-system.js";
+
+const TOKENS = 12;
+const RUN_MS = 90_000;
+
+const faultArbitrary: fc.Arbitrary<EndpointFault> = fc.oneof(
+    { weight: 4, arbitrary: fc.constant<EndpointFault>({ kind: "none" }) },
+    { weight: 1, arbitrary: fc.constant<EndpointFault>({ kind: "no-connection" }) },
+    { weight: 1, arbitrary: fc.constant<EndpointFault>({ kind: "lost-request" }) },
+    { weight: 1, arbitrary: fc.constant<EndpointFault>({ kind: "lost-answer" }) },
+    {
+        weight: 1,
+        arbitrary: fc.nat({ max: 8_000 }).map((delayMs): EndpointFault => ({
+            kind: "arrives-late",
+            delayMs,
+        })),
+    },
+    {
+        weight: 1,
+        arbitrary: fc.nat({ max: TOKENS }).map((afterEvents): EndpointFault => ({
+            kind: "silent",
+            afterEvents,
+        })),
+    },
+    {
+        weight: 1,
+        arbitrary: fc.nat({ max: TOKENS }).map((afterEvents): EndpointFault => ({
+            kind: "cut",
+            afterEvents,
+        })),
+    },
+    { weight: 1, arbitrary: fc.constant<EndpointFault>({ kind: "crossed" }) },
+);
+
+const requestArbitrary = fc.record({
+    at: fc.nat({ max: 5_000 }),
+    vm: fc.integer({ min: 1, max: 3 }),
+    kind: fc.constantFrom("quote", "answer", "check"),
+});
+
+test.prop(
+    [
+        fc.array(requestArbitrary, { minLength: 1, maxLength: 25 }),
+        fc.array(faultArbitrary, { maxLength: 60 }),
+        fc.option(fc.record({ at: fc.nat({ max: 6_000 }), vm: fc.integer({ min: 1, max: 3 }) }), {
+            nil: undefined,
+        }),
+    ],
+    SYSTEM_PROPERTY,
+)("requests are dispatched once, refusals are true, answers are whole", async (requests, faults, kill) => {
+    const system = await TestSystem.create();
+    const pending = [...faults];
+    system.endpoints.chooseFault = operation =>
+        operation === "report" ? { kind: "none" } : pending.shift() ?? { kind: "none" };
+    const answers: CollectedAnswer[] = [];
+    let settled = 0;
+    const killed = kill === undefined ? undefined : `vm-${kill.vm}`;
+    requests.forEach(({ at, vm, kind }) => {
+        system.timers.schedule(at, () => {
+            const gateway = system.vms.get(`vm-${vm}`)?.vm.gateway;
+            void gateway?.serve(findTestCaller(system), createChatRequest({ kind, tokens: TOKENS })).then(
+                served => {
+                    settled += 1;
+                    if (served.isOk()) {
+                        answers.push(collectAnswer(served.value));
+                    }
+                },
+            );
+        });
+    });
+    if (kill !== undefined) {
+        system.timers.schedule(kill.at, () => system.killVm(`vm-${kill.vm}`));
+    }
+    await system.timers.advance(RUN_MS);
+    expectDispatchedOnce(system);
+    expectTrueRefusals(system);
+    const survivors = requests.filter(({ vm }) => `vm-${vm}` !== killed).length;
+    expect(settled).toBeGreaterThanOrEqual(survivors);
+    answers.filter(answer => answer.isEnded && answer.error === undefined).forEach(answer =>
+        expectWholeAnswer(answer, TOKENS)
+    );
+    system.close();
+});
--- /dev/null
+++ b/packages/wigeonpulley/test/gateway/once-only.test.ts
@@ -0,0 +1,132 @@
+/** Orders run at most once: the service's own counter is the judge. */
+import { fc, test } from "@fast-check/vitest";
+import type { EndpointFault, LogFault } from "@wigeonpulley/stand-ins";
+import { expect, test as plainTest } from "vitest";
+import { expectDispatchedOnce, expectKeysOnce, expectTrueRefusals } from "../fixtures/judges.js";
+import { SYSTEM_PROPERTY } from "../fixtures/properties.js";
+import { createOrderRequest, findTestCaller, serveRequest, TestSystem } from "../fixtures/test-system.js";
+
+const RUN_MS = 120_000;
+
+const orderArbitrary = fc.record({
+    at: fc.nat({ max: 6_000 }),
+    vm: fc.integer({ min: 1, max: 3 }),
+    key: fc.integer({ min: 0, max: 3 }).map(number => `order-${number}`),
+});
+
+const logFaultArbitrary: fc.Arbitrary<LogFault> = fc.constantFrom(
+    "none",
+    "none",
+    "refused",
+    "lost-request",
+    "lost-answer",
+    "lands-late",
+);
+
+const endpointFaultArbitrary: fc.Arbitrary<EndpointFault> = fc.constantFrom<EndpointFault>(
+    { kind: "none" },
+    { kind: "none" },
+    { kind: "no-connection" },
+    { kind: "lost-request" },
+    { kind: "lost-answer" },
+    { kind: "silent", afterEvents: 0 },
+);
+
+const outageArbitrary = fc.record({ at: fc.nat({ max: 6_000 }), durationMs: fc.nat({ max: 90_000 }) });
+
+test.prop(
+    [
+        fc.array(orderArbitrary, { minLength: 1, maxLength: 20 }),
+        fc.array(logFaultArbitrary, { maxLength: 30 }),
+        fc.array(endpointFaultArbitrary, { maxLength: 20 }),
+        fc.array(fc.record({ at: fc.nat({ max: 6_000 }), vm: fc.integer({ min: 1, max: 3 }) }), {
+            maxLength: 2,
+        }),
+        fc.option(outageArbitrary, { nil: undefined }),
+    ],
+    SYSTEM_PROPERTY,
+)(
+    "a key runs at most once and refusals are true",
+    async (orders, logFaults, endpointFaults, kills, outage) => {
+        const system = await TestSystem.create();
+        const pendingLogFaults = [...logFaults];
+        const pendingEndpointFaults = [...endpointFaults];
+        system.platform.chooseAppendFault = stream =>
+            stream.startsWith("claims") ? pendingLogFaults.shift() ?? "none" : "none";
+        system.endpoints.chooseFault = operation =>
+            operation === "dispatch" ? pendingEndpointFaults.shift() ?? { kind: "none" } : { kind: "none" };
+        orders.forEach(({ at, vm, key }) => {
+            system.timers.schedule(at, () => {
+                void system.vms.get(`vm-${vm}`)?.vm.gateway.serve(
+                    findTestCaller(system),
+                    createOrderRequest(key),
+                );
+            });
+        });
+        kills.forEach(({ at, vm }) => {
+            system.timers.schedule(at, () => {
+                if (system.vms.has(`vm-${vm}`)) {
+                    system.killVm(`vm-${vm}`);
+                }
+            });
+        });
+        if (outage !== undefined) {
+            system.timers.schedule(outage.at, () => {
+                system.platform.isLogOut = true;
+            });
+            system.timers.schedule(outage.at + outage.durationMs, () => {
+                system.platform.isLogOut = false;
+            });
+        }
+        await system.timers.advance(RUN_MS);
+        expectKeysOnce(system);
+        expectDispatchedOnce(system);
+        expectTrueRefusals(system);
+        system.close();
+    },
+);
+
+plainTest("the same key on two VMs at once runs once and both get its answer", async () => {
+    const system = await TestSystem.create();
+    const caller = findTestCaller(system);
+    const both = Promise.all(
+        ["vm-1", "vm-2"].map(name =>
+            system.findVm(name).vm.gateway.serve(caller, createOrderRequest("order-1"))
+        ),
+    );
+    const [first, second] = await system.timers.runUntil(both, RUN_MS);
+    expect((first?.unwrap() as { body: string; }).body).toBe((second?.unwrap() as { body: string; }).body);
+    expectKeysOnce(system);
+    system.close();
+});
+
+plainTest("a key with another body is refused", async () => {
+    const system = await TestSystem.create();
+    await serveRequest(system, "vm-1", createOrderRequest("order-1", "400 kg"));
+    const reused = await serveRequest(system, "vm-2", createOrderRequest("order-1", "500 kg"));
+    expect(reused.isErr() && reused.error.name).toBe("KeyReused");
+    system.close();
+});
+
+plainTest("while the log is out an order waits, then is refused as not run", async () => {
+    const system = await TestSystem.create();
+    system.platform.isLogOut = true;
+    const refused = await serveRequest(system, "vm-1", createOrderRequest("order-1"));
+    expect(refused.isErr() && refused.error.entry.notRun).toBe(true);
+    expect(system.findService("orders-1").runsByKey.size).toBe(0);
+    system.close();
+});
+
+plainTest("a claim whose VM died before the outcome was recorded is answered as unknown", async () => {
+    const system = await TestSystem.create();
+    system.endpoints.chooseFault = operation =>
+        operation === "dispatch" ? { kind: "silent", afterEvents: 0 } : { kind: "none" };
+    void system.findVm("vm-1").vm.gateway.serve(findTestCaller(system), createOrderRequest("order-1"));
+    await system.timers.advance(2_000);
+    system.killVm("vm-1");
+    await system.timers.advance(10_000);
+    const repeat = await serveRequest(system, "vm-2", createOrderRequest("order-1"));
+    expect(repeat.isErr() && repeat.error.name).toBe("OutcomeUnknown");
+    expectKeysOnce(system);
+    system.close();
+});
