--- a/bench/src/capacity/claims.ts
+++ b/bench/src/capacity/claims.ts
@@ -1,5 +1,5 @@
 /** Appends and processor time of claims, by rate and number of VMs. */
-import type { EntryVm} from "wigeonpulley";
+import type { EntryVm } from "wigeonpulley";
 import { type Caller, configurationSchema, hashKey } from "wigeonpulley";
 import { BenchSystem } from "../system.js";
 import { roundTo, type Row, type Table } from "../table.js";
--- a/packages/stand-ins/src/engine/model-endpoint-client.ts
+++ b/packages/stand-ins/src/engine/model-endpoint-client.ts
@@ -35,6 +35,10 @@
     | { readonly kind: "silent"; readonly afterEvents: number; }
     /** The stream is cut after some events. */
     | { readonly kind: "cut"; readonly afterEvents: number; }
+    /** The stream leaves one event out. */
+    | { readonly kind: "gap"; readonly afterEvents: number; }
+    /** The stream brings one event twice. */
+    | { readonly kind: "repeat"; readonly afterEvents: number; }
     /** The connection carries the answer to another request. */
     | { readonly kind: "crossed"; };
 
@@ -214,6 +218,12 @@
                 throw SchedulerError.create("InternalError", { reason: "connection reset" });
             }
             count += 1;
+            if (fault.kind === "gap" && count === fault.afterEvents) {
+                continue;
+            }
+            if (fault.kind === "repeat" && count === fault.afterEvents) {
+                yield event;
+            }
             yield event;
         }
     }
--- a/packages/wigeonpulley/test/gateway/dispatch.test.ts
+++ b/packages/wigeonpulley/test/gateway/dispatch.test.ts
@@ -28,18 +28,11 @@
         })),
     },
     {
-        weight: 1,
-        arbitrary: fc.nat({ max: TOKENS }).map((afterEvents): EndpointFault => ({
-            kind: "silent",
-            afterEvents,
-        })),
-    },
-    {
-        weight: 1,
-        arbitrary: fc.nat({ max: TOKENS }).map((afterEvents): EndpointFault => ({
-            kind: "cut",
-            afterEvents,
-        })),
+        weight: 4,
+        arbitrary: fc.record({
+            kind: fc.constantFrom("silent" as const, "cut" as const, "gap" as const, "repeat" as const),
+            afterEvents: fc.nat({ max: TOKENS }),
+        }),
     },
     { weight: 1, arbitrary: fc.constant<EndpointFault>({ kind: "crossed" }) },
 );
--- a/packages/wigeonpulley/test/gateway/once-only.test.ts
+++ b/packages/wigeonpulley/test/gateway/once-only.test.ts
@@ -130,3 +130,17 @@
     expectKeysOnce(system);
     system.close();
 });
+
+plainTest("a claim that was given up does not hold its key when its append lands late", async () => {
+    const system = await TestSystem.create();
+    const faults: LogFault[] = ["lands-late"];
+    system.platform.chooseAppendFault = stream =>
+        stream.startsWith("claims") ? faults.shift() ?? "none" : "none";
+    const refused = await serveRequest(system, "vm-1", createOrderRequest("order-1"));
+    expect(refused.isErr() && refused.error.entry.notRun).toBe(true);
+    await system.timers.advance(10_000);
+    const repeat = await serveRequest(system, "vm-2", createOrderRequest("order-1"));
+    expect(repeat.unwrap()).toMatchObject({ status: 200 });
+    expectKeysOnce(system);
+    system.close();
+});
--- /dev/null
+++ b/packages/wigeonpulley/test/gateway/stopping.test.ts
@@ -0,0 +1,54 @@
+/** Graceful shutdown cuts nothing. */
+import { fc, test } from "@fast-check/vitest";
+import { expect } from "vitest";
+import { expectDispatchedOnce, expectTrueRefusals, expectWholeAnswer } from "../fixtures/judges.js";
+import { SYSTEM_PROPERTY } from "../fixtures/properties.js";
+import {
+    collectAnswer,
+    type CollectedAnswer,
+    createChatRequest,
+    findTestCaller,
+    TestSystem,
+} from "../fixtures/test-system.js";
+
+const TOKENS = 20;
+const RUN_MS = 180_000;
+
+test.prop([fc.integer({ min: 1, max: 200 }), fc.nat({ max: 3_000 }), fc.integer({ min: 1, max: 3 })], {
+    ...SYSTEM_PROPERTY,
+    numRuns: 12,
+})("a VM that stops with many streams and waiting requests cuts none", async (count, stopAt, stopping) => {
+    const system = await TestSystem.create();
+    const answers: CollectedAnswer[] = [];
+    const refusals: string[] = [];
+    for (let index = 0; index < count; index += 1) {
+        system.timers.schedule(index * 10, () => {
+            const { vm } = system.findVm(`vm-${1 + index % 3}`);
+            const request = createChatRequest({ kind: "quote", tokens: TOKENS });
+            void vm.gateway.serve(findTestCaller(system), request).then(served => {
+                if (served.isOk()) {
+                    answers.push(collectAnswer(served.value));
+                }
+                else {
+                    refusals.push(served.error.name);
+                }
+            });
+        });
+    }
+    let isStopped = false;
+    system.timers.schedule(stopAt, () => {
+        const { vm } = system.findVm(`vm-${stopping}`);
+        void vm.stop().then(() => {
+            isStopped = true;
+        });
+        expect(vm.isReady()).toBe(false);
+    });
+    await system.timers.advance(RUN_MS);
+    expect(isStopped).toBe(true);
+    expect(answers.length + refusals.length).toBe(count);
+    expect(refusals.filter(name => name !== "Stopping")).toEqual([]);
+    answers.forEach(answer => expectWholeAnswer(answer, TOKENS));
+    expectDispatchedOnce(system);
+    expectTrueRefusals(system);
+    system.close();
+});
--- /dev/null
+++ b/packages/wigeonpulley/test/scheduling/leaving.test.ts
@@ -0,0 +1,69 @@
+/** Leaving endpoints and maintenance: no new work after a few seconds, and nothing is cut. */
+import { expect, test } from "vitest";
+import { expectWholeAnswer } from "../fixtures/judges.js";
+import { createTestConfiguration } from "../fixtures/test-configuration.js";
+import {
+    collectAnswer,
+    type CollectedAnswer,
+    createChatRequest,
+    findTestCaller,
+    TestSystem,
+} from "../fixtures/test-system.js";
+
+const GRACE_MS = 5_000;
+const TOKENS = 40;
+
+/** Sends a request from each VM every 200 ms for a time, and collects the answers. */
+const sendSteadily = (system: TestSystem, durationMs: number): readonly CollectedAnswer[] => {
+    const answers: CollectedAnswer[] = [];
+    for (let at = 0; at < durationMs; at += 200) {
+        system.timers.schedule(at, () => {
+            system.vms.forEach(({ vm }) => {
+                const request = createChatRequest({ kind: "quote", tokens: TOKENS });
+                void vm.gateway.serve(findTestCaller(system), request).then(served =>
+                    answers.push(collectAnswer(served.unwrap()))
+                );
+            });
+        });
+    }
+    return answers;
+};
+
+test("an endpoint that leaves gets no new work after a few seconds and finishes what it has", async () => {
+    const system = await TestSystem.create();
+    const answers = sendSteadily(system, 20_000);
+    await system.timers.advance(5_000);
+    system.platform.setEndpointState("engine-1", "leaving");
+    await system.timers.advance(GRACE_MS);
+    const before = system.findEngine("engine-1").runs.size;
+    await system.timers.advance(20_000);
+    expect(before).toBeGreaterThan(0);
+    expect(system.findEngine("engine-1").runs.size).toBe(before);
+    answers.forEach(answer => expectWholeAnswer(answer, TOKENS));
+    system.close();
+});
+
+test("maintenance keeps an endpoint free of work, and it comes back by itself", async () => {
+    const system = await TestSystem.create();
+    const start = system.timers.readWallClock() + 10_000;
+    const maintenance = [{
+        name: "rack-work",
+        endpoint: "engine-1",
+        from: new Date(start + 5_000).toISOString(),
+        until: new Date(start + 20_000).toISOString(),
+        drainMs: 5_000,
+    }];
+    await system.publish(createTestConfiguration({ maintenance }), 0);
+    const answers = sendSteadily(system, 60_000);
+    await system.timers.advance(start + GRACE_MS - system.timers.readWallClock());
+    const before = system.findEngine("engine-1").runs.size;
+    await system.timers.advance(10_000);
+    const during = system.findEngine("engine-1").runs.size;
+    await system.timers.advance(30_000);
+    expect(before).toBeGreaterThan(0);
+    expect(during).toBe(before);
+    expect(system.findEngine("engine-1").runs.size).toBeGreaterThan(during);
+    await system.timers.advance(20_000);
+    answers.forEach(answer => expectWholeAnswer(answer, TOKENS));
+    system.close();
+});
