Spread changes of members instead of their heartbeats

Cause: a digest carried the 24 freshest heartbeat counters. From 50 VMs on the same fresh entries went round and round, and live VMs were taken for dead: 49 wrong views at 50 VMs, 2,115 at 100, 115,256 of 160,000 at 400, at 4.4 KB/s a VM. Ruled out: a short timeout (10 s gave 87,732) and lost calls (the model network loses none). Change: a VM that does not answer a call is suspected, which it may deny; only changes are passed on, a number of times that grows with the logarithm of the members. Loads of groups now come with the heartbeats of the links that need them.

The new loads uncovered a fault: a ticket withdrawn for an idle group could be offered to the same group again, every half second, for ever (2 of 39 requests never settled in the tier property). The idle group is now the next one that is asked.

--- a/packages/wigeonpulley/src/membership/membership-service.ts
+++ b/packages/wigeonpulley/src/membership/membership-service.ts
@@ -1,10 +1,10 @@
 /**
- * Knows which VMs are live. The platform's lagging list names the candidates; heartbeats that spread between
- * peers tell which of them are alive. Nothing here needs agreement: a wrong view costs a detour, not a promise.
+ * Knows which VMs are live. The platform's lagging list names the candidates. Every VM calls a few random members in
+ * each round; one that does not answer is suspected, which spreads with the calls, and a live VM denies it in time.
+ * Nothing here needs agreement: a wrong view costs a detour, not a promise.
  */
 import { create } from "@bufbuild/protobuf";
 import {
-    type GroupLoad,
     type MemberDigest,
     MemberDigestSchema,
     type MemberState,
@@ -16,6 +16,7 @@
 import type { VmEntry, VmList } from "../platform/index.js";
 import type { RandomSource } from "../random/index.js";
 import type { CancelTimer, TimerService } from "../time/index.js";
+import { isNewerState, MemberTable } from "./member-table.js";
 
 /** What the service is built from. */
 export interface MembershipOptions {
@@ -25,70 +26,55 @@
     readonly logger: EventLogger;
     readonly vmList: VmList;
     readonly transport: PeerTransport;
-    /** Interval of heartbeats, in milliseconds. */
+    /** Interval of the rounds of calls, in milliseconds. */
     readonly heartbeatMs: number;
-    /** Silence after which a member counts as dead, in milliseconds. */
+    /** Time in which a suspected VM can deny it, in milliseconds. */
     readonly peerTimeoutMs: number;
     /** Interval of reading the list of VMs, in milliseconds. */
     readonly vmListPollMs: number;
     /** Version of the configuration in force on this VM. */
     readonly readConfigurationVersion: () => number;
-    /** Loads of the groups that this VM schedules. */
-    readonly readLoads: () => readonly GroupLoad[];
 }
 
 /** What is known of one VM. */
 export interface Member {
     readonly entry: VmEntry;
     readonly incarnation: bigint;
-    readonly heartbeat: number;
     /** Version of the configuration in force there; -1 for none. */
     readonly configuration: number;
     readonly isLeaving: boolean;
     readonly isLive: boolean;
 }
 
-/** A load with the monotonic time at which it was received. */
-export interface ReceivedLoad {
-    readonly load: GroupLoad;
-    readonly receivedAt: number;
+/** Where an owner should stand. */
+export interface OwnerPlace {
+    readonly dataCentre: string;
+    readonly region: string;
 }
 
-interface Record {
-    entry: VmEntry | undefined;
-    state: MemberState;
-    advancedAt: number;
-    /** True after a link to the VM failed, until it is heard from directly. */
-    isSuspected: boolean;
-    wasLive: boolean;
-}
-
-/** Members asked in each round of heartbeats. */
-const EXCHANGE_FANOUT = 2;
-
-/** Most members described in one digest; bounds its size to about 700 bytes. */
-const DIGEST_MEMBERS = 24;
+/** Members called in each round. */
+const CALLS_PER_ROUND = 2;
 
-const isNewer = (left: MemberState, right: MemberState): boolean =>
-    left.incarnation > right.incarnation
-    || (left.incarnation === right.incarnation && left.heartbeat > right.heartbeat);
+/** Most changes in one digest; bounds its size to about 700 bytes. */
+const DIGEST_CHANGES = 24;
 
 /** View of the members on one VM. */
 export class MembershipService {
-    private readonly records = new Map<string, Record>();
-    private readonly loads = new Map<string, ReceivedLoad>();
+    private readonly table: MemberTable;
     private readonly listeners: (() => void)[] = [];
     private readonly cancels: CancelTimer[] = [];
     private readonly incarnation: bigint;
-    private heartbeat = 0;
-    private isLeaving = false;
+    private self: MemberState;
     private leavingEndpoints: ReadonlySet<string> = new Set();
+    private liveNames = "";
     /** Derived from the live members; emptied whenever they change. */
     private liveCache: readonly VmEntry[] | undefined;
     private readonly ownerCache = new Map<string, VmEntry | undefined>();
 
     private constructor(private readonly options: MembershipOptions) {
         this.incarnation = BigInt(Math.floor(options.timers.readWallClock()));
+        this.self = create(MemberStateSchema, { name: options.self.name, incarnation: this.incarnation });
+        this.table = MemberTable.create(options.peerTimeoutMs);
     }
 
     /** Creates a view that knows only this VM. */
@@ -96,23 +82,23 @@
         return new MembershipService(options);
     }
 
-    /** Registers this VM and begins to exchange heartbeats. */
+    /** Registers this VM and begins to call members. */
     async start(): Promise<void> {
-        const { timers, heartbeatMs, vmListPollMs } = this.options;
+        const { timers, heartbeatMs, vmListPollMs, vmList, self } = this.options;
         this.cancels.push(
-            timers.subscribe(heartbeatMs, () => this.beat()),
+            timers.subscribe(heartbeatMs, () => this.callMembers()),
             timers.subscribe(vmListPollMs, () => void this.readVmList()),
         );
-        await this.options.vmList.register(this.options.self);
+        await vmList.register(self);
         await this.readVmList();
-        this.beat();
+        this.callMembers();
     }
 
     /** Tells everyone that this VM is leaving; it gets no groups from then on. */
     async announceLeaving(): Promise<void> {
-        this.isLeaving = true;
-        this.notify();
-        this.beat();
+        this.changeSelf({ leaving: true });
+        this.notifyIfChanged();
+        this.callMembers();
         await this.options.vmList.register({ ...this.options.self, state: "leaving" });
     }
 
@@ -128,35 +114,35 @@
 
     /** VMs that are live and not leaving, this one included unless it is leaving. */
     listLive(): readonly VmEntry[] {
-        this.liveCache ??= [
-            ...(this.isLeaving ? [] : [this.options.self]),
-            ...[...this.records.values()].flatMap(record =>
-                record.entry !== undefined && this.isLive(record) && !record.state.leaving
+        if (this.liveCache === undefined) {
+            const now = this.options.timers.now();
+            const others = this.table.list().flatMap(record =>
+                record.entry !== undefined && this.table.isLive(record, now) && !record.state.leaving
                     ? [record.entry]
                     : []
-            ),
-        ];
+            );
+            this.liveCache = this.self.leaving ? others : [this.options.self, ...others];
+        }
         return this.liveCache;
     }
 
     /** All known VMs, this one first. */
     listMembers(): readonly Member[] {
+        const now = this.options.timers.now();
         const self: Member = {
             entry: this.options.self,
             incarnation: this.incarnation,
-            heartbeat: this.heartbeat,
             configuration: this.options.readConfigurationVersion(),
-            isLeaving: this.isLeaving,
+            isLeaving: this.self.leaving,
             isLive: true,
         };
-        const others = [...this.records.values()].flatMap(record =>
+        const others = this.table.list().flatMap(record =>
             record.entry === undefined ? [] : [{
                 entry: record.entry,
                 incarnation: record.state.incarnation,
-                heartbeat: record.state.heartbeat,
                 configuration: record.state.configuration - 1,
                 isLeaving: record.state.leaving,
-                isLive: this.isLive(record),
+                isLive: this.table.isLive(record, now),
             }]
         );
         return [self, ...others];
@@ -178,12 +164,13 @@
      * The VM that owns a key: picked among the live VMs of the data centre, else of the region, else of all.
      * Undefined only while this VM is leaving and knows no other.
      */
-    findOwner(
-        key: string,
-        place: { readonly dataCentre: string; readonly region: string; },
-    ): VmEntry | undefined {
+    findOwner(key: string, place: OwnerPlace): VmEntry | undefined {
         if (!this.ownerCache.has(key)) {
-            this.ownerCache.set(key, this.pickOwner(key, place));
+            const live = this.listLive();
+            const near = live.filter(vm => vm.dataCentre === place.dataCentre);
+            const regional = live.filter(vm => vm.region === place.region);
+            const candidates = [near, regional, live].find(list => list.length > 0) ?? [];
+            this.ownerCache.set(key, pickByRendezvous(key, candidates, vm => vm.name));
         }
         return this.ownerCache.get(key);
     }
@@ -193,18 +180,10 @@
         return this.leavingEndpoints.has(name);
     }
 
-    /** The latest load received for a group. */
-    findLoad(group: string): ReceivedLoad | undefined {
-        return this.loads.get(group);
-    }
-
-    /** Notes that a link to a VM failed; it counts as dead until it is heard from directly. */
+    /** Notes that a VM could not be reached; it counts as dead here until it is heard from directly. */
     suspect(name: string): void {
-        const record = this.records.get(name);
-        if (record !== undefined && !record.isSuspected) {
-            record.isSuspected = true;
-            this.notifyIfChanged();
-        }
+        this.table.suspect(name, this.options.timers.now());
+        this.notifyIfChanged();
     }
 
     /** Merges a peer's digest and answers with this VM's. */
@@ -213,88 +192,62 @@
         return this.createDigest();
     }
 
-    private pickOwner(
-        key: string,
-        place: { readonly dataCentre: string; readonly region: string; },
-    ): VmEntry | undefined {
-        const live = this.listLive();
-        const near = live.filter(vm => vm.dataCentre === place.dataCentre);
-        const regional = live.filter(vm => vm.region === place.region);
-        const candidates = [near, regional, live].find(list => list.length > 0) ?? [];
-        return pickByRendezvous(key, candidates, vm => vm.name);
-    }
-
-    private beat(): void {
-        this.heartbeat += 1;
+    private callMembers(): void {
+        this.updateConfiguration();
         this.notifyIfChanged();
-        const candidates = [...this.records.values()].flatMap(record => record.entry ?? []);
-        for (let count = 0; count < EXCHANGE_FANOUT && candidates.length > 0; count += 1) {
+        const candidates = this.table.list().flatMap(record => record.entry ?? []);
+        for (let count = 0; count < CALLS_PER_ROUND && candidates.length > 0; count += 1) {
             const [peer] = candidates.splice(this.options.random.pickInteger(candidates.length), 1);
             if (peer !== undefined) {
-                void this.exchangeWith(peer);
+                void this.callMember(peer);
             }
         }
     }
 
-    private async exchangeWith(peer: VmEntry): Promise<void> {
+    private async callMember(peer: VmEntry): Promise<void> {
         const answer = await this.options.transport.exchange(peer, this.createDigest());
         if (answer.isOk()) {
             this.merge(answer.value);
         }
+        else {
+            this.suspect(peer.name);
+        }
     }
 
     private createDigest(): MemberDigest {
-        const self = create(MemberStateSchema, {
-            name: this.options.self.name,
-            incarnation: this.incarnation,
-            heartbeat: this.heartbeat,
-            configuration: this.options.readConfigurationVersion() + 1,
-            leaving: this.isLeaving,
-        });
-        const fresh = [...this.records.values()]
-            .filter(record => record.state.heartbeat > 0)
-            .sort((left, right) => right.advancedAt - left.advancedAt)
-            .slice(0, DIGEST_MEMBERS - 1)
-            .map(record => record.state);
+        this.updateConfiguration();
         return create(MemberDigestSchema, {
             sender: this.options.self.name,
-            members: [self, ...fresh],
-            loads: [...this.options.readLoads()],
+            members: [this.self, ...this.table.takeChanges(DIGEST_CHANGES)],
         });
     }
 
+    private updateConfiguration(): void {
+        const configuration = this.options.readConfigurationVersion() + 1;
+        if (configuration !== this.self.configuration) {
+            this.changeSelf({ configuration });
+        }
+    }
+
+    private changeSelf(change: Partial<Pick<MemberState, "configuration" | "leaving">>): void {
+        this.self = create(MemberStateSchema, { ...this.self, ...change, revision: this.self.revision + 1 });
+    }
+
     private merge(digest: MemberDigest): void {
         const now = this.options.timers.now();
         for (const state of digest.members) {
             if (state.name !== this.options.self.name) {
-                this.mergeState(state, now);
+                this.table.merge(state, now);
+            }
+            else if (isNewerState(state, this.self) && state.incarnation === this.incarnation) {
+                // Somebody suspects this VM: a higher revision denies it.
+                this.self = create(MemberStateSchema, { ...this.self, revision: state.revision + 1 });
             }
         }
-        const sender = this.records.get(digest.sender);
-        if (sender !== undefined) {
-            sender.isSuspected = false;
-        }
-        digest.loads.forEach(load => this.loads.set(load.group, { load, receivedAt: now }));
+        this.table.noteContact(digest.sender);
         this.notifyIfChanged();
     }
 
-    private mergeState(state: MemberState, now: number): void {
-        const record = this.records.get(state.name);
-        if (record === undefined) {
-            this.records.set(state.name, {
-                entry: undefined,
-                state,
-                advancedAt: now,
-                isSuspected: false,
-                wasLive: false,
-            });
-        }
-        else if (isNewer(state, record.state)) {
-            record.state = state;
-            record.advancedAt = now;
-        }
-    }
-
     private async readVmList(): Promise<void> {
         const listing = await this.options.vmList.read();
         if (listing.isErr()) {
@@ -305,51 +258,32 @@
                 endpoint.name
             ),
         );
-        const listed = new Set(listing.value.vms.map(vm => vm.name));
-        for (const entry of listing.value.vms.filter(vm => vm.name !== this.options.self.name)) {
-            const record = this.records.get(entry.name);
-            if (record === undefined) {
-                const state = create(MemberStateSchema, { name: entry.name });
-                this.records.set(entry.name, {
-                    entry,
-                    state,
-                    advancedAt: Number.NEGATIVE_INFINITY,
-                    isSuspected: false,
-                    wasLive: false,
-                });
-            }
-            else {
-                record.entry = entry;
-            }
-        }
-        for (const [name, record] of this.records) {
-            if (!listed.has(name) && !this.isLive(record)) {
-                this.records.delete(name);
-            }
-        }
+        const others = listing.value.vms.filter(vm => vm.name !== this.options.self.name);
+        this.table.applyList(others, this.options.timers.now());
         this.notify();
     }
 
-    private isLive(record: Record): boolean {
-        const silence = this.options.timers.now() - record.advancedAt;
-        return record.state.heartbeat > 0 && !record.isSuspected && silence < this.options.peerTimeoutMs;
-    }
-
+    /** Compares the live members with the last ones told of; time alone may have made a suspicion final. */
     private notifyIfChanged(): void {
-        let hasChanged = false;
-        for (const record of this.records.values()) {
-            const isLive = record.entry !== undefined && this.isLive(record) && !record.state.leaving;
-            if (isLive !== record.wasLive && record.entry !== undefined) {
-                record.wasLive = isLive;
-                hasChanged = true;
-                this.options.logger.write(isLive ? "MemberLive" : "MemberDead", { vm: record.entry.name });
-            }
-        }
-        if (hasChanged) {
+        const before = this.liveNames;
+        this.liveCache = undefined;
+        this.liveNames = this.listLive().map(vm => vm.name).sort().join(" ");
+        if (this.liveNames !== before) {
+            this.logChanges(before.split(" "), this.liveNames.split(" "));
             this.notify();
         }
     }
 
+    private logChanges(before: readonly string[], after: readonly string[]): void {
+        const { logger } = this.options;
+        after.filter(vm => vm !== "" && !before.includes(vm)).forEach(vm =>
+            logger.write("MemberLive", { vm })
+        );
+        before.filter(vm => vm !== "" && !after.includes(vm)).forEach(vm =>
+            logger.write("MemberDead", { vm })
+        );
+    }
+
     private notify(): void {
         this.liveCache = undefined;
         this.ownerCache.clear();
--- a/packages/wigeonpulley/src/scheduling/group-chooser.ts
+++ b/packages/wigeonpulley/src/scheduling/group-chooser.ts
@@ -1,5 +1,5 @@
 /** Chooses the endpoint group that a request is offered to first. */
-import type { MembershipService } from "../membership/index.js";
+import type { GroupLoad } from "../gen/wigeonpulley/peer/v1/peer_pb.js";
 import type { RandomSource } from "../random/index.js";
 import type { TimerService } from "../time/index.js";
 import type { EndpointGroup } from "./groups.js";
@@ -21,13 +21,20 @@
     readonly region: string;
     readonly timers: TimerService;
     readonly random: RandomSource;
-    readonly membership: Pick<MembershipService, "findLoad">;
+    /** Load of a group that this VM schedules itself. */
+    readonly findOwnLoad: (group: string) => GroupLoad | undefined;
+}
+
+interface ReceivedLoad {
+    readonly load: GroupLoad;
+    readonly receivedAt: number;
 }
 
 /** Power of two choices over reported loads, with a preference for the own region and for cached prefixes. */
 export class GroupChooser {
     /** Group that last answered a prompt with a first block; insertion order is order of use. */
     private readonly groupByPrefix = new Map<number, string>();
+    private readonly loads = new Map<string, ReceivedLoad>();
 
     private constructor(private readonly options: GroupChooserOptions) {}
 
@@ -55,13 +62,16 @@
         );
     }
 
+    /** Remembers loads that a scheduler sent. */
+    noteLoads(loads: readonly GroupLoad[]): void {
+        const receivedAt = this.options.timers.now();
+        loads.forEach(load => this.loads.set(load.group, { load, receivedAt }));
+    }
+
     /** True when a recent report shows free slots and nobody waiting. */
     isIdle(group: EndpointGroup): boolean {
-        const received = this.options.membership.findLoad(group.name);
-        return received !== undefined
-            && this.options.timers.now() - received.receivedAt < LOAD_MAX_AGE_MS
-            && received.load.freeSlots > 0
-            && received.load.waiting === 0;
+        const load = this.findLoad(group);
+        return load !== undefined && load.freeSlots > 0 && load.waiting === 0;
     }
 
     /** Remembers which group computed a prompt's prefix. */
@@ -94,11 +104,16 @@
 
     /** Expected wait in milliseconds with the preferences added; smaller is better. */
     private score(group: EndpointGroup, preferred: string | undefined): number {
-        const received = this.options.membership.findLoad(group.name);
-        const isFresh = received !== undefined
-            && this.options.timers.now() - received.receivedAt < LOAD_MAX_AGE_MS;
-        const waitMs = isFresh ? received.load.expectedWaitMs : 0;
+        const waitMs = this.findLoad(group)?.expectedWaitMs ?? 0;
         const regionMs = group.region === this.options.region ? 0 : REMOTE_REGION_COST_MS;
         return waitMs + regionMs - (group.name === preferred ? PREFIX_GAIN_MS : 0);
     }
+
+    /** The load of a group, unless it is unknown or old. */
+    private findLoad(group: EndpointGroup): GroupLoad | undefined {
+        const received = this.loads.get(group.name);
+        const isFresh = received !== undefined
+            && this.options.timers.now() - received.receivedAt < LOAD_MAX_AGE_MS;
+        return this.options.findOwnLoad(group.name) ?? (isFresh ? received.load : undefined);
+    }
 }
--- a/packages/wigeonpulley/src/scheduling/scheduler-link.ts
+++ b/packages/wigeonpulley/src/scheduling/scheduler-link.ts
@@ -6,6 +6,7 @@
 import {
     type GatewayMessage,
     GatewayMessageSchema,
+    type GroupLoad,
     HeartbeatSchema,
     type Observation,
     type Refusal,
@@ -80,6 +81,8 @@
     readonly timers: TimerService;
     readonly heartbeatMs: number;
     readonly peerTimeoutMs: number;
+    /** Called with the loads that the scheduler sent. */
+    readonly onLoads: (loads: readonly GroupLoad[]) => void;
     /** Called once when the link is lost. */
     readonly onLost: (reason: string) => void;
 }
@@ -183,6 +186,9 @@
             case "refusal":
                 this.settle(kind.value.id, createRefusal(kind.value));
                 break;
+            case "heartbeat":
+                this.options.onLoads(kind.value.loads);
+                break;
             default:
                 break;
         }
--- a/packages/wigeonpulley/src/scheduling/scheduler-service.ts
+++ b/packages/wigeonpulley/src/scheduling/scheduler-service.ts
@@ -118,11 +118,8 @@
         const outgoing = MessageQueue.create<SchedulerMessage>();
         let heardAt = timers.now();
         const cancelHeartbeat = timers.subscribe(heartbeatMs, () => {
-            outgoing.push(
-                create(SchedulerMessageSchema, {
-                    kind: { case: "heartbeat", value: create(HeartbeatSchema) },
-                }),
-            );
+            const value = create(HeartbeatSchema, { loads: [...this.listLoads()] });
+            outgoing.push(create(SchedulerMessageSchema, { kind: { case: "heartbeat", value } }));
             if (timers.now() - heardAt > peerTimeoutMs) {
                 outgoing.close();
             }
@@ -154,14 +151,13 @@
 
     /** Loads of the groups that have a scheduler here. */
     listLoads(): readonly GroupLoad[] {
-        return [...this.schedulers].map(([group, scheduler]) =>
-            create(GroupLoadSchema, {
-                group,
-                waiting: scheduler.countWaiting(),
-                freeSlots: scheduler.countFree(),
-                expectedWaitMs: Math.min(MAX_REPORTED_WAIT_MS, Math.ceil(scheduler.estimateWait())),
-            })
-        );
+        return [...this.schedulers].map(([group, scheduler]) => createLoad(group, scheduler));
+    }
+
+    /** Load of one group, if it has a scheduler here. */
+    findLoad(group: string): GroupLoad | undefined {
+        const scheduler = this.schedulers.get(group);
+        return scheduler === undefined ? undefined : createLoad(group, scheduler);
     }
 
     /** The schedulers by group, for status pages and tests. */
@@ -292,3 +288,11 @@
         }
     }
 }
+
+const createLoad = (group: string, scheduler: GroupScheduler): GroupLoad =>
+    create(GroupLoadSchema, {
+        group,
+        waiting: scheduler.countWaiting(),
+        freeSlots: scheduler.countFree(),
+        expectedWaitMs: Math.min(MAX_REPORTED_WAIT_MS, Math.ceil(scheduler.estimateWait())),
+    });
--- a/packages/wigeonpulley/src/scheduling/ticket-client.ts
+++ b/packages/wigeonpulley/src/scheduling/ticket-client.ts
@@ -98,13 +98,17 @@
      */
     async acquire(request: SlotRequest): Promise<Result<Slot, SchedulerError>> {
         const refusals = new Map<string, SlotRefusal>();
+        let idleGroup: EndpointGroup | undefined;
         while (!request.signal.aborted) {
             const candidates = this.listCandidates(request).filter(group => !refusals.has(group.name));
-            const group = this.options.chooser.choose(candidates, request.prefixBlocks);
+            const group = candidates.find(candidate => candidate === idleGroup)
+                ?? this.options.chooser.choose(candidates, request.prefixBlocks);
+            idleGroup = undefined;
             if (group === undefined) {
                 return Err(this.createFinalRefusal(request, [...refusals.values()]));
             }
-            const result = await this.acquireFrom(group, request);
+            const others = candidates.filter(candidate => candidate !== group);
+            const result = await this.acquireFrom(group, others, request);
             if (result?.isOk() === true) {
                 return this.acceptGrant(group, request, result.value);
             }
@@ -112,7 +116,10 @@
             if (refusal === undefined || isTransient(refusal.reason)) {
                 await this.options.timers.sleep(REPLACE_DELAY_MS, request.signal);
             }
-            else if (refusal.reason !== RefusalReason.WITHDRAWN) {
+            else if (refusal.reason === RefusalReason.WITHDRAWN) {
+                idleGroup = others.find(other => this.options.chooser.isIdle(other));
+            }
+            else {
                 refusals.set(group.name, refusal);
             }
         }
@@ -154,7 +161,12 @@
         this.links.forEach(link => link.close());
     }
 
-    private async acquireFrom(group: EndpointGroup, request: SlotRequest): Promise<SlotResult | undefined> {
+    /** Offers the request to one group; takes it back when one of the others has become idle. */
+    private async acquireFrom(
+        group: EndpointGroup,
+        others: readonly EndpointGroup[],
+        request: SlotRequest,
+    ): Promise<SlotResult | undefined> {
         const owner = this.findOwner(group.name);
         if (owner === undefined) {
             return undefined;
@@ -164,7 +176,7 @@
         const withdraw = (): void => link.withdraw(ticket.id);
         request.signal.addEventListener("abort", withdraw, { once: true });
         const cancelMove = this.options.timers.subscribe(MOVE_CHECK_MS, () => {
-            if (this.hasFreeGroup(group, request)) {
+            if (others.some(other => this.options.chooser.isIdle(other))) {
                 withdraw();
             }
         });
@@ -177,13 +189,6 @@
         }
     }
 
-    /** True when another group reports free slots and nobody waiting. */
-    private hasFreeGroup(current: EndpointGroup, request: SlotRequest): boolean {
-        return this.listCandidates(request).some(group =>
-            group.name !== current.name && this.options.chooser.isIdle(group)
-        );
-    }
-
     private acceptGrant(
         group: EndpointGroup,
         request: SlotRequest,
@@ -252,6 +257,7 @@
             timers,
             heartbeatMs,
             peerTimeoutMs,
+            onLoads: loads => this.options.chooser.noteLoads(loads),
             onLost: reason => this.handleLostLink(peer, link, reason),
         });
         this.links.set(peer.name, link);
--- a/packages/wigeonpulley/src/vm/entry-vm.ts
+++ b/packages/wigeonpulley/src/vm/entry-vm.ts
@@ -194,7 +194,6 @@
             peerTimeoutMs,
             vmListPollMs,
             readConfigurationVersion: () => this.follower.current?.version ?? NO_VERSION,
-            readLoads: () => this.schedulers.listLoads(),
         });
     }
 
@@ -219,7 +218,7 @@
             region: settings.region,
             timers,
             random,
-            membership: { findLoad: group => this.findLoad(group) },
+            findOwnLoad: group => this.schedulers.findLoad(group),
         });
         return TicketClient.create({
             self: this.entry,
@@ -265,15 +264,7 @@
         this.tickets.applyConfiguration(configuration);
     }
 
-    /** The load of a group: this VM's own view where it schedules the group, else the last one received. */
-    private findLoad(group: string): ReturnType<MembershipService["findLoad"]> {
-        const own = this.schedulers.listLoads().find(load => load.group === group);
-        return own === undefined
-            ? this.membership.findLoad(group)
-            : { load: own, receivedAt: this.options.timers.now() };
-    }
-
-    /** Asks live peers, in the order of their names after a random start, for a newer configuration. */
+    /** Asks a random live peer for a newer configuration. */
     private async fetchFromPeer(known: number): Promise<ConfigurationFollower["current"]> {
         const peers = this.membership.listLive().filter(vm => vm.name !== this.entry.name);
         if (peers.length === 0) {
--- a/packages/wigeonpulley/test/gateway/stopping.test.ts
+++ b/packages/wigeonpulley/test/gateway/stopping.test.ts
@@ -36,15 +36,18 @@
         });
     }
     let isStopped = false;
+    let openAtStop = 0;
     system.timers.schedule(stopAt, () => {
         const { vm } = system.findVm(`vm-${stopping}`);
         void vm.stop().then(() => {
             isStopped = true;
+            openAtStop = vm.openRequests.count;
         });
         expect(vm.isReady()).toBe(false);
     });
     await system.timers.advance(RUN_MS);
     expect(isStopped).toBe(true);
+    expect(openAtStop).toBe(0);
     expect(answers.length + refusals.length).toBe(count);
     expect(refusals.filter(name => name !== "Stopping")).toEqual([]);
     answers.forEach(answer => expectWholeAnswer(answer, TOKENS));
