Test real processes, and stop live VMs from being taken for dead

Cause: with a VM killed and replaced under its name, or frozen and thawed, the others saw it live and dead in turn for seconds. A call that had begun before the last contact, or went to the predecessor's address, raised a suspicion when it failed. Ruled out: the platform's list alone (the flapping went on after it had caught up) and the links' heartbeats. Change: a failed call counts only if nothing was heard from the VM since it began and the VM still has that address, which it now tells itself; links to dead VMs are closed at once.

A log line carried the field vm twice, so that events about another VM named the wrong one; details now stand apart.

Tests with real processes: SIGKILL, SIGSTOP, SIGTERM with 120 streams, silent and cut connections, a dead engine, bad input, racing operators. The audit check asked for a recorded conflict first; a losing operator that has already read the winner's change appends nothing, so it now counts the effective changes.

--- a/packages/stand-ins/src/demo/cluster.ts
+++ b/packages/stand-ins/src/demo/cluster.ts
@@ -1,10 +1,11 @@
 /** A small system of real processes on loopback: platform, engines, a service and three VMs. */
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { createRequire } from "node:module";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { fileURLToPath } from "node:url";
 import { request } from "undici";
 import { type ConfigurationInput, hashKey, type SettingsInput } from "wigeonpulley";
+import { Forwarder } from "./forwarder.js";
 import {
     endProcess,
     findFreePort,
@@ -35,19 +36,19 @@
     private readonly folder = mkdtempSync(join(tmpdir(), "wigeonpulley-demo-"));
     private readonly standIns = new Map<string, StartedProcess>();
     private readonly vms = new Map<VmName, StartedProcess>();
-    private readonly peerPorts = new Map<VmName, number>();
+    /** Forwarders in front of the engines; tests silence them. */
+    readonly forwarders = new Map<string, Forwarder>();
 
     private constructor(private readonly paths: { readonly cli: string; readonly standIn: string; }) {}
 
     /** Starts the stand-ins, publishes the configuration, and starts the VMs. */
     static async create(): Promise<DemoCluster> {
+        const { resolve } = createRequire(import.meta.url);
+        const packagePath = join(resolve("wigeonpulley"), "..");
+        const standInPath = resolve("@wigeonpulley/stand-ins");
         const cluster = new DemoCluster({
-            cli: fileURLToPath(
-                import.meta.resolve("wigeonpulley").replace("dist/src/index.js", "bin/wigeonpulley.mjs"),
-            ),
-            standIn: fileURLToPath(
-                import.meta.resolve("@wigeonpulley/stand-ins").replace("index.js", "main.js"),
-            ),
+            cli: join(packagePath, "../../bin/wigeonpulley.mjs"),
+            standIn: join(standInPath, "../main.js"),
         });
         await cluster.startStandIns();
         for (const name of VM_NAMES) {
@@ -85,7 +86,6 @@
         const settingsPath = join(this.folder, `${name}.json`);
         const port = await findFreePort();
         const peerPort = await findFreePort();
-        this.peerPorts.set(name, peerPort);
         writeFileSync(settingsPath, JSON.stringify(this.createSettings(name, port, peerPort)));
         this.vms.set(
             name,
@@ -140,7 +140,7 @@
                     ...place,
                     name,
                     kind: "engine" as const,
-                    url: this.findStandInUrl(name),
+                    url: `http://${LOOPBACK}:${this.forwarders.get(name)?.port}`,
                     serves: "grafting-7b",
                 })),
                 {
@@ -168,6 +168,25 @@
         };
     }
 
+    /** Ends a stand-in with a signal. */
+    async endStandIn(name: string, signal: NodeJS.Signals): Promise<void> {
+        const standIn = this.standIns.get(name);
+        if (standIn !== undefined) {
+            await endProcess(standIn.child, signal);
+        }
+    }
+
+    /** Waits until a VM has logged an event after a position in `logLines`. */
+    async waitEvent(
+        event: number,
+        from: number,
+        matches: (line: LogLine) => boolean = () => true,
+    ): Promise<void> {
+        while (!this.logLines.slice(from).some(line => line.event === event && matches(line))) {
+            await new Promise(resolve => setTimeout(resolve, POLL_MS));
+        }
+    }
+
     /** Ends a VM with a signal. Returns its exit code. */
     async endVm(name: VmName, signal: NodeJS.Signals): Promise<number | undefined> {
         const code = await endProcess(this.findVm(name).child, signal);
@@ -179,6 +198,7 @@
     async close(): Promise<void> {
         await Promise.all([...this.vms.values()].map(({ child }) => endProcess(child, "SIGKILL")));
         await Promise.all([...this.standIns.values()].map(({ child }) => endProcess(child, "SIGKILL")));
+        await Promise.all([...this.forwarders.values()].map(forwarder => forwarder.close()));
         rmSync(this.folder, { recursive: true });
     }
 
@@ -187,7 +207,9 @@
         this.standIns.set("platform", await startStandIn(standIn, "platform"));
         for (const name of ["engine-1", "engine-2"]) {
             const args = ["engine", "--name", name, "--serves", "grafting-7b", "--step-ms", "30"];
-            this.standIns.set(name, await startStandIn(standIn, ...args));
+            const engine = await startStandIn(standIn, ...args);
+            this.standIns.set(name, engine);
+            this.forwarders.set(name, await Forwarder.create(engine.port));
         }
         this.standIns.set("orders-1", await startStandIn(standIn, "service", "--name", "orders"));
         const path = this.writeConfiguration(this.createConfiguration());
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,4 +1,13 @@
 /** Stand-ins for everything outside of the system. Private: used by tests, benchmarks and the demo. */
+export {
+    openChat,
+    readTokenText,
+    type ReceivedEvent,
+    type ReceivedStream,
+    resumeChat,
+    sendOrder,
+} from "./demo/caller.js";
+export { DemoCluster, demoKeys, type VmName } from "./demo/cluster.js";
 export {
     createTokenText,
     EngineModel,
--- /dev/null
+++ b/packages/stand-ins/test/processes.test.ts
@@ -0,0 +1,229 @@
+/** Real processes on loopback: killed, frozen and stopped VMs, silent and cut connections, a dead engine. */
+import {
+    createTokenText,
+    DemoCluster,
+    demoKeys,
+    openChat,
+    readTokenText,
+    type ReceivedEvent,
+    type ReceivedStream,
+    resumeChat,
+    sendOrder,
+    type VmName,
+} from "@wigeonpulley/stand-ins";
+import { request } from "undici";
+import { afterAll, beforeAll, expect, test } from "vitest";
+
+const MEMBER_LIVE = 301;
+const MEMBER_DEAD = 302;
+const MODEL = "grafting-7b";
+
+let cluster: DemoCluster;
+
+const startCluster = async (): Promise<void> => {
+    cluster = await DemoCluster.create();
+    await cluster.waitReady();
+};
+
+beforeAll(startCluster);
+afterAll(() => cluster.close());
+
+const createBody = (tokens: number): object => ({
+    model: MODEL,
+    messages: [{ role: "user", content: "How much wax is in stock?" }],
+    max_tokens: tokens,
+});
+
+const chat = (vm: VmName, tokens: number): Promise<ReceivedStream> =>
+    openChat(cluster.findVmUrl(vm), demoKeys.caller, createBody(tokens), "kind=quote");
+
+/** Reads a stream until it ends or is lost. */
+const collect = async (
+    stream: ReceivedStream,
+    received: ReceivedEvent[] = [],
+    onEvent: (count: number) => void | Promise<void> = () => undefined,
+): Promise<readonly ReceivedEvent[]> => {
+    try {
+        for await (const event of stream.events) {
+            received.push(event);
+            await onEvent(received.length);
+        }
+    }
+    catch {
+        // Lost: the caller has what it received.
+    }
+    return received;
+};
+
+const expectWhole = (requestId: string, tokens: number, received: readonly ReceivedEvent[]): void => {
+    const expected = Array.from({ length: tokens }, (unused, index) => createTokenText(requestId, index))
+        .join("");
+    expect(received.map(readTokenText).join("")).toBe(expected);
+    expect(received).toHaveLength(tokens + 1);
+};
+
+test("a caller whose VM is killed resumes through another one", async () => {
+    const stream = await chat("vm-1", 40);
+    const received: ReceivedEvent[] = [];
+    await collect(stream, received, async count => {
+        if (count === 8) {
+            await cluster.endVm("vm-1", "SIGKILL");
+        }
+    });
+    const resumed = await resumeChat(cluster.findVmUrl("vm-2"), demoKeys.caller, received.at(-1)?.id ?? "");
+    await collect(resumed, received);
+    expectWhole(stream.requestId, 40, received);
+    const stolen = await resumeChat(cluster.findVmUrl("vm-2"), demoKeys.stranger, received[0]?.id ?? "");
+    expect(stolen.status).toBe(403);
+    await cluster.startVm("vm-1");
+    await cluster.waitReady();
+});
+
+test.each(["silenceOpen", "cutOpen"] as const)(
+    "answers are whole after %s on every connection to the engines",
+    async fault => {
+        const streams = await Promise.all(["vm-1", "vm-2", "vm-3"].map(vm => chat(vm as VmName, 60)));
+        const collected = await Promise.all(streams.map((stream, index) =>
+            collect(stream, [], count => {
+                if (index === 0 && count === 10) {
+                    cluster.forwarders.forEach(forwarder => forwarder[fault]());
+                }
+            })
+        ));
+        collected.forEach((received, index) => expectWhole(streams[index]?.requestId ?? "", 60, received));
+    },
+);
+
+test("a frozen VM is passed over, and its own streams go on when it thaws", async () => {
+    const stream = await chat("vm-1", 150);
+    const from = cluster.logLines.length;
+    const received: ReceivedEvent[] = [];
+    const { child } = cluster.findVm("vm-1");
+    const reading = collect(stream, received, count => {
+        if (count === 5) {
+            child.kill("SIGSTOP");
+        }
+    });
+    await cluster.waitEvent(MEMBER_DEAD, from, line => line.vm === "vm-2" && line.message.includes("vm-1"));
+    const others = await Promise.all((["vm-2", "vm-3"] as const).map(vm => chat(vm, 20)));
+    const answers = await Promise.all(others.map(other => collect(other)));
+    answers.forEach((answer, index) => expectWhole(others[index]?.requestId ?? "", 20, answer));
+    const order = await sendOrder(cluster.findVmUrl("vm-2"), demoKeys.caller, "order-frozen", {});
+    expect(order.status).toBe(200);
+    const thawedFrom = cluster.logLines.length;
+    child.kill("SIGCONT");
+    await cluster.waitEvent(
+        MEMBER_LIVE,
+        thawedFrom,
+        line => line.vm === "vm-2" && line.message.includes("vm-1"),
+    );
+    await reading;
+    expectWhole(stream.requestId, 150, received);
+    const repeat = await sendOrder(cluster.findVmUrl("vm-1"), demoKeys.caller, "order-frozen", {});
+    expect(repeat.body).toBe(order.body);
+    const runs = await (await fetch(`${cluster.findStandInUrl("orders-1")}/runs`)).json() as Record<
+        string,
+        number
+    >;
+    expect(runs["order-frozen"]).toBe(1);
+});
+
+test("a VM that is stopped with many open streams cuts none", async () => {
+    const streams = await Promise.all(Array.from({ length: 120 }, () => chat("vm-3", 12)));
+    const reading = streams.map(stream => collect(stream));
+    const ended = cluster.endVm("vm-3", "SIGTERM");
+    const answers = await Promise.all(reading);
+    answers.forEach((received, index) => expectWhole(streams[index]?.requestId ?? "", 12, received));
+    expect(await ended).toBe(0);
+    await cluster.startVm("vm-3");
+    await cluster.waitReady();
+});
+
+test("bad input gets a typed problem", async () => {
+    const url = `${cluster.findVmUrl("vm-1")}/v1/chat/completions`;
+    const send = async (
+        headers: Record<string, string>,
+        body: string,
+    ): Promise<{ status: number; type: string; }> => {
+        const answer = await request(url, {
+            method: "POST",
+            headers: { "content-type": "application/json", ...headers },
+            body,
+        });
+        return { status: answer.statusCode, type: (await answer.body.json() as { type: string; }).type };
+    };
+    const authorization = `Bearer ${demoKeys.caller}`;
+    const body = JSON.stringify(createBody(5));
+    const prefix = "urn:wigeonpulley:error:";
+    expect(await send({}, body)).toEqual({ status: 401, type: `${prefix}UnknownCaller` });
+    expect(await send({ authorization }, "{")).toEqual({ status: 400, type: `${prefix}InvalidRequest` });
+    expect(await send({ authorization }, "{}")).toEqual({ status: 400, type: `${prefix}InvalidRequest` });
+    expect(await send({ authorization, "wigeonpulley-labels": "=x" }, body)).toMatchObject({ status: 400 });
+    expect(await send({ authorization }, JSON.stringify({ ...createBody(5), model: "none" })))
+        .toEqual({ status: 422, type: `${prefix}NoSelectorMatches` });
+    expect(await send({ authorization }, JSON.stringify({ pad: "x".repeat(2_000_000) }))).toMatchObject({
+        status: 400,
+    });
+});
+
+test("operators see status and audit, and two racing changes have one winner", async () => {
+    const path = cluster.writeConfiguration(cluster.createConfiguration());
+    const vm = cluster.findVmUrl("vm-1");
+    const status = await cluster.runCli("status", "--vm", vm);
+    expect(JSON.parse(status.output)).toMatchObject({ vm: "vm-1", configuration: 0 });
+    const results = await Promise.all(
+        ["left", "right"].map(author =>
+            cluster.runCli(
+                "config",
+                "publish",
+                path,
+                "--log",
+                cluster.logUrl,
+                "--base",
+                "0",
+                "--author",
+                author,
+            )
+        ),
+    );
+    expect(results.map(result => result.code).sort()).toEqual([0, 1]);
+    const published = await cluster.runCli(
+        "config",
+        "publish",
+        path,
+        "--log",
+        cluster.logUrl,
+        "--vm",
+        vm,
+        "--wait",
+    );
+    expect(JSON.parse(published.output)).toMatchObject({ isInForceEverywhere: true, missing: [] });
+    const audit = await cluster.runCli("audit", "--log", cluster.logUrl);
+    const entries = JSON.parse(audit.output) as { verdict: string; author: string; changes: unknown[]; }[];
+    // The losing operator may have read the winner's change before it appended its own.
+    expect(entries.filter(entry => entry.verdict === "effective")).toHaveLength(3);
+    expect(entries.filter(entry => entry.verdict === "unknown")).toHaveLength(0);
+    const wrongKey = await cluster.runCli("status", "--vm", vm, "--key", "wrong");
+    expect(wrongKey).toMatchObject({ code: 1 });
+    const invalid = await cluster.runCli("config", "check", cluster.writeConfiguration({ tiers: [] }));
+    expect(invalid.code).toBe(1);
+    expect(invalid.output).toContain("InvalidConfiguration");
+});
+
+test("a request whose engine died gets its final answer at once, and the next ones go elsewhere", async () => {
+    const streams = await Promise.all([chat("vm-1", 60), chat("vm-2", 60), chat("vm-1", 60)]);
+    const ended: Promise<void>[] = [];
+    const answers = await Promise.all(streams.map((stream, index) =>
+        collect(stream, [], count => {
+            if (index === 0 && count === 5) {
+                ended.push(cluster.endStandIn("engine-1", "SIGKILL"));
+            }
+        })
+    ));
+    await Promise.all(ended);
+    const last = answers.map(received => received.at(-1)?.data ?? "");
+    expect(last.every(data => data === "[DONE]" || data.includes("urn:wigeonpulley:error:"))).toBe(true);
+    const later = await Promise.all(Array.from({ length: 6 }, () => chat("vm-1", 5)));
+    const received = await Promise.all(later.map(stream => collect(stream)));
+    received.forEach((events, index) => expectWhole(later[index]?.requestId ?? "", 5, events));
+});
--- a/packages/wigeonpulley/src/claims/claim-service.ts
+++ b/packages/wigeonpulley/src/claims/claim-service.ts
@@ -255,10 +255,11 @@
             return this.findAppender(partition).append(record);
         }
         const request = create(ClaimRequestSchema, { partition, recordJson: JSON.stringify(record) });
+        const startedAt = this.options.timers.now();
         const answer = await transport.claim(owner, request);
         if (answer.isErr()) {
             // The owner may have appended it: a second copy with the same nonce has no effect.
-            membership.suspect(owner.name);
+            membership.suspect(owner, startedAt);
             const appended = await this.findAppender(partition).append(record);
             return appended.mapErr(({ message }) =>
                 SchedulerError.create("LogAnswerUnknown", { operation: "append of a claim", reason: message })
--- a/packages/wigeonpulley/src/logging/event-logger.ts
+++ b/packages/wigeonpulley/src/logging/event-logger.ts
@@ -53,7 +53,7 @@
     override write(event: LoggedEvent): void {
         const { number, name, level, message, details } = event;
         // Two arguments: consola would take a single object with a `message` apart.
-        this.consola[level](name, { event: number, level, message, ...details });
+        this.consola[level](name, { event: number, level, message, details });
     }
 }
 
--- a/packages/wigeonpulley/src/membership/member-table.ts
+++ b/packages/wigeonpulley/src/membership/member-table.ts
@@ -14,6 +14,8 @@
     state: MemberState;
     /** Time at which a suspicion becomes final; undefined without a suspicion. */
     deadAt: number | undefined;
+    /** Time at which this VM last heard from it directly. */
+    contactAt: number;
     /** True after this VM itself failed to reach it, until it is heard from directly. */
     isUnreachable: boolean;
     /** Times that the present state still has to be passed on. */
@@ -21,7 +23,7 @@
 }
 
 /** Factor of the number of times that a change is passed on. */
-const SENDS_PER_DOUBLING = 3;
+const SENDS_PER_DOUBLING = 1.5;
 
 /** True when `left` replaces `right`. */
 export const isNewerState = (left: MemberState, right: MemberState): boolean => {
@@ -32,6 +34,10 @@
         || (left.revision === right.revision && left.suspected && !right.suspected);
 };
 
+/** The listed entry of a VM with the address that the VM itself tells; undefined for a VM that is not listed. */
+export const readEntry = ({ entry, state }: MemberRecord): VmEntry | undefined =>
+    entry === undefined || state.peerUrl === "" ? entry : { ...entry, peerUrl: state.peerUrl };
+
 /** Table of the other VMs. */
 export class MemberTable {
     private readonly records = new Map<string, MemberRecord>();
@@ -83,10 +89,16 @@
         }
     }
 
-    /** Notes that this VM failed to reach another one. */
-    suspect(name: string, now: number): void {
-        const record = this.records.get(name);
-        if (record === undefined) {
+    /**
+     * Notes that a call to a VM failed which began at `startedAt`. It says nothing when the VM was heard from since
+     * then, or when it has another address by now.
+     */
+    suspect(peer: VmEntry, startedAt: number, now: number): void {
+        const record = this.records.get(peer.name);
+        if (
+            record === undefined || record.contactAt >= startedAt
+            || readEntry(record)?.peerUrl !== peer.peerUrl
+        ) {
             return;
         }
         record.isUnreachable = true;
@@ -96,10 +108,11 @@
     }
 
     /** Notes that this VM heard from another one directly. */
-    noteContact(name: string): void {
+    noteContact(name: string, now: number): void {
         const record = this.records.get(name);
         if (record !== undefined) {
             record.isUnreachable = false;
+            record.contactAt = now;
         }
     }
 
@@ -127,6 +140,7 @@
             entry: undefined,
             state,
             deadAt: undefined,
+            contactAt: Number.NEGATIVE_INFINITY,
             isUnreachable: false,
             sendsLeft: 0,
         };
--- a/packages/wigeonpulley/src/membership/membership-service.ts
+++ b/packages/wigeonpulley/src/membership/membership-service.ts
@@ -16,7 +16,7 @@
 import type { VmEntry, VmList } from "../platform/index.js";
 import type { RandomSource } from "../random/index.js";
 import type { CancelTimer, TimerService } from "../time/index.js";
-import { isNewerState, MemberTable } from "./member-table.js";
+import { isNewerState, MemberTable, readEntry } from "./member-table.js";
 
 /** What the service is built from. */
 export interface MembershipOptions {
@@ -73,7 +73,8 @@
 
     private constructor(private readonly options: MembershipOptions) {
         this.incarnation = BigInt(Math.floor(options.timers.readWallClock()));
-        this.self = create(MemberStateSchema, { name: options.self.name, incarnation: this.incarnation });
+        const { name, peerUrl } = options.self;
+        this.self = create(MemberStateSchema, { name, peerUrl, incarnation: this.incarnation });
         this.table = MemberTable.create(options.peerTimeoutMs);
     }
 
@@ -116,11 +117,9 @@
     listLive(): readonly VmEntry[] {
         if (this.liveCache === undefined) {
             const now = this.options.timers.now();
-            const others = this.table.list().flatMap(record =>
-                record.entry !== undefined && this.table.isLive(record, now) && !record.state.leaving
-                    ? [record.entry]
-                    : []
-            );
+            const others = this.table.list()
+                .filter(record => this.table.isLive(record, now) && !record.state.leaving)
+                .flatMap(record => readEntry(record) ?? []);
             this.liveCache = this.self.leaving ? others : [this.options.self, ...others];
         }
         return this.liveCache;
@@ -136,15 +135,16 @@
             isLeaving: this.self.leaving,
             isLive: true,
         };
-        const others = this.table.list().flatMap(record =>
-            record.entry === undefined ? [] : [{
-                entry: record.entry,
+        const others = this.table.list().flatMap(record => {
+            const entry = readEntry(record);
+            return entry === undefined ? [] : [{
+                entry,
                 incarnation: record.state.incarnation,
                 configuration: record.state.configuration - 1,
                 isLeaving: record.state.leaving,
                 isLive: this.table.isLive(record, now),
-            }]
-        );
+            }];
+        });
         return [self, ...others];
     }
 
@@ -180,9 +180,12 @@
         return this.leavingEndpoints.has(name);
     }
 
-    /** Notes that a VM could not be reached; it counts as dead here until it is heard from directly. */
-    suspect(name: string): void {
-        this.table.suspect(name, this.options.timers.now());
+    /**
+     * Notes that a call to a VM failed which began at `startedAt` (monotonic, in milliseconds). The VM counts as dead
+     * here until it is heard from directly.
+     */
+    suspect(peer: VmEntry, startedAt: number): void {
+        this.table.suspect(peer, startedAt, this.options.timers.now());
         this.notifyIfChanged();
     }
 
@@ -195,7 +198,7 @@
     private callMembers(): void {
         this.updateConfiguration();
         this.notifyIfChanged();
-        const candidates = this.table.list().flatMap(record => record.entry ?? []);
+        const candidates = this.table.list().flatMap(record => readEntry(record) ?? []);
         for (let count = 0; count < CALLS_PER_ROUND && candidates.length > 0; count += 1) {
             const [peer] = candidates.splice(this.options.random.pickInteger(candidates.length), 1);
             if (peer !== undefined) {
@@ -205,12 +208,13 @@
     }
 
     private async callMember(peer: VmEntry): Promise<void> {
+        const startedAt = this.options.timers.now();
         const answer = await this.options.transport.exchange(peer, this.createDigest());
         if (answer.isOk()) {
             this.merge(answer.value);
         }
         else {
-            this.suspect(peer.name);
+            this.suspect(peer, startedAt);
         }
     }
 
@@ -244,7 +248,7 @@
                 this.self = create(MemberStateSchema, { ...this.self, revision: state.revision + 1 });
             }
         }
-        this.table.noteContact(digest.sender);
+        this.table.noteContact(digest.sender, now);
         this.notifyIfChanged();
     }
 
--- a/packages/wigeonpulley/src/scheduling/scheduler-link.ts
+++ b/packages/wigeonpulley/src/scheduling/scheduler-link.ts
@@ -83,8 +83,8 @@
     readonly peerTimeoutMs: number;
     /** Called with the loads that the scheduler sent. */
     readonly onLoads: (loads: readonly GroupLoad[]) => void;
-    /** Called once when the link is lost. */
-    readonly onLost: (reason: string) => void;
+    /** Called once when the link is lost, with the monotonic time at which the scheduler was last heard. */
+    readonly onLost: (reason: string, heardAt: number) => void;
 }
 
 type Settle = (result: SlotResult | undefined) => void;
@@ -161,7 +161,7 @@
         }
         cancelHeartbeat();
         this.close();
-        this.options.onLost(reason);
+        this.options.onLost(reason, this.heardAt);
         const lost = [...this.pending.values()];
         this.pending.clear();
         lost.forEach(settle => settle(undefined));
--- a/packages/wigeonpulley/src/scheduling/ticket-client.ts
+++ b/packages/wigeonpulley/src/scheduling/ticket-client.ts
@@ -70,14 +70,18 @@
 
 /** Client of all schedulers on one gateway. */
 export class TicketClient {
+    /** Links by the address of the VM: a replacement with the same name has another one. */
     private readonly links = new Map<string, SchedulerLink>();
     private groups: readonly EndpointGroup[] = [];
-    /** Slots in use with the VMs that know of them. */
+    /** Slots in use with the addresses of the VMs that know of them. */
     private readonly running = new Map<string, { readonly slot: Slot; readonly knownBy: Set<string>; }>();
 
     private constructor(private readonly options: TicketClientOptions) {
-        this.links.set(options.self.name, LocalLink.create(options.self.name, options.schedulers));
-        options.membership.subscribe(() => this.announceRunning());
+        this.links.set(options.self.peerUrl, LocalLink.create(options.self.name, options.schedulers));
+        options.membership.subscribe(() => {
+            this.closeDeadLinks();
+            this.announceRunning();
+        });
     }
 
     /** Creates a client without groups. */
@@ -131,7 +135,7 @@
         const knownBy = this.running.get(slot.id)?.knownBy ?? new Set<string>();
         this.running.delete(slot.id);
         const release = create(ReleaseSchema, { id: slot.id, group: slot.group, ...report });
-        knownBy.forEach(vm => this.links.get(vm)?.release(release));
+        knownBy.forEach(address => this.links.get(address)?.release(release));
     }
 
     /** Counts a request that another gateway dispatched and this one continues. */
@@ -201,7 +205,7 @@
             tier: request.match.tierIndex,
             expectedMs: grant.expectedMs,
         };
-        const owner = this.findOwner(group.name)?.name;
+        const owner = this.findOwner(group.name)?.peerUrl;
         this.running.set(slot.id, { slot, knownBy: new Set(owner === undefined ? [] : [owner]) });
         this.options.chooser.noteGrant(group, request.prefixBlocks);
         return Ok(slot);
@@ -246,7 +250,7 @@
     }
 
     private findLink(peer: VmEntry): SchedulerLink {
-        const known = this.links.get(peer.name);
+        const known = this.links.get(peer.peerUrl);
         if (known !== undefined) {
             return known;
         }
@@ -258,29 +262,43 @@
             heartbeatMs,
             peerTimeoutMs,
             onLoads: loads => this.options.chooser.noteLoads(loads),
-            onLost: reason => this.handleLostLink(peer, link, reason),
+            onLost: (reason, heardAt) => this.handleLostLink(peer, link, reason, heardAt),
         });
-        this.links.set(peer.name, link);
+        this.links.set(peer.peerUrl, link);
         return link;
     }
 
-    private handleLostLink(peer: VmEntry, link: SchedulerLink, reason: string): void {
-        if (this.links.get(peer.name) !== link) {
+    private handleLostLink(peer: VmEntry, link: SchedulerLink, reason: string, heardAt: number): void {
+        if (this.links.get(peer.peerUrl) !== link) {
             return;
         }
-        this.links.delete(peer.name);
-        this.running.forEach(({ knownBy }) => knownBy.delete(peer.name));
+        this.links.delete(peer.peerUrl);
+        this.running.forEach(({ knownBy }) => knownBy.delete(peer.peerUrl));
         this.options.logger.write("LinkLost", { vm: peer.name, reason });
-        this.options.membership.suspect(peer.name);
+        this.options.membership.suspect(peer, heardAt);
         this.announceRunning();
     }
 
+    /** Closes the links to VMs that are dead, so that their tickets are placed again at once. */
+    private closeDeadLinks(): void {
+        const live = new Set(
+            this.options.membership.listMembers().filter(member => member.isLive).map(({ entry }) =>
+                entry.peerUrl
+            ),
+        );
+        for (const [address, link] of this.links) {
+            if (!live.has(address)) {
+                link.close();
+            }
+        }
+    }
+
     /** Tells the present owners about running requests that they don't know of. */
     private announceRunning(): void {
         for (const { slot, knownBy } of this.running.values()) {
             const owner = this.findOwner(slot.group);
-            if (owner !== undefined && !knownBy.has(owner.name)) {
-                knownBy.add(owner.name);
+            if (owner !== undefined && !knownBy.has(owner.peerUrl)) {
+                knownBy.add(owner.peerUrl);
                 this.findLink(owner).announce(create(RunningRequestSchema, {
                     id: slot.id,
                     group: slot.group,
--- /dev/null
+++ b/packages/wigeonpulley/test/membership/member-table.test.ts
@@ -0,0 +1,73 @@
+/** Suspicions of members: raised, denied, made final, and ignored when they are out of date. */
+import { create } from "@bufbuild/protobuf";
+import { expect, test } from "vitest";
+import { type MemberState, MemberStateSchema, MemberTable, type VmEntry } from "wigeonpulley";
+
+const SUSPICION_MS = 2_000;
+
+const createEntry = (changes: Partial<VmEntry> = {}): VmEntry => ({
+    name: "vm-2",
+    region: "south",
+    dataCentre: "south-1",
+    peerUrl: "http://127.0.0.1:1",
+    state: "live",
+    ...changes,
+});
+
+const createState = (changes: Partial<Omit<MemberState, "$typeName" | "$unknown">>): MemberState =>
+    create(MemberStateSchema, { name: "vm-2", incarnation: 1n, ...changes });
+
+const createTable = (): MemberTable => {
+    const table = MemberTable.create(SUSPICION_MS);
+    table.applyList([createEntry()], 0);
+    table.merge(createState({ revision: 1 }), 0);
+    return table;
+};
+
+const isLive = (table: MemberTable, now: number): boolean => {
+    const record = table.find("vm-2");
+    return record !== undefined && table.isLive(record, now);
+};
+
+test("a member that cannot be reached is dead here until it is heard from", () => {
+    const table = createTable();
+    table.suspect(createEntry(), 10, 20);
+    expect(isLive(table, 20)).toBe(false);
+    table.noteContact("vm-2", 30);
+    expect(isLive(table, 30)).toBe(true);
+});
+
+test("a suspicion of others becomes final unless it is denied in time", () => {
+    const table = createTable();
+    table.merge(createState({ revision: 1, suspected: true }), 0);
+    expect(isLive(table, SUSPICION_MS - 1)).toBe(true);
+    expect(isLive(table, SUSPICION_MS)).toBe(false);
+    table.merge(createState({ revision: 2 }), SUSPICION_MS);
+    expect(isLive(table, SUSPICION_MS)).toBe(true);
+    table.merge(createState({ revision: 1, suspected: true }), SUSPICION_MS);
+    expect(isLive(table, 2 * SUSPICION_MS)).toBe(true);
+});
+
+test("a failed call says nothing about a member that was heard from since it began", () => {
+    const table = createTable();
+    table.noteContact("vm-2", 15);
+    table.suspect(createEntry(), 10, 20);
+    expect(isLive(table, 20)).toBe(true);
+});
+
+test("a failed call to the address of a predecessor says nothing about its replacement", () => {
+    const table = createTable();
+    table.merge(createState({ incarnation: 2n, peerUrl: "http://127.0.0.1:2" }), 5);
+    table.suspect(createEntry(), 10, 20);
+    expect(isLive(table, 20)).toBe(true);
+});
+
+test("each change is passed on a bounded number of times, the least told first", () => {
+    const table = createTable();
+    const told: number[] = [];
+    for (let changes = table.takeChanges(24); changes.length > 0; changes = table.takeChanges(24)) {
+        told.push(changes.length);
+    }
+    expect(told.length).toBeGreaterThan(0);
+    expect(told.length).toBeLessThan(10);
+});
