--- a/bench/src/run.ts
+++ b/bench/src/run.ts
@@ -5,6 +5,7 @@
 import { measureLinks } from "./capacity/links.js";
 import { measureMembers } from "./capacity/members.js";
 import { measureScheduler } from "./capacity/scheduler.js";
+import { measurePolicies } from "./policy/report.js";
 import { printTables, writeTables } from "./table.js";
 
 const QUICK_SIZES = [3, 6, 12, 24] as const;
@@ -22,7 +23,16 @@
     writeTables("capacity", tables);
 };
 
+const runPolicies = async (isQuick: boolean): Promise<void> => {
+    const tables = await measurePolicies(isQuick);
+    printTables(tables);
+    writeTables("latest", tables);
+};
+
 const cli = cac("bench");
+cli.command("", "Policies against baselines; writes bench/results/latest.json")
+    .option("--quick", "Under 60 s")
+    .action(({ quick }: { quick?: boolean; }) => runPolicies(quick === true));
 cli.command("capacity", "Slopes for docs/CAPACITY.md")
     .option("--quick", "Small sizes only")
     .action(({ quick }: { quick?: boolean; }) => runCapacity(quick === true));
--- /dev/null
+++ b/packages/wigeonpulley/src/cli/docs/schema-table.ts
@@ -0,0 +1,45 @@
+/** Tables of options from zod schemas. */
+import { z } from "zod";
+
+const schemaNodeSchema = z.looseObject({
+    type: z.string().optional(),
+    description: z.string().optional(),
+    default: z.unknown().optional(),
+    enum: z.array(z.unknown()).optional(),
+    get properties() {
+        return z.record(z.string(), schemaNodeSchema).optional();
+    },
+    get items() {
+        return schemaNodeSchema.optional();
+    },
+    required: z.array(z.string()).optional(),
+});
+
+type SchemaNode = z.infer<typeof schemaNodeSchema>;
+
+const describeType = (node: SchemaNode): string =>
+    node.enum === undefined ? node.type ?? "text" : node.enum.map(String).join(" or ");
+
+const listRows = (node: SchemaNode, path: string): readonly string[] => {
+    const rows = Object.entries(node.properties ?? {}).flatMap(([name, child]) => {
+        const childPath = path === "" ? name : `${path}.${name}`;
+        const isRequired = node.required?.includes(name) === true && child.default === undefined;
+        const fallback = child.default === undefined
+            ? (isRequired ? "required" : "")
+            : JSON.stringify(child.default);
+        const isTable = child.properties !== undefined || child.items?.properties !== undefined;
+        const row = `| ${childPath} | ${describeType(child)} | ${isTable ? "" : fallback} | ${
+            child.description ?? ""
+        } |`;
+        return [row, ...listRows(child, childPath)];
+    });
+    return node.items === undefined ? rows : [...rows, ...listRows(node.items, `${path}[]`)];
+};
+
+/** A Markdown table with path, type, default and description of every option. */
+export const describeSchema = (schema: z.ZodType): string => {
+    const node = schemaNodeSchema.parse(z.toJSONSchema(schema, { io: "input" }));
+    return ["| Option | Type | Default | Meaning |", "| --- | --- | --- | --- |", ...listRows(node, "")].join(
+        "\n",
+    );
+};
--- a/packages/wigeonpulley/src/config/configuration.ts
+++ b/packages/wigeonpulley/src/config/configuration.ts
@@ -1,6 +1,6 @@
 /** The configuration that operators publish: endpoints, callers, selectors, tiers, models and dates. */
 import { z } from "zod";
-import { labelsSchema } from "./labels.js";
+import { ipUrlSchema, labelsSchema } from "./field-schemas.js";
 
 const nameSchema = z.string().regex(
     /^[a-z0-9][a-z0-9.-]{0,62}$/,
@@ -31,7 +31,7 @@
 export const endpointSchema = z.strictObject({
     name: nameSchema.describe("Name of the endpoint; unique."),
     kind: z.enum(["engine", "service"]).describe("Model engine or plain service."),
-    url: z.url().describe("Base URL; its host is an IP number."),
+    url: ipUrlSchema.describe("Base URL; its host is an IP number."),
     region: z.string().min(1).describe("Region of the endpoint."),
     dataCentre: z.string().min(1).describe("Data centre of the endpoint."),
     rack: z.string().min(1).default("rack-1").describe("Rack of the endpoint, for maintenance dates."),
--- a/packages/wigeonpulley/src/config/index.ts
+++ b/packages/wigeonpulley/src/config/index.ts
@@ -26,7 +26,7 @@
     type Selector,
     type Tier,
 } from "./configuration.js";
-export { type Labels, labelsSchema, matchLabels } from "./labels.js";
+export { type Labels, labelsSchema, matchLabels } from "./field-schemas.js";
 export { type AuditEntry, readAuditTrail } from "./queries/audit.js";
 export { checkConfiguration, checkSettings, formatProblems, readJsonFile } from "./queries/check.js";
 export { type ConfigurationChange, listChanges } from "./queries/diff.js";
--- a/packages/wigeonpulley/src/config/settings.ts
+++ b/packages/wigeonpulley/src/config/settings.ts
@@ -1,5 +1,6 @@
 /** Settings of one process, read from a JSON file. Each schema stands beside its defaults. */
 import { z } from "zod";
+import { ipUrlSchema } from "./field-schemas.js";
 
 const portSchema = z.number().int().min(0).max(65_535);
 const millisecondsSchema = z.number().int().positive();
@@ -78,8 +79,8 @@
     listen: listenSchema.describe("Address for callers and operators."),
     peer: listenSchema.describe("Address for the other VMs."),
     platform: z.strictObject({
-        log: z.url().describe("URL of the platform's append-only log; its host is an IP number."),
-        vmList: z.url().describe("URL of the platform's list of VMs; its host is an IP number."),
+        log: ipUrlSchema.describe("URL of the platform's append-only log; its host is an IP number."),
+        vmList: ipUrlSchema.describe("URL of the platform's list of VMs; its host is an IP number."),
     }).describe("The platform's services."),
     signingKeys: z.array(signingKeySchema).min(1).describe(
         "Keys for resume tokens: the first one signs, all of them verify.",
