Make room for higher tiers, and say when a shutdown cut something

Cause: the limit of open requests of a VM turned a higher tier away while lower ones waited on it, and a shutdown that hit its limit or a second signal exited with 0. Change: a request that was not dispatched yet is displaced by one of a higher tier and refused at once as not run; the exit code is 1 if anything was cut. Shown failing: the property over random tiers without the displacement, the limit test with the old result.

--- a/packages/stand-ins/test/processes.test.ts
+++ b/packages/stand-ins/test/processes.test.ts
@@ -14,6 +14,7 @@
 import { request } from "undici";
 import { afterAll, beforeAll, expect, test } from "vitest";
 
+const VM_STOPPING = 102;
 const MEMBER_LIVE = 301;
 const MEMBER_DEAD = 302;
 const MODEL = "grafting-7b";
@@ -139,6 +140,22 @@
     await cluster.waitReady();
 });
 
+test("a second signal cuts what is open and says so by the exit code", async () => {
+    const stream = await chat("vm-3", 2_000);
+    const { child } = cluster.findVm("vm-3");
+    const from = cluster.logLines.length;
+    const reading = collect(stream, [], count => {
+        if (count === 3) {
+            child.kill("SIGTERM");
+        }
+    });
+    await cluster.waitEvent(VM_STOPPING, from);
+    expect(await cluster.endVm("vm-3", "SIGTERM")).toBe(1);
+    expect((await reading).length).toBeLessThan(2_001);
+    await cluster.startVm("vm-3");
+    await cluster.waitReady();
+});
+
 test("bad input gets a typed problem", async () => {
     const url = `${cluster.findVmUrl("vm-1")}/v1/chat/completions`;
     const send = async (
--- a/packages/wigeonpulley/src/cli/serve/index.ts
+++ b/packages/wigeonpulley/src/cli/serve/index.ts
@@ -3,13 +3,16 @@
 import { startDaemon } from "../../vm/index.js";
 import { printError } from "../output.js";
 
+const EXIT_GRACEFUL = 0;
+const EXIT_CUT = 1;
+
 /** Options of the command. */
 export interface ServeOptions {
     /** @description Path of the settings file. */
     readonly settings: string;
 }
 
-/** Runs the command. SIGTERM and SIGINT begin a graceful shutdown; a second signal ends the process. */
+/** Runs the command. SIGTERM and SIGINT begin a graceful shutdown; a second signal cuts what is open. Exit code 1 says that something was cut. */
 export const runServe = async (options: ServeOptions): Promise<void> => {
     const settings = readJsonFile(options.settings).andThen(checkSettings);
     if (settings.isErr()) {
@@ -19,6 +22,6 @@
     const daemon = await startDaemon(settings.value);
     process.on("SIGTERM", daemon.stop);
     process.on("SIGINT", daemon.stop);
-    await daemon.stopped;
-    process.exit();
+    const isGraceful = await daemon.stopped;
+    process.exit(isGraceful ? EXIT_GRACEFUL : EXIT_CUT);
 };
--- a/packages/wigeonpulley/src/config/settings.ts
+++ b/packages/wigeonpulley/src/config/settings.ts
@@ -33,7 +33,7 @@
         "Time for a caller to send its headers, in milliseconds.",
     ),
     openRequests: countSchema.default(4_000).describe("Most requests open at the same time."),
-    reservedForDurable: countSchema.default(400).describe(
+    reservedForDurable: z.number().int().min(0).default(400).describe(
         "Part of `openRequests` that only durable tiers may use.",
     ),
 });
--- a/packages/wigeonpulley/src/gateway/gateway.ts
+++ b/packages/wigeonpulley/src/gateway/gateway.ts
@@ -91,6 +91,10 @@
     readonly receivedAt: number;
     readonly deadlineAt: number;
     readonly open: OpenRequest;
+    /** Aborted when the caller leaves or a request of a higher tier takes the room. */
+    readonly signal: AbortSignal;
+    /** Aborted when a request of a higher tier takes the room. */
+    readonly displaced: AbortSignal;
 }
 
 /** Gateway of one VM. */
@@ -124,16 +128,22 @@
         if (call.isErr()) {
             return call;
         }
-        const { id, match, open } = call.value;
+        const { id, match, open, displaced } = call.value;
         const answer = call.value.request.kind === "engine"
             ? await this.serveEngine(call.value as MatchedCall<EngineRequest>)
             : await this.serveService(call.value as MatchedCall<ServiceRequest>);
-        if (answer.isErr()) {
-            open.leave();
-            this.options.logger.write("RequestRefused", { id, error: answer.error.name });
-            this.options.metrics.countRequest(match.tier.name, answer.error.name);
+        if (answer.isOk()) {
+            return answer;
         }
-        return answer;
+        open.leave();
+        const error = displaced.aborted && answer.error.name === "RequestCancelled"
+            ? SchedulerError.create("Overloaded", { tier: match.tier.name }, {
+                retryAfterMs: DEFAULT_RETRY_MS,
+            })
+            : answer.error;
+        this.options.logger.write("RequestRefused", { id, error: error.name });
+        this.options.metrics.countRequest(match.tier.name, error.name);
+        return Err(error);
     }
 
     /** Continues the stream that an event identifier belongs to, behind that event. */
@@ -146,7 +156,12 @@
         const { payload, sequence } = position.value;
         const endpoint = this.findEndpoint(payload.endpoint);
         const group = this.options.findEndpointGroup(payload.endpoint);
-        const open = openRequests.tryEnter(true);
+        const open = openRequests.tryEnter({
+            tier: payload.tier,
+            isDurable: true,
+            displace: () => undefined,
+        });
+        open?.noteDispatch();
         const unavailable = SchedulerError.create("ResumeUnavailable", { endpoint: payload.endpoint });
         if (endpoint === undefined || group === undefined || open === undefined) {
             open?.leave();
@@ -198,7 +213,12 @@
         if (!selector.idempotent && request.idempotencyKey === undefined) {
             return Err(SchedulerError.create("KeyRequired", {}));
         }
-        const open = openRequests.tryEnter(tier.durable);
+        const displaced = new AbortController();
+        const open = openRequests.tryEnter({
+            tier: match.value.tierIndex,
+            isDurable: tier.durable,
+            displace: () => displaced.abort(),
+        });
         if (open === undefined) {
             const limit = openRequests.count;
             return Err(
@@ -209,7 +229,9 @@
         const allowedMs = Math.min(request.deadlineMs ?? tier.deadlineMs, tier.deadlineMs);
         const deadlineAt = receivedAt + allowedMs;
         const id = random.createIdentifier();
-        return Ok({ id, caller, request, match: match.value, receivedAt, deadlineAt, open });
+        const signal = AbortSignal.any([request.signal, displaced.signal]);
+        const call = { id, caller, request, match: match.value, receivedAt, deadlineAt, open, signal };
+        return Ok({ ...call, displaced: displaced.signal });
     }
 
     private async serveEngine(call: MatchedCall<EngineRequest>): Promise<Result<Answer, SchedulerError>> {
@@ -217,7 +239,10 @@
         const { id, caller, request, match, receivedAt, open } = call;
         const placed = await this.placement.place(
             this.createPlacement(call, request),
-            (endpoint, permit) => this.dispatchToEngine(endpoint, permit, createEndpointRequest(id, request)),
+            (endpoint, permit) => {
+                open.noteDispatch();
+                return this.dispatchToEngine(endpoint, permit, createEndpointRequest(id, request));
+            },
         );
         if (placed.isErr()) {
             return placed;
@@ -319,13 +344,11 @@
         const cancelDeadline = timers.schedule(deadlineAt - timers.now(), () => deadline.abort());
         const placed = await this.placement.place(
             this.createPlacement(call, undefined),
-            (endpoint, permit) =>
-                endpoints.dispatchToService(
-                    endpoint,
-                    permit,
-                    createEndpointRequest(id, request),
-                    deadline.signal,
-                ),
+            (endpoint, permit) => {
+                call.open.noteDispatch();
+                const endpointRequest = createEndpointRequest(id, request);
+                return endpoints.dispatchToService(endpoint, permit, endpointRequest, deadline.signal);
+            },
         );
         cancelDeadline();
         if (placed.isErr()) {
@@ -377,7 +400,7 @@
                 ? 0
                 : engineRequest.maximumTokens ?? call.match.selector.expectedTokens,
             prefixBlocks: engineRequest?.prefixBlocks ?? [],
-            signal: call.request.signal,
+            signal: call.signal,
         };
     }
 
--- a/packages/wigeonpulley/src/gateway/open-requests.ts
+++ b/packages/wigeonpulley/src/gateway/open-requests.ts
@@ -7,15 +7,28 @@
     readonly reservedForDurable: number;
 }
 
+/** A request that asks for room. */
+export interface EnteringRequest {
+    /** Position of the tier; 0 is the most important. */
+    readonly tier: number;
+    readonly isDurable: boolean;
+    /** Refuses the request to make room for one of a higher tier; called only before its dispatch. */
+    readonly displace: () => void;
+}
+
 /** A request that counts as open until it is left. */
 export interface OpenRequest {
     /** Ends the request; calling it again has no effect. */
     readonly leave: () => void;
+    /** From now on the request can't be displaced. */
+    readonly noteDispatch: () => void;
 }
 
 /** Open requests of one VM. */
 export class OpenRequests {
-    private open = 0;
+    private readonly open = new Set<EnteringRequest>();
+    /** Requests that were not dispatched yet. */
+    private readonly waiting = new Set<EnteringRequest>();
     private readonly idleListeners: (() => void)[] = [];
 
     private constructor(private readonly limits: OpenRequestLimits) {}
@@ -27,25 +40,20 @@
 
     /** Number of open requests. */
     get count(): number {
-        return this.open;
+        return this.open.size;
     }
 
-    /** Counts a request; undefined when there is no room. */
-    tryEnter(isDurable: boolean): OpenRequest | undefined {
-        const room = this.limits.openRequests - (isDurable ? 0 : this.limits.reservedForDurable);
-        if (this.open >= room) {
+    /** Counts a request; a waiting one of the lowest tier below it makes room. Undefined when there is no room. */
+    tryEnter(request: EnteringRequest): OpenRequest | undefined {
+        const room = this.limits.openRequests - (request.isDurable ? 0 : this.limits.reservedForDurable);
+        if (this.open.size >= room && !this.displaceBelow(request.tier)) {
             return undefined;
         }
-        this.open += 1;
-        let hasLeft = false;
+        this.open.add(request);
+        this.waiting.add(request);
         return {
-            leave: () => {
-                if (!hasLeft) {
-                    hasLeft = true;
-                    this.open -= 1;
-                    this.notifyIfIdle();
-                }
-            },
+            leave: () => this.leave(request),
+            noteDispatch: () => this.waiting.delete(request),
         };
     }
 
@@ -57,8 +65,30 @@
         });
     }
 
+    private displaceBelow(tier: number): boolean {
+        let lowest: EnteringRequest | undefined;
+        for (const candidate of this.waiting) {
+            if (candidate.tier > (lowest?.tier ?? tier)) {
+                lowest = candidate;
+            }
+        }
+        if (lowest === undefined) {
+            return false;
+        }
+        this.leave(lowest);
+        lowest.displace();
+        return true;
+    }
+
+    private leave(request: EnteringRequest): void {
+        this.waiting.delete(request);
+        if (this.open.delete(request)) {
+            this.notifyIfIdle();
+        }
+    }
+
     private notifyIfIdle(): void {
-        if (this.open === 0) {
+        if (this.open.size === 0) {
             this.idleListeners.splice(0).forEach(listener => listener());
         }
     }
--- a/packages/wigeonpulley/src/vm/daemon.ts
+++ b/packages/wigeonpulley/src/vm/daemon.ts
@@ -18,8 +18,8 @@
     readonly vm: EntryVm;
     /** Shuts down gracefully; a second call cuts what is still open. */
     readonly stop: () => void;
-    /** Resolves when the shutdown is complete. */
-    readonly stopped: Promise<void>;
+    /** Resolves when the shutdown is complete: true if it cut nothing. */
+    readonly stopped: Promise<boolean>;
 }
 
 /** Starts a VM with the given settings. */
@@ -70,6 +70,7 @@
             await Promise.race([httpServer.close(), SystemTimerService.create().sleep(FLUSH_LIMIT_MS)]);
         }
         await peerServer.close();
+        return isGraceful;
     });
     return { vm, stop: stopping.stop, stopped };
 };
@@ -87,7 +88,7 @@
     const stop = (): void => {
         calls += 1;
         if (calls === 1) {
-            void vm.stop().then(() => end(true));
+            void vm.stop().then(end);
         }
         else {
             logger.write("StopForced", { open: vm.openRequests.count });
--- a/packages/wigeonpulley/src/vm/entry-vm.ts
+++ b/packages/wigeonpulley/src/vm/entry-vm.ts
@@ -121,27 +121,30 @@
 
     /**
      * Shuts down gracefully: turns unready, waits for the balancer to notice, lets open requests finish, hands the
-     * groups over. Resolves when the last request has ended or the limit has passed.
+     * groups over. Resolves with true when the last request has ended, or with false when the limit has passed.
      */
-    async stop(): Promise<void> {
+    async stop(): Promise<boolean> {
         const { timers, logger, settings } = this.options;
+        const { balancerDelayMs, stopLimitMs } = settings.timing;
         this.isStopping = true;
         logger.write("VmStopping", { open: this.openRequests.count });
         await this.membership.announceLeaving();
-        await timers.sleep(settings.timing.balancerDelayMs);
+        await timers.sleep(balancerDelayMs);
         this.gateway.refuseNew();
         const limit = new AbortController();
-        await Promise.race([
-            this.openRequests.waitIdle(),
-            timers.sleep(settings.timing.stopLimitMs, limit.signal).then(() => {
-                if (!limit.signal.aborted) {
-                    logger.write("StopLimitReached", { open: this.openRequests.count });
-                }
-            }),
+        const isGraceful = await Promise.race([
+            this.openRequests.waitIdle().then(() => true),
+            timers.sleep(stopLimitMs, limit.signal).then(() => false),
         ]);
         limit.abort();
         this.halt();
-        logger.write("VmStopped", {});
+        if (isGraceful) {
+            logger.write("VmStopped", {});
+        }
+        else {
+            logger.write("StopLimitReached", { open: this.openRequests.count });
+        }
+        return isGraceful;
     }
 
     /** Ends all tasks at once. */
--- /dev/null
+++ b/packages/wigeonpulley/test/gateway/open-requests.test.ts
@@ -0,0 +1,81 @@
+/** The bound of open requests: room for higher tiers is made by waiting requests of lower ones. */
+import { fc, test } from "@fast-check/vitest";
+import { expect, test as plainTest } from "vitest";
+import { OpenRequests, type SchedulerError } from "wigeonpulley";
+import { expectTrueRefusals } from "../fixtures/judges.js";
+import { SMALL_PROPERTY } from "../fixtures/properties.js";
+import { createEngineEndpoint, createTestConfiguration } from "../fixtures/test-configuration.js";
+import { createChatRequest, findTestCaller, TestSystem } from "../fixtures/test-system.js";
+
+const LIMIT = 4;
+
+test.prop([fc.array(fc.nat({ max: 3 }), { maxLength: 30 })], SMALL_PROPERTY)(
+    "a request is turned away only if no request of a lower tier waits",
+    tiers => {
+        const open = OpenRequests.create({ openRequests: LIMIT, reservedForDurable: 0 });
+        const waiting: number[] = [];
+        tiers.forEach(tier => {
+            const entered = open.tryEnter({
+                tier,
+                isDurable: false,
+                displace: () => waiting.splice(waiting.indexOf(Math.max(...waiting)), 1),
+            });
+            if (entered === undefined) {
+                expect(waiting.every(other => other <= tier)).toBe(true);
+            }
+            else {
+                waiting.push(tier);
+            }
+            expect(open.count).toBe(waiting.length);
+            expect(open.count).toBeLessThanOrEqual(LIMIT);
+        });
+    },
+);
+
+plainTest("a dispatched request is never displaced", () => {
+    const open = OpenRequests.create({ openRequests: 1, reservedForDurable: 0 });
+    const displaced: string[] = [];
+    open.tryEnter({ tier: 2, isDurable: false, displace: () => displaced.push("low") })?.noteDispatch();
+    expect(open.tryEnter({ tier: 0, isDurable: true, displace: () => undefined })).toBeUndefined();
+    expect(displaced).toEqual([]);
+});
+
+plainTest("room is reserved for durable tiers", () => {
+    const open = OpenRequests.create({ openRequests: 2, reservedForDurable: 1 });
+    const enter = (tier: number, isDurable: boolean): boolean =>
+        open.tryEnter({ tier, isDurable, displace: () => undefined }) !== undefined;
+    expect([enter(1, false), enter(1, false), enter(0, true)]).toEqual([true, false, true]);
+});
+
+plainTest("a displaced request is refused at once as not run, and the higher one is served", async () => {
+    const concurrency = { initial: 1, maximum: 1 };
+    const system = await TestSystem.create({
+        vmCount: 1,
+        configuration: createTestConfiguration({
+            endpoints: [createEngineEndpoint("engine-1", { concurrency })],
+        }),
+        settings: { limits: { openRequests: 2, reservedForDurable: 0 } },
+    });
+    const { gateway } = system.findVm("vm-1").vm;
+    const caller = findTestCaller(system);
+    void gateway.serve(caller, createChatRequest({ kind: "quote", tokens: 100 }));
+    await system.timers.advance(100);
+    const refusals: SchedulerError[] = [];
+    void gateway.serve(caller, createChatRequest({ kind: "check" })).then(served => {
+        if (served.isErr()) {
+            refusals.push(served.error);
+        }
+    });
+    await system.timers.advance(100);
+    const higher = gateway.serve(caller, createChatRequest({ kind: "answer" }));
+    await system.timers.advance(10);
+    expect(refusals.map(error => [error.name, error.entry.notRun])).toEqual([["Overloaded", true]]);
+    const lower = await system.timers.runUntil(
+        gateway.serve(caller, createChatRequest({ kind: "check" })),
+        1_000,
+    );
+    expect(lower.isErr() && lower.error.name).toBe("TooManyStreams");
+    expect((await system.timers.runUntil(higher, 60_000)).isOk()).toBe(true);
+    expectTrueRefusals(system);
+    system.close();
+});
--- a/packages/wigeonpulley/test/gateway/stopping.test.ts
+++ b/packages/wigeonpulley/test/gateway/stopping.test.ts
@@ -1,6 +1,6 @@
 /** Graceful shutdown cuts nothing. */
 import { fc, test } from "@fast-check/vitest";
-import { expect } from "vitest";
+import { expect, test as plainTest } from "vitest";
 import { expectDispatchedOnce, expectTrueRefusals, expectWholeAnswer } from "../fixtures/judges.js";
 import { SYSTEM_PROPERTY } from "../fixtures/properties.js";
 import {
@@ -55,3 +55,19 @@
     expectTrueRefusals(system);
     system.close();
 });
+
+plainTest("the limit of a shutdown ends it although a request is open", async () => {
+    const system = await TestSystem.create({
+        settings: { timing: { stopLimitMs: 2_000, balancerDelayMs: 1_000 } },
+    });
+    const { vm } = system.findVm("vm-1");
+    const request = createChatRequest({ kind: "quote", tokens: 1_000 });
+    const served = await system.timers.runUntil(vm.gateway.serve(findTestCaller(system), request), RUN_MS);
+    expect(served.isOk()).toBe(true);
+    const startedAt = system.timers.now();
+    const isGraceful = await system.timers.runUntil(vm.stop(), RUN_MS);
+    expect(isGraceful).toBe(false);
+    expect(system.timers.now() - startedAt).toBe(3_000);
+    expect(system.sink.events.some(event => event.name === "StopLimitReached")).toBe(true);
+    system.close();
+});
