Freeze VMs in the tests of orders

Cause: a VM that is paused between its claim and its dispatch had no test. Change: the time of each VM in the fixture can be paused while its messages vanish; the property over orders draws up to three freezes of up to 60 s, and one test freezes a VM while the answer of its claim is on the way.

--- a/bench/src/system.ts
+++ b/bench/src/system.ts
@@ -83,7 +83,11 @@
             { base: this.version, changeId, author: "bench", configuration },
             this.timers,
         );
-        const published = publishConfiguration(ModelLog.create(this.platform), this.timers, record);
+        const published = publishConfiguration(
+            ModelLog.create(this.platform, this.timers),
+            this.timers,
+            record,
+        );
         this.version = (await this.timers.runUntil(published, PUBLISH_LIMIT_MS)).unwrap().version;
         return this.version;
     }
@@ -120,7 +124,7 @@
             random: SeededRandom.create(this.random.pickInteger(2 ** 30)),
             logger: EventLogger.create(new NullSink()),
             metrics: MetricsRegistry.create(),
-            log: ModelLog.create(this.platform),
+            log: ModelLog.create(this.platform, this.timers),
             vmList: ModelVmList.create(this.platform),
             transport: wrapTransport?.(transport) ?? transport,
             endpoints: this.endpoints,
--- a/packages/stand-ins/src/engine/model-endpoint-client.ts
+++ b/packages/stand-ins/src/engine/model-endpoint-client.ts
@@ -56,16 +56,27 @@
     /** Chooses the fault of each operation. */
     chooseFault: (operation: EndpointOperation, endpoint: string, requestId: string) => EndpointFault = () =>
         NO_FAULT;
-    readonly engines = new Map<string, EngineModel>();
-    readonly services = new Map<string, ServiceModel>();
 
-    private constructor(private readonly timers: TimerService, private readonly delayMs: number) {
+    private constructor(
+        private readonly timers: TimerService,
+        private readonly delayMs: number,
+        readonly engines: Map<string, EngineModel>,
+        readonly services: Map<string, ServiceModel>,
+    ) {
         super();
     }
 
     /** Creates a client; each message takes `delayMs` milliseconds. */
     static create(timers: TimerService, delayMs = 1): ModelEndpointClient {
-        return new ModelEndpointClient(timers, delayMs);
+        return new ModelEndpointClient(timers, delayMs, new Map(), new Map());
+    }
+
+    /** A client of the same endpoints, with the same faults, that lives in the time of another VM. */
+    createView(timers: TimerService): ModelEndpointClient {
+        const view = new ModelEndpointClient(timers, this.delayMs, this.engines, this.services);
+        view.chooseFault = (operation, endpoint, requestId) =>
+            this.chooseFault(operation, endpoint, requestId);
+        return view;
     }
 
     override async dispatchToEngine(
@@ -122,7 +133,11 @@
         if (fault.kind === "lost-request") {
             return Err({ kind: "maybe-sent", used, error: createError(endpoint, "lost") });
         }
-        const answer = service.run(request.id, request.idempotencyKey, request.path);
+        const answer = service.run(request.id, request.idempotencyKey, request.path)
+            .then(async value => {
+                await this.timers.sleep(this.delayMs);
+                return value;
+            });
         if (fault.kind === "lost-answer" || fault.kind === "cut") {
             return Err({ kind: "maybe-sent", used, error: createError(endpoint, "lost") });
         }
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -28,3 +28,4 @@
 export { createPlatformServer } from "./platform/platform-server.js";
 export { ServiceModel } from "./service/service-model.js";
 export { createServiceServer } from "./service/service-server.js";
+export { PausableTimerService } from "./time/pausable-timer-service.js";
--- a/packages/stand-ins/src/peers/model-peer-network.ts
+++ b/packages/stand-ins/src/peers/model-peer-network.ts
@@ -22,6 +22,7 @@
 export class ModelPeerNetwork {
     private readonly handlers = new Map<string, PeerHandler>();
     private readonly cuts = new Set<string>();
+    private readonly frozen = new Set<string>();
     /** Streams that end when a VM dies or a link is cut, by the names of both ends. */
     private readonly streams = new Map<string, Set<() => void>>();
 
@@ -53,6 +54,16 @@
         this.cuts.delete(createLinkName(left, right));
     }
 
+    /** Freezes a VM: what is sent to it or by it vanishes. */
+    freeze(name: string): void {
+        this.frozen.add(name);
+    }
+
+    /** Ends the freeze of a VM. */
+    thaw(name: string): void {
+        this.frozen.delete(name);
+    }
+
     /** The transport of one VM. */
     createTransport(name: string): PeerTransport {
         return ModelTransport.create(name, this);
@@ -117,7 +128,8 @@
     }
 
     private findHandler(from: string, to: string): PeerHandler | undefined {
-        const isReachable = this.handlers.has(from) && !this.cuts.has(createLinkName(from, to));
+        const isFrozen = this.frozen.has(from) || this.frozen.has(to);
+        const isReachable = this.handlers.has(from) && !isFrozen && !this.cuts.has(createLinkName(from, to));
         return isReachable ? this.handlers.get(to) : undefined;
     }
 
--- a/packages/stand-ins/src/platform/platform-model.ts
+++ b/packages/stand-ins/src/platform/platform-model.ts
@@ -189,21 +189,28 @@
     /** True while this VM can't reach the log. */
     isCut = false;
 
-    private constructor(private readonly platform: PlatformModel) {
+    private constructor(private readonly platform: PlatformModel, private readonly timers: TimerService) {
         super();
     }
 
-    /** Creates a view of a platform. */
-    static create(platform: PlatformModel): ModelLog {
-        return new ModelLog(platform);
+    /** Creates a view of a platform; answers arrive in the time of the VM. */
+    static create(platform: PlatformModel, timers: TimerService): ModelLog {
+        return new ModelLog(platform, timers);
     }
 
-    override append(stream: string, values: readonly unknown[]): Promise<Result<number, SchedulerError>> {
-        return this.isCut ? this.refuse("append") : this.platform.append(stream, values);
+    override async append(
+        stream: string,
+        values: readonly unknown[],
+    ): Promise<Result<number, SchedulerError>> {
+        const answer = await (this.isCut ? this.refuse("append") : this.platform.append(stream, values));
+        await this.timers.sleep(0);
+        return answer;
     }
 
-    override read(stream: string, fromOffset: number): Promise<Result<LogPage, SchedulerError>> {
-        return this.isCut ? this.refuse("read") : this.platform.read(stream, fromOffset);
+    override async read(stream: string, fromOffset: number): Promise<Result<LogPage, SchedulerError>> {
+        const answer = await (this.isCut ? this.refuse("read") : this.platform.read(stream, fromOffset));
+        await this.timers.sleep(0);
+        return answer;
     }
 
     private refuse(operation: string): Promise<Result<never, SchedulerError>> {
--- /dev/null
+++ b/packages/stand-ins/src/time/pausable-timer-service.ts
@@ -0,0 +1,56 @@
+/** Time of one VM that can be frozen while the others go on. */
+import { type CancelTimer, TimerService } from "wigeonpulley";
+
+/** Timer service whose callbacks wait while it is paused. The clock itself goes on. */
+export class PausableTimerService extends TimerService {
+    private isPaused = false;
+    private held: (() => void)[] = [];
+
+    private constructor(private readonly inner: TimerService) {
+        super();
+    }
+
+    /** Creates a running service on top of another one. */
+    static create(inner: TimerService): PausableTimerService {
+        return new PausableTimerService(inner);
+    }
+
+    override now(): number {
+        return this.inner.now();
+    }
+
+    override readWallClock(): number {
+        return this.inner.readWallClock();
+    }
+
+    override schedule(delayMs: number, callback: () => void): CancelTimer {
+        let isCancelled = false;
+        const fire = (): void => {
+            if (isCancelled) {
+                return;
+            }
+            if (this.isPaused) {
+                this.held.push(fire);
+            }
+            else {
+                callback();
+            }
+        };
+        const cancel = this.inner.schedule(delayMs, fire);
+        return () => {
+            isCancelled = true;
+            cancel();
+        };
+    }
+
+    /** Holds every callback back. */
+    pause(): void {
+        this.isPaused = true;
+    }
+
+    /** Runs what was held back, in the order in which it fell due. */
+    resume(): void {
+        this.isPaused = false;
+        this.held.splice(0).forEach(fire => fire());
+    }
+}
--- a/packages/wigeonpulley/test/config/publish.test.ts
+++ b/packages/wigeonpulley/test/config/publish.test.ts
@@ -37,7 +37,7 @@
         const platform = PlatformModel.create(timers);
         const pending = [...faults];
         platform.chooseAppendFault = () => pending.shift() ?? "none";
-        const log = ModelLog.create(platform);
+        const log = ModelLog.create(platform, timers);
         const publish = async (startMs: number, index: number) => {
             await timers.sleep(startMs);
             const change = { base: NO_VERSION, changeId: `change-${index}`, author: "test" };
--- a/packages/wigeonpulley/test/gateway/once-only.test.ts
+++ b/packages/wigeonpulley/test/gateway/once-only.test.ts
@@ -32,6 +32,12 @@
     { kind: "silent", afterEvents: 0 },
 );
 
+const freezeArbitrary = fc.record({
+    at: fc.nat({ max: 6_000 }),
+    vm: fc.integer({ min: 1, max: 3 }),
+    durationMs: fc.nat({ max: 60_000 }),
+});
+
 const outageArbitrary = fc.record({ at: fc.nat({ max: 6_000 }), durationMs: fc.nat({ max: 90_000 }) });
 
 test.prop(
@@ -43,48 +49,66 @@
             maxLength: 2,
         }),
         fc.option(outageArbitrary, { nil: undefined }),
+        fc.array(freezeArbitrary, { maxLength: 3 }),
     ],
     SYSTEM_PROPERTY,
-)(
-    "a key runs at most once and refusals are true",
-    async (orders, logFaults, endpointFaults, kills, outage) => {
-        const system = await TestSystem.create();
-        const pendingLogFaults = [...logFaults];
-        const pendingEndpointFaults = [...endpointFaults];
-        system.platform.chooseAppendFault = stream =>
-            stream.startsWith("claims") ? pendingLogFaults.shift() ?? "none" : "none";
-        system.endpoints.chooseFault = operation =>
-            operation === "dispatch" ? pendingEndpointFaults.shift() ?? { kind: "none" } : { kind: "none" };
-        orders.forEach(({ at, vm, key }) => {
-            system.timers.schedule(at, () => {
-                void system.vms.get(`vm-${vm}`)?.vm.gateway.serve(
-                    findTestCaller(system),
-                    createOrderRequest(key),
-                );
-            });
+)("a key runs at most once and refusals are true", async (
+    orders,
+    logFaults,
+    endpointFaults,
+    kills,
+    outage,
+    freezes,
+) => {
+    const system = await TestSystem.create();
+    const pendingLogFaults = [...logFaults];
+    const pendingEndpointFaults = [...endpointFaults];
+    system.platform.chooseAppendFault = stream =>
+        stream.startsWith("claims") ? pendingLogFaults.shift() ?? "none" : "none";
+    system.endpoints.chooseFault = operation =>
+        operation === "dispatch" ? pendingEndpointFaults.shift() ?? { kind: "none" } : { kind: "none" };
+    orders.forEach(({ at, vm, key }) => {
+        system.timers.schedule(at, () => {
+            void system.vms.get(`vm-${vm}`)?.vm.gateway.serve(
+                findTestCaller(system),
+                createOrderRequest(key),
+            );
+        });
+    });
+    kills.forEach(({ at, vm }) => {
+        system.timers.schedule(at, () => {
+            if (system.vms.has(`vm-${vm}`)) {
+                system.killVm(`vm-${vm}`);
+            }
         });
-        kills.forEach(({ at, vm }) => {
-            system.timers.schedule(at, () => {
+    });
+    freezes.forEach(({ at, vm, durationMs }) => {
+        system.timers.schedule(at, () => {
+            if (!system.vms.has(`vm-${vm}`)) {
+                return;
+            }
+            system.freezeVm(`vm-${vm}`);
+            system.timers.schedule(durationMs, () => {
                 if (system.vms.has(`vm-${vm}`)) {
-                    system.killVm(`vm-${vm}`);
+                    system.thawVm(`vm-${vm}`);
                 }
             });
         });
-        if (outage !== undefined) {
-            system.timers.schedule(outage.at, () => {
-                system.platform.isLogOut = true;
-            });
-            system.timers.schedule(outage.at + outage.durationMs, () => {
-                system.platform.isLogOut = false;
-            });
-        }
-        await system.timers.advance(RUN_MS);
-        expectKeysOnce(system);
-        expectDispatchedOnce(system);
-        expectTrueRefusals(system);
-        system.close();
-    },
-);
+    });
+    if (outage !== undefined) {
+        system.timers.schedule(outage.at, () => {
+            system.platform.isLogOut = true;
+        });
+        system.timers.schedule(outage.at + outage.durationMs, () => {
+            system.platform.isLogOut = false;
+        });
+    }
+    await system.timers.advance(RUN_MS);
+    expectKeysOnce(system);
+    expectDispatchedOnce(system);
+    expectTrueRefusals(system);
+    system.close();
+});
 
 plainTest("the same key on two VMs at once runs once and both get its answer", async () => {
     const system = await TestSystem.create();
@@ -144,3 +168,28 @@
     expectKeysOnce(system);
     system.close();
 });
+
+plainTest("a VM frozen between its claim and its dispatch runs the order once after it thaws", async () => {
+    const system = await TestSystem.create();
+    let isFrozen = false;
+    system.platform.chooseAppendFault = stream => {
+        if (stream.startsWith("claims") && !isFrozen) {
+            isFrozen = true;
+            // The append lands, and its answer finds the VM frozen.
+            system.timers.schedule(1, () => system.freezeVm("vm-1"));
+        }
+        return "none";
+    };
+    const first = system.findVm("vm-1").vm.gateway.serve(
+        findTestCaller(system),
+        createOrderRequest("order-1"),
+    );
+    await system.timers.advance(5_000);
+    expect(system.findService("orders-1").runsByKey.size).toBe(0);
+    const other = await serveRequest(system, "vm-2", createOrderRequest("order-1"));
+    expect(other.isErr() && other.error.name).toBe("OutcomeUnknown");
+    system.thawVm("vm-1");
+    expect((await system.timers.runUntil(first, RUN_MS)).isOk()).toBe(true);
+    expect(system.findService("orders-1").runsByKey.get("order-1")).toBe(1);
+    system.close();
+});
