Complete the stand-ins: orders, weights, moved requests

Cause: engines take orders with a fencing number, load weights at a limited rate, and export and import running requests; the stand-ins could not. The system itself gives no orders yet.

--- a/packages/stand-ins/src/engine/engine-model.ts
+++ b/packages/stand-ins/src/engine/engine-model.ts
@@ -26,6 +26,10 @@
     readonly cacheBlocks: number;
     /** Time by which reports lag, in milliseconds. */
     readonly reportLagMs: number;
+    /** True when orders with an old fencing number are refused; others ignore the number. */
+    readonly checksFencing: boolean;
+    /** Loads the weights of a version. */
+    readonly loadWeights: () => Promise<void>;
 }
 
 const DEFAULT_OPTIONS = {
@@ -36,6 +40,8 @@
     maxBatch: 64,
     cacheBlocks: 1_000,
     reportLagMs: 500,
+    checksFencing: false,
+    loadWeights: () => Promise.resolve(),
 };
 
 /** Prompt tokens computed in one step, so that long prompts do not stop the running streams. */
@@ -49,6 +55,18 @@
     readonly prefixBlocks: readonly number[];
 }
 
+/** An order: the version that the engine shall serve. A repeat has no further effect. */
+export interface EngineOrder {
+    readonly fencingNumber: number;
+    readonly version: string;
+}
+
+/** The state of a request that another engine can continue. */
+export interface ExportedRun {
+    readonly work: EngineWork;
+    readonly events: readonly EngineEvent[];
+}
+
 /** What the engine did for one request. */
 export interface EngineRun {
     readonly work: EngineWork;
@@ -78,9 +96,12 @@
     private evicted: number[] = [];
     private readonly active = new Set<EngineRun>();
     private isStepping = false;
+    private version: string;
+    private highestFencingNumber = -1;
 
     private constructor(options: EngineOptions) {
         this.options = options;
+        this.version = options.version;
     }
 
     /** Creates an idle engine. */
@@ -163,8 +184,49 @@
         const running = this.countActive();
         await this.options.timers.sleep(this.options.reportLagMs);
         const evictedBlocks = this.evicted.splice(0);
-        const { serves, version } = this.options;
-        return { serves, version, running, waiting: 0, evictedBlocks };
+        const { serves } = this.options;
+        return { serves, version: this.version, running, waiting: 0, evictedBlocks };
+    }
+
+    /** Carries an order out once the weights are loaded. False when it was refused because of its fencing number. */
+    async applyOrder(order: EngineOrder): Promise<boolean> {
+        const isOld = order.fencingNumber < this.highestFencingNumber;
+        if (this.options.checksFencing && isOld) {
+            return false;
+        }
+        this.highestFencingNumber = Math.max(this.highestFencingNumber, order.fencingNumber);
+        if (order.version !== this.version) {
+            await this.options.loadWeights();
+            this.version = order.version;
+        }
+        return true;
+    }
+
+    /** Stops a running request and hands its state out; undefined when it is not running. */
+    exportRun(id: string): ExportedRun | undefined {
+        const run = this.runs.get(id);
+        if (run === undefined || run.state !== "decode") {
+            return undefined;
+        }
+        this.cancel(id);
+        return { work: run.work, events: [...run.events] };
+    }
+
+    /** Continues a request of another engine without computing its prompt again. */
+    importRun({ work, events }: ExportedRun): EngineRun {
+        const run: EngineRun = {
+            work,
+            events: [...events],
+            starts: 0,
+            state: "decode",
+            prefilledTokens: 0,
+            remainingPrefill: 0,
+            listeners: new Set(),
+        };
+        this.runs.set(work.id, run);
+        this.active.add(run);
+        this.step();
+        return run;
     }
 
     /** Requests that are not finished. */
--- a/packages/stand-ins/src/engine/engine-server.ts
+++ b/packages/stand-ins/src/engine/engine-server.ts
@@ -2,6 +2,7 @@
 import fastify, { type FastifyInstance, type FastifyReply } from "fastify";
 import { Readable } from "node:stream";
 import { parseChatBody, SystemTimerService } from "wigeonpulley";
+import { z } from "zod";
 import { EngineModel, type EngineOptions, type EngineRun } from "./engine-model.js";
 
 const HTTP_BAD_REQUEST = 400;
@@ -9,6 +10,18 @@
 const HTTP_CONFLICT = 409;
 const DEFAULT_ANSWER_TOKENS = 64;
 
+const orderSchema = z.object({ fencingNumber: z.number().int(), version: z.string() });
+
+const exportedRunSchema = z.object({
+    work: z.object({
+        id: z.string(),
+        promptTokens: z.number(),
+        answerTokens: z.number(),
+        prefixBlocks: z.array(z.number()),
+    }),
+    events: z.array(z.object({ sequence: z.number(), data: z.string() })),
+});
+
 /** Creates the server of one engine. */
 export const createEngineServer = (
     options: Pick<EngineOptions, "name" | "serves"> & Partial<EngineOptions>,
@@ -43,6 +56,21 @@
     app.delete<{ Params: { id: string; }; }>("/v1/requests/:id", request => ({
         outcome: engine.cancel(request.params.id),
     }));
+    app.put(
+        "/v1/order",
+        async (request, reply) =>
+            await engine.applyOrder(orderSchema.parse(request.body))
+                ? {}
+                : reply.status(HTTP_CONFLICT).send({}),
+    );
+    app.post<{ Params: { id: string; }; }>(
+        "/v1/requests/:id/export",
+        (request, reply) => engine.exportRun(request.params.id) ?? reply.status(HTTP_NOT_FOUND).send({}),
+    );
+    app.post("/v1/import", request => {
+        engine.importRun(exportedRunSchema.parse(request.body));
+        return {};
+    });
     app.get("/v1/report", () => engine.readReport());
     app.get(
         "/runs",
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -26,6 +26,7 @@
     type PlatformOptions,
 } from "./platform/platform-model.js";
 export { createPlatformServer } from "./platform/platform-server.js";
+export { WeightStoreModel } from "./platform/weight-store-model.js";
 export { ServiceModel } from "./service/service-model.js";
 export { createServiceServer } from "./service/service-server.js";
 export { PausableTimerService } from "./time/pausable-timer-service.js";
--- a/packages/stand-ins/src/platform/platform-server.ts
+++ b/packages/stand-ins/src/platform/platform-server.ts
@@ -3,9 +3,13 @@
 import { SystemTimerService, type VmEntry, vmEntrySchema } from "wigeonpulley";
 import { z } from "zod";
 import { type LogFault, PlatformModel } from "./platform-model.js";
+import { WeightStoreModel } from "./weight-store-model.js";
 
 const HTTP_UNAVAILABLE = 503;
 
+/** Rate of the weight store: one gigabyte a second. */
+const WEIGHT_BYTES_PER_MS = 1_000_000;
+
 const appendBodySchema = z.object({ values: z.array(z.unknown()) });
 const faultsSchema = z.object({
     isLogOut: z.boolean().optional(),
@@ -17,6 +21,7 @@
 export const createPlatformServer = (): FastifyInstance => {
     const timers = SystemTimerService.create();
     const platform = PlatformModel.create(timers);
+    const weights = WeightStoreModel.create(timers, WEIGHT_BYTES_PER_MS);
     const app = fastify({ forceCloseConnections: true });
     app.post<{ Params: { stream: string; }; }>("/log/streams/:stream", async (request, reply) => {
         const { values } = appendBodySchema.parse(request.body);
@@ -37,6 +42,13 @@
             return page.isOk() ? page.value : reply.status(HTTP_UNAVAILABLE).send({});
         },
     );
+    app.get<{ Params: { model: string; }; Querystring: { bytes?: string; }; }>(
+        "/weights/:model",
+        async request => {
+            await weights.load(Number(request.query.bytes ?? 0));
+            return { model: request.params.model };
+        },
+    );
     app.get("/vms", () => platform.readListing());
     app.put<{ Params: { name: string; }; }>("/vms/:name", request => {
         const entry: VmEntry = vmEntrySchema.parse(request.body);
