--- a/packages/wigeonpulley/src/scheduling/ticket-client.ts
+++ b/packages/wigeonpulley/src/scheduling/ticket-client.ts
@@ -16,6 +16,7 @@
 import type { MembershipService } from "../membership/index.js";
 import type { PeerTransport } from "../peers/index.js";
 import type { VmEntry } from "../platform/index.js";
+import type { RandomSource } from "../random/index.js";
 import type { TimerService } from "../time/index.js";
 import type { GroupChooser } from "./group-chooser.js";
 import { createRefusalError, type SlotRefusal, type SlotResult } from "./group-scheduler.js";
@@ -33,6 +34,7 @@
     readonly transport: PeerTransport;
     readonly schedulers: SchedulerService;
     readonly chooser: GroupChooser;
+    readonly random: RandomSource;
     readonly endpointsPerGroup: number;
     readonly heartbeatMs: number;
     readonly peerTimeoutMs: number;
@@ -68,6 +70,9 @@
 /** Wait before a ticket whose scheduler was lost is placed again, in milliseconds. */
 const REPLACE_DELAY_MS = 50;
 
+/** Largest share by which the time to come back is prolonged at random. */
+const RETRY_SPREAD = 0.5;
+
 /** Time after which a waiting ticket looks for a group with a free slot, in milliseconds. */
 const MOVE_CHECK_MS = 500;
 
@@ -244,7 +249,9 @@
             ...refusals.map(candidate => candidate.retryAfterMs),
             refusal.retryAfterMs,
         );
-        return createRefusalError({ ...refusal, retryAfterMs }, {
+        // Spread, so that callers refused together do not come back together.
+        const spread = 1 + RETRY_SPREAD * this.options.random.pickFraction();
+        return createRefusalError({ ...refusal, retryAfterMs: retryAfterMs * spread }, {
             tier: request.match.tier.name,
             target: request.match.selector.target.serves,
             remainingMs: request.deadlineAt - this.options.timers.now(),
--- a/packages/wigeonpulley/src/vm/entry-vm.ts
+++ b/packages/wigeonpulley/src/vm/entry-vm.ts
@@ -231,6 +231,7 @@
             transport,
             schedulers: this.schedulers,
             chooser,
+            random,
             endpointsPerGroup: settings.endpointsPerGroup,
             heartbeatMs: settings.timing.heartbeatMs,
             peerTimeoutMs: settings.timing.peerTimeoutMs,
