--- a/packages/stand-ins/src/engine/model-endpoint-client.ts
+++ b/packages/stand-ins/src/engine/model-endpoint-client.ts
@@ -15,7 +15,6 @@
     type ServiceAnswer,
     type StartedStream,
     type TimerService,
-    type UsedPermit,
 } from "wigeonpulley";
 import type { ServiceModel } from "../service/service-model.js";
 import type { EngineModel, EngineRun } from "./engine-model.js";
@@ -84,7 +83,7 @@
         permit: DispatchPermit,
         request: EndpointRequest,
     ): Promise<DispatchResult<StartedStream>> {
-        const used = takePermit(permit);
+        const used = permit.use();
         const fault = this.chooseFault("dispatch", endpoint.name, request.id);
         await this.timers.sleep(this.delayMs);
         const engine = this.engines.get(endpoint.name);
@@ -119,7 +118,7 @@
         request: EndpointRequest,
         signal: AbortSignal,
     ): Promise<DispatchResult<ServiceAnswer>> {
-        const used = takePermit(permit);
+        const used = permit.use();
         const fault = this.chooseFault("dispatch", endpoint.name, request.id);
         await this.timers.sleep(this.delayMs);
         const service = this.services.get(endpoint.name);
@@ -244,14 +243,6 @@
     }
 }
 
-const takePermit = (permit: DispatchPermit): UsedPermit => {
-    const used = permit.use();
-    if (used === undefined) {
-        throw SchedulerError.create("InternalError", { reason: "the dispatch permit was used before" });
-    }
-    return used;
-};
-
 const findOtherRun = (engine: EngineModel, run: EngineRun): EngineRun =>
     [...engine.runs.values()].find(candidate => candidate !== run) ?? run;
 
--- a/packages/wigeonpulley/src/config/commands/publish.ts
+++ b/packages/wigeonpulley/src/config/commands/publish.ts
@@ -3,15 +3,9 @@
 import { SchedulerError } from "../../errors/index.js";
 import type { PlatformLog } from "../../platform/index.js";
 import type { TimerService } from "../../time/index.js";
-import {
-    CONFIGURATION_STREAM,
-    type ConfigurationState,
-    createConfigurationState,
-    foldConfiguration,
-    NO_VERSION,
-    type PublishRecord,
-} from "../config-fold.js";
+import { CONFIGURATION_STREAM, NO_VERSION, type PublishRecord } from "../config-fold.js";
 import type { Configuration } from "../configuration.js";
+import { walkChanges } from "../queries/walk-changes.js";
 
 /** A change that is in force. */
 export interface PublishOutcome {
@@ -73,24 +67,18 @@
     log: PlatformLog,
     record: PublishRecord,
 ): Promise<Result<Result<PublishOutcome, SchedulerError> | undefined, SchedulerError>> => {
-    let state: ConfigurationState | undefined;
-    for (;;) {
-        const page = await log.read(CONFIGURATION_STREAM, state?.nextOffset ?? 0);
-        if (page.isErr()) {
-            return Err(page.error);
-        }
-        state ??= createConfigurationState(page.value.firstOffset);
-        for (const entry of page.value.records) {
-            state = foldConfiguration(state, entry);
-            if (state.current?.changeId === record.changeId) {
-                return Ok(Ok({ version: state.current.version }));
-            }
-        }
-        if (page.value.records.length === 0 || state.nextOffset >= page.value.endOffset) {
-            break;
-        }
+    let version: number | undefined;
+    const walked = await walkChanges(log, undefined, (entry, before, { current }) => {
+        version = current?.changeId === record.changeId ? current.version : undefined;
+        return version !== undefined;
+    });
+    if (walked.isErr()) {
+        return Err(walked.error);
+    }
+    if (version !== undefined) {
+        return Ok(Ok({ version }));
     }
-    const current = state.current?.version ?? NO_VERSION;
+    const current = walked.value.current?.version ?? NO_VERSION;
     return Ok(
         current === record.base
             ? undefined
--- a/packages/wigeonpulley/src/config/queries/audit.ts
+++ b/packages/wigeonpulley/src/config/queries/audit.ts
@@ -1,15 +1,10 @@
 /** Lists the changes that the log still holds, with what became of each. */
-import { Err, Ok, type Result } from "ts-results-es";
+import type { Result } from "ts-results-es";
 import type { SchedulerError } from "../../errors/index.js";
 import type { LogRecord, PlatformLog } from "../../platform/index.js";
-import {
-    CONFIGURATION_STREAM,
-    type ConfigurationState,
-    createConfigurationState,
-    foldConfiguration,
-    publishRecordSchema,
-} from "../config-fold.js";
+import { type ConfigurationState, publishRecordSchema } from "../config-fold.js";
 import { type ConfigurationChange, listChanges } from "./diff.js";
+import { walkChanges } from "./walk-changes.js";
 
 /** One change in the audit trail. */
 export interface AuditEntry {
@@ -29,22 +24,11 @@
     log: PlatformLog,
 ): Promise<Result<readonly AuditEntry[], SchedulerError>> => {
     const entries: AuditEntry[] = [];
-    let state: ConfigurationState | undefined;
-    for (;;) {
-        const page = await log.read(CONFIGURATION_STREAM, state?.nextOffset ?? 0);
-        if (page.isErr()) {
-            return Err(page.error);
-        }
-        state ??= createConfigurationState(page.value.firstOffset);
-        for (const record of page.value.records) {
-            const after: ConfigurationState = foldConfiguration(state, record);
-            entries.push(...createEntry(state, after, record));
-            state = after;
-        }
-        if (page.value.records.length === 0 || state.nextOffset >= page.value.endOffset) {
-            return Ok(entries);
-        }
-    }
+    const walked = await walkChanges(log, undefined, (record, before, after) => {
+        entries.push(...createEntry(before, after, record));
+        return false;
+    });
+    return walked.map(() => entries);
 };
 
 const createEntry = (
--- /dev/null
+++ b/packages/wigeonpulley/src/config/queries/walk-changes.ts
@@ -0,0 +1,51 @@
+/** Walks through the configuration stream, record by record. */
+import { Err, Ok, type Result } from "ts-results-es";
+import type { SchedulerError } from "../../errors/index.js";
+import type { LogRecord, PlatformLog } from "../../platform/index.js";
+import {
+    CONFIGURATION_STREAM,
+    type ConfigurationState,
+    createConfigurationState,
+    foldConfiguration,
+} from "../config-fold.js";
+
+/** Called with each record and the states before and after it; true ends the walk. */
+export type ChangeVisitor = (
+    record: LogRecord,
+    before: ConfigurationState,
+    after: ConfigurationState,
+) => boolean | undefined;
+
+/**
+ * Folds the stream from a state, or from the first retained record, to its end or until the visitor ends the walk.
+ * A state that retention has overtaken begins anew: only a repetition can tell which version is in force now.
+ * Fails with LogUnavailable.
+ */
+export const walkChanges = async (
+    log: PlatformLog,
+    from: ConfigurationState | undefined,
+    visit: ChangeVisitor = () => false,
+): Promise<Result<ConfigurationState, SchedulerError>> => {
+    let state = from;
+    for (;;) {
+        const page = await log.read(CONFIGURATION_STREAM, state?.nextOffset ?? 0);
+        if (page.isErr()) {
+            return Err(page.error);
+        }
+        const { records, firstOffset, endOffset } = page.value;
+        if (state === undefined || state.nextOffset < firstOffset) {
+            state = createConfigurationState(firstOffset);
+        }
+        for (const record of records) {
+            const after = foldConfiguration(state, record);
+            const isEnd = visit(record, state, after);
+            state = after;
+            if (isEnd === true) {
+                return Ok(state);
+            }
+        }
+        if (records.length === 0 || state.nextOffset >= endOffset) {
+            return Ok(state);
+        }
+    }
+};
--- a/packages/wigeonpulley/src/endpoints/dispatch-permit.ts
+++ b/packages/wigeonpulley/src/endpoints/dispatch-permit.ts
@@ -3,6 +3,8 @@
  * proof that the endpoint never ran the request, so that a second dispatch can't be written by accident.
  */
 
+import { SchedulerError } from "../errors/index.js";
+
 /** Proof that the endpoint did not run a request and will not. */
 export type NotRunProof =
     /** No connection was made, so no byte was sent. */
@@ -36,10 +38,10 @@
         return new DispatchPermit(requestId, proof);
     }
 
-    /** Uses the permit up. Undefined when that was done before or the permit was destroyed. */
-    use(): UsedPermit | undefined {
+    /** Uses the permit up. Throws InternalError when that was done before or the permit was destroyed. */
+    use(): UsedPermit {
         if (this.isUsed) {
-            return undefined;
+            throw SchedulerError.create("InternalError", { reason: "the dispatch permit was used before" });
         }
         this.isUsed = true;
         return new UsedPermit(this.requestId);
--- a/packages/wigeonpulley/src/endpoints/http-endpoint-client.ts
+++ b/packages/wigeonpulley/src/endpoints/http-endpoint-client.ts
@@ -174,9 +174,6 @@
         limits: { readonly signal?: AbortSignal; readonly headersTimeout?: number; },
     ): Promise<DispatchResult<{ readonly used: UsedPermit; readonly data: Dispatcher.ResponseData; }>> {
         const used = permit.use();
-        if (used === undefined) {
-            throw SchedulerError.create("InternalError", { reason: "the dispatch permit was used before" });
-        }
         const hasBody = request.method !== "GET" && request.method !== "HEAD";
         try {
             const data = await sendRequest(`${endpoint.url}${request.path}`, {
