--- a/bench/src/capacity/scheduler.ts
+++ b/bench/src/capacity/scheduler.ts
@@ -3,7 +3,7 @@
 import {
     AgedShortestFirstOrder,
     type Configuration,
-    formGroups,
+    createGroups,
     GroupScheduler,
     Outcome,
     pickByRendezvous,
@@ -100,8 +100,8 @@
         const configuration = createSizedConfiguration(endpoints, 1);
         return {
             endpoints,
-            "groups of 8": formGroups(configuration, 8).length,
-            "groups of 2": formGroups(configuration, 2).length,
+            "groups of 8": createGroups(configuration, 8).length,
+            "groups of 2": createGroups(configuration, 2).length,
         };
     });
     return [
--- a/bench/src/policy/measure.ts
+++ b/bench/src/policy/measure.ts
@@ -156,7 +156,7 @@
         if (!this.system.vms.has(`vm-${arrival.vm}`)) {
             return; // The balancer would not send it to a dead VM.
         }
-        increase(this.offered, arrival.tier);
+        addOne(this.offered, arrival.tier);
         const judge = new RequestJudge(arrival, this.system.timers.now());
         void (this.baseline === undefined
             ? this.serve(arrival, judge)
@@ -232,7 +232,7 @@
     private finish(arrival: Arrival, judge: RequestJudge, id: string): void {
         const fault = judge.findFault(this.system.timers.now());
         if (fault === undefined) {
-            increase(this.good, arrival.tier);
+            addOne(this.good, arrival.tier);
             this.goodIds.add(id);
         }
         else {
@@ -246,7 +246,7 @@
     }
 
     private noteRefusal(arrival: Arrival, isForLoad: boolean): void {
-        increase(this.shed, arrival.tier);
+        addOne(this.shed, arrival.tier);
         const waiting = [...this.system.vms.values()].flatMap(vm =>
             [...vm.schedulers.listSchedulers().values()].flatMap(group => group.listWaitingTiers())
         );
@@ -254,7 +254,7 @@
     }
 }
 
-const increase = (counts: number[], index: number): void => {
+const addOne = (counts: number[], index: number): void => {
     counts[index] = (counts[index] ?? 0) + 1;
 };
 
--- a/packages/wigeonpulley/src/claims/claim-fold.ts
+++ b/packages/wigeonpulley/src/claims/claim-fold.ts
@@ -140,15 +140,15 @@
     }
 
     /** Forgets what retention has dropped. */
-    dropBefore(firstOffset: number): void {
+    removeBefore(firstOffset: number): void {
         for (const [key, claim] of this.held) {
             if (claim.offset >= firstOffset) {
                 break; // Insertion order is offset order.
             }
             this.held.delete(key);
         }
-        dropOffsetsBefore(this.released, firstOffset);
-        dropOffsetsBefore(this.judged, firstOffset);
+        removeOffsetsBefore(this.released, firstOffset);
+        removeOffsetsBefore(this.judged, firstOffset);
     }
 
     private applyClaim(record: ClaimRecord, offset: number, awaited: (nonce: string) => boolean): void {
@@ -190,7 +190,7 @@
 }
 
 /** Removes entries with earlier offsets; insertion order is offset order. */
-const dropOffsetsBefore = (offsets: Map<string, number>, firstOffset: number): void => {
+const removeOffsetsBefore = (offsets: Map<string, number>, firstOffset: number): void => {
     for (const [key, offset] of offsets) {
         if (offset >= firstOffset) {
             return;
--- a/packages/wigeonpulley/src/claims/partition-follower.ts
+++ b/packages/wigeonpulley/src/claims/partition-follower.ts
@@ -66,7 +66,7 @@
                 return Err(page.error);
             }
             const { records, firstOffset, endOffset } = page.value;
-            const fold = this.alignWithRetention(firstOffset);
+            const fold = this.applyRetention(firstOffset);
             records.forEach(record => fold.apply(record, nonce => this.awaited.has(nonce)));
             if (fold.nextOffset >= endOffset || records.length === 0) {
                 return Ok.EMPTY;
@@ -74,12 +74,12 @@
         }
     }
 
-    private alignWithRetention(firstOffset: number): ClaimFold {
+    private applyRetention(firstOffset: number): ClaimFold {
         if (this.fold === undefined || this.fold.nextOffset < firstOffset) {
             this.epoch += 1;
             this.fold = ClaimFold.create(firstOffset);
         }
-        this.fold.dropBefore(firstOffset);
+        this.fold.removeBefore(firstOffset);
         return this.fold;
     }
 }
--- a/packages/wigeonpulley/src/config/commands/follow.ts
+++ b/packages/wigeonpulley/src/config/commands/follow.ts
@@ -87,7 +87,7 @@
             const read = await readCurrentVersion(this.options.log, this.state);
             if (read.isOk()) {
                 this.state = read.value;
-                this.accept(this.state.current);
+                this.adopt(this.state.current);
             }
             if (read.isErr() || this.state?.current === undefined) {
                 await this.readFromPeer();
@@ -104,11 +104,11 @@
         const fetched = await this.options.fetchFromPeer(known);
         if (fetched !== undefined) {
             this.state = adoptVersion(this.state ?? createConfigurationState(0), fetched);
-            this.accept(fetched);
+            this.adopt(fetched);
         }
     }
 
-    private accept(candidate: ConfigurationVersion | undefined): void {
+    private adopt(candidate: ConfigurationVersion | undefined): void {
         if (candidate === undefined) {
             return;
         }
--- a/packages/wigeonpulley/src/config/commands/publish.ts
+++ b/packages/wigeonpulley/src/config/commands/publish.ts
@@ -5,7 +5,7 @@
 import type { TimerService } from "../../time/index.js";
 import { CONFIGURATION_STREAM, NO_VERSION, type PublishRecord } from "../config-fold.js";
 import type { Configuration } from "../configuration.js";
-import { walkChanges } from "../queries/walk-changes.js";
+import { foldChanges } from "../queries/fold-changes.js";
 
 /** A change that is in force. */
 export interface PublishOutcome {
@@ -68,17 +68,17 @@
     record: PublishRecord,
 ): Promise<Result<Result<PublishOutcome, SchedulerError> | undefined, SchedulerError>> => {
     let version: number | undefined;
-    const walked = await walkChanges(log, undefined, (entry, before, { current }) => {
+    const folded = await foldChanges(log, undefined, (entry, before, { current }) => {
         version = current?.changeId === record.changeId ? current.version : undefined;
         return version !== undefined;
     });
-    if (walked.isErr()) {
-        return Err(walked.error);
+    if (folded.isErr()) {
+        return Err(folded.error);
     }
     if (version !== undefined) {
         return Ok(Ok({ version }));
     }
-    const current = walked.value.current?.version ?? NO_VERSION;
+    const current = folded.value.current?.version ?? NO_VERSION;
     return Ok(
         current === record.base
             ? undefined
--- a/packages/wigeonpulley/src/config/queries/audit.ts
+++ b/packages/wigeonpulley/src/config/queries/audit.ts
@@ -4,7 +4,7 @@
 import type { LogRecord, PlatformLog } from "../../platform/index.js";
 import { type ConfigurationState, publishRecordSchema } from "../config-fold.js";
 import { type ConfigurationChange, listChanges } from "./diff.js";
-import { walkChanges } from "./walk-changes.js";
+import { foldChanges } from "./fold-changes.js";
 
 /** One change in the audit trail. */
 export interface AuditEntry {
@@ -24,11 +24,11 @@
     log: PlatformLog,
 ): Promise<Result<readonly AuditEntry[], SchedulerError>> => {
     const entries: AuditEntry[] = [];
-    const walked = await walkChanges(log, undefined, (record, before, after) => {
+    const folded = await foldChanges(log, undefined, (record, before, after) => {
         entries.push(...createEntry(before, after, record));
         return false;
     });
-    return walked.map(() => entries);
+    return folded.map(() => entries);
 };
 
 const createEntry = (
--- a/packages/wigeonpulley/src/config/queries/walk-changes.ts
+++ b/packages/wigeonpulley/src/config/queries/fold-changes.ts
@@ -1,4 +1,4 @@
-/** Walks through the configuration stream, record by record. */
+/** Folds the configuration stream. */
 import { Err, Ok, type Result } from "ts-results-es";
 import type { SchedulerError } from "../../errors/index.js";
 import type { LogRecord, PlatformLog } from "../../platform/index.js";
@@ -9,7 +9,7 @@
     foldConfiguration,
 } from "../config-fold.js";
 
-/** Called with each record and the states before and after it; true ends the walk. */
+/** Called with each record and the states before and after it; true ends the fold. */
 export type ChangeVisitor = (
     record: LogRecord,
     before: ConfigurationState,
@@ -17,11 +17,11 @@
 ) => boolean | undefined;
 
 /**
- * Folds the stream from a state, or from the first retained record, to its end or until the visitor ends the walk.
+ * Folds the stream from a state, or from the first retained record, to its end or until the visitor ends the fold.
  * A state that retention has overtaken begins anew: only a repetition can tell which version is in force now.
  * Fails with LogUnavailable.
  */
-export const walkChanges = async (
+export const foldChanges = async (
     log: PlatformLog,
     from: ConfigurationState | undefined,
     visit: ChangeVisitor = () => false,
--- a/packages/wigeonpulley/src/gateway/chat-completion.ts
+++ b/packages/wigeonpulley/src/gateway/chat-completion.ts
@@ -12,7 +12,7 @@
 });
 
 /** Builds the body of a whole completion from the data of its events. */
-export const joinChunks = (events: readonly string[]): string => {
+export const mergeChunks = (events: readonly string[]): string => {
     const chunks = events.filter(data => data !== END_OF_STREAM).map(data =>
         chunkSchema.parse(JSON.parse(data))
     );
--- a/packages/wigeonpulley/src/gateway/http-server.ts
+++ b/packages/wigeonpulley/src/gateway/http-server.ts
@@ -9,7 +9,7 @@
 import { createProblemBody, readRetryAfterSeconds, SchedulerError } from "../errors/index.js";
 import type { MetricsRegistry } from "../metrics/index.js";
 import { type CallerRequest, parseChatBody, parseHeaders } from "./caller-request.js";
-import { joinChunks } from "./chat-completion.js";
+import { mergeChunks } from "./chat-completion.js";
 import type { Answer, Gateway, StreamAnswer } from "./gateway.js";
 
 /** What operators can ask a VM. */
@@ -255,5 +255,5 @@
         }
         events.push(item.value.data);
     }
-    return reply.type("application/json").send(joinChunks(events));
+    return reply.type("application/json").send(mergeChunks(events));
 };
--- a/packages/wigeonpulley/src/gateway/open-requests.ts
+++ b/packages/wigeonpulley/src/gateway/open-requests.ts
@@ -46,7 +46,7 @@
     /** Counts a request; a waiting one of the lowest tier below it makes room. Undefined when there is no room. */
     tryEnter(request: EnteringRequest): OpenRequest | undefined {
         const room = this.limits.openRequests - (request.isDurable ? 0 : this.limits.reservedForDurable);
-        if (this.open.size >= room && !this.displaceBelow(request.tier)) {
+        if (this.open.size >= room && !this.refuseBelow(request.tier)) {
             return undefined;
         }
         this.open.add(request);
@@ -65,7 +65,7 @@
         });
     }
 
-    private displaceBelow(tier: number): boolean {
+    private refuseBelow(tier: number): boolean {
         let lowest: EnteringRequest | undefined;
         for (const candidate of this.waiting) {
             if (candidate.tier > (lowest?.tier ?? tier)) {
--- a/packages/wigeonpulley/src/membership/membership-service.ts
+++ b/packages/wigeonpulley/src/membership/membership-service.ts
@@ -97,7 +97,7 @@
 
     /** Tells everyone that this VM is leaving; it gets no groups from then on. */
     async announceLeaving(): Promise<void> {
-        this.changeSelf({ leaving: true });
+        this.updateSelf({ leaving: true });
         this.notifyIfChanged();
         this.callMembers();
         await this.options.vmList.register({ ...this.options.self, state: "leaving" });
@@ -190,7 +190,7 @@
     }
 
     /** Merges a peer's digest and answers with this VM's. */
-    receiveDigest(digest: MemberDigest): MemberDigest {
+    handleDigest(digest: MemberDigest): MemberDigest {
         this.merge(digest);
         return this.createDigest();
     }
@@ -229,11 +229,11 @@
     private updateConfiguration(): void {
         const configuration = this.options.readConfigurationVersion() + 1;
         if (configuration !== this.self.configuration) {
-            this.changeSelf({ configuration });
+            this.updateSelf({ configuration });
         }
     }
 
-    private changeSelf(change: Partial<Pick<MemberState, "configuration" | "leaving">>): void {
+    private updateSelf(change: Partial<Pick<MemberState, "configuration" | "leaving">>): void {
         this.self = create(MemberStateSchema, { ...this.self, ...change, revision: this.self.revision + 1 });
     }
 
@@ -273,12 +273,12 @@
         this.liveCache = undefined;
         this.liveNames = this.listLive().map(vm => vm.name).sort().join(" ");
         if (this.liveNames !== before) {
-            this.logChanges(before.split(" "), this.liveNames.split(" "));
+            this.writeChanges(before.split(" "), this.liveNames.split(" "));
             this.notify();
         }
     }
 
-    private logChanges(before: readonly string[], after: readonly string[]): void {
+    private writeChanges(before: readonly string[], after: readonly string[]): void {
         const { logger } = this.options;
         after.filter(vm => vm !== "" && !before.includes(vm)).forEach(vm =>
             logger.write("MemberLive", { vm })
--- a/packages/wigeonpulley/src/scheduling/endpoint-state.ts
+++ b/packages/wigeonpulley/src/scheduling/endpoint-state.ts
@@ -35,7 +35,8 @@
 /** Prompts below this many uncached tokens say little about the prefill speed. */
 const MIN_PREFILL_SAMPLE_TOKENS = 64;
 
-const mix = (average: number, sample: number): number => average + AVERAGE_WEIGHT * (sample - average);
+const computeAverage = (average: number, sample: number): number =>
+    average + AVERAGE_WEIGHT * (sample - average);
 
 /** State of one endpoint within its group. */
 export class EndpointState {
@@ -102,7 +103,7 @@
     }
 
     /** Time until the running requests are expected to end, summed, in milliseconds. */
-    sumRemaining(now: number): number {
+    computeRemaining(now: number): number {
         let sum = 0;
         for (const slot of this.slots.values()) {
             sum += Math.max(slot.startedAt + slot.expectedMs - now, 0);
@@ -162,7 +163,7 @@
 
     /** Takes a gateway's readings into account; the limit follows the readings of all gateways once a second. */
     observe(observation: Observation, now: number): void {
-        this.interTokenMs = mix(this.interTokenMs, observation.interTokenMeanMs);
+        this.interTokenMs = computeAverage(this.interTokenMs, observation.interTokenMeanMs);
         this.samples += observation.samples;
         this.slowSamples += observation.slowSamples;
         if (now - this.adjustedAt < ADJUST_INTERVAL_MS || this.samples === 0) {
@@ -178,14 +179,14 @@
 
     private learn(slot: RunningSlot, release: Release): void {
         if (this.endpoint.kind === "service") {
-            this.serviceMs = mix(this.serviceMs, release.durationMs);
+            this.serviceMs = computeAverage(this.serviceMs, release.durationMs);
             return;
         }
         if (slot.uncachedTokens >= MIN_PREFILL_SAMPLE_TOKENS) {
             const sample = release.firstTokenMs / slot.uncachedTokens;
-            this.prefillMsPerToken = mix(this.prefillMsPerToken, sample);
+            this.prefillMsPerToken = computeAverage(this.prefillMsPerToken, sample);
         }
         const decodeMs = Math.max(0, release.durationMs - release.firstTokenMs);
-        this.interTokenMs = mix(this.interTokenMs, decodeMs / release.tokens);
+        this.interTokenMs = computeAverage(this.interTokenMs, decodeMs / release.tokens);
     }
 }
--- a/packages/wigeonpulley/src/scheduling/group-chooser.ts
+++ b/packages/wigeonpulley/src/scheduling/group-chooser.ts
@@ -55,7 +55,7 @@
         ];
         return sample.reduce<EndpointGroup | undefined>(
             (best, group) =>
-                best === undefined || this.score(group, preferred) < this.score(best, preferred)
+                best === undefined || this.computeScore(group, preferred) < this.computeScore(best, preferred)
                     ? group
                     : best,
             undefined,
@@ -103,7 +103,7 @@
     }
 
     /** Expected wait in milliseconds with the preferences added; smaller is better. */
-    private score(group: EndpointGroup, preferred: string | undefined): number {
+    private computeScore(group: EndpointGroup, preferred: string | undefined): number {
         const waitMs = this.findLoad(group)?.expectedWaitMs ?? 0;
         const regionMs = group.region === this.options.region ? 0 : REMOTE_REGION_COST_MS;
         return waitMs + regionMs - (group.name === preferred ? PREFIX_GAIN_MS : 0);
--- a/packages/wigeonpulley/src/scheduling/group-scheduler.ts
+++ b/packages/wigeonpulley/src/scheduling/group-scheduler.ts
@@ -14,7 +14,7 @@
 } from "../gen/wigeonpulley/peer/v1/peer_pb.js";
 import type { CancelTimer, TimerService } from "../time/index.js";
 import { EndpointState } from "./endpoint-state.js";
-import { allowsEndpoint } from "./groups.js";
+import { isEndpointAllowed } from "./groups.js";
 import type { QueueEntry, QueueOrder } from "./queue-order.js";
 import { WaitingQueue } from "./waiting-queue.js";
 
@@ -75,7 +75,7 @@
 
     private constructor(private readonly options: GroupSchedulerOptions) {
         this.waiting = WaitingQueue.create(options.order);
-        this.cancelReview = options.timers.subscribe(REVIEW_INTERVAL_MS, () => this.reviewWaiters());
+        this.cancelReview = options.timers.subscribe(REVIEW_INTERVAL_MS, () => this.checkWaiters());
     }
 
     /** Creates a scheduler without endpoints. */
@@ -177,7 +177,7 @@
     }
 
     /** Forgets the waiting tickets of a gateway that is gone and lets its slots run out. */
-    dropGateway(gateway: string): void {
+    removeGateway(gateway: string): void {
         for (const waiter of this.waiting.listAll().filter(candidate => candidate.gateway === gateway)) {
             this.refuse(waiter, RefusalReason.WITHDRAWN);
         }
@@ -280,7 +280,7 @@
         return [...this.endpoints.values()].filter(state =>
             state.acceptsWork
             && !ticket.excludedEndpoints.includes(state.endpoint.name)
-            && allowsEndpoint(selector, state.endpoint)
+            && isEndpointAllowed(selector, state.endpoint)
         );
     }
 
@@ -302,14 +302,14 @@
         let workMs = ahead.reduce((sum, waiter) => sum + waiter.expectedMs, 0);
         let slots = 0;
         for (const state of this.endpoints.values()) {
-            workMs += state.sumRemaining(now);
+            workMs += state.computeRemaining(now);
             slots += state.acceptsWork ? state.readLimit() : 0;
         }
         return slots === 0 ? Number.POSITIVE_INFINITY : workMs / slots;
     }
 
     /** Refuses tickets that became too late and frees the slots of vanished gateways. */
-    private reviewWaiters(): void {
+    private checkWaiters(): void {
         const now = this.options.timers.now();
         for (const state of this.endpoints.values()) {
             for (const slot of [...state.listSlots()]) {
--- a/packages/wigeonpulley/src/scheduling/groups.ts
+++ b/packages/wigeonpulley/src/scheduling/groups.ts
@@ -22,7 +22,11 @@
 
 const byName = contramap((endpoint: Endpoint) => endpoint.name)(stringOrd);
 
-const splitPlace = (place: string, endpoints: readonly Endpoint[], size: number): readonly EndpointGroup[] =>
+const createPlaceGroups = (
+    place: string,
+    endpoints: readonly Endpoint[],
+    size: number,
+): readonly EndpointGroup[] =>
     pipe(
         endpoints,
         ReadonlyArray.sort(byName),
@@ -37,7 +41,7 @@
     );
 
 /** Forms the groups of a configuration. The result depends on nothing but the arguments. */
-export const formGroups = (
+export const createGroups = (
     configuration: Configuration,
     endpointsPerGroup: number,
 ): readonly EndpointGroup[] =>
@@ -45,11 +49,11 @@
         configuration.endpoints,
         NonEmptyArray.groupBy(endpoint => `${endpoint.dataCentre}/${endpoint.serves}`),
         ReadonlyRecord.toReadonlyArray,
-        ReadonlyArray.chain(([place, endpoints]) => splitPlace(place, endpoints, endpointsPerGroup)),
+        ReadonlyArray.chain(([place, endpoints]) => createPlaceGroups(place, endpoints, endpointsPerGroup)),
     );
 
 /** True when a selector allows an endpoint. */
-export const allowsEndpoint = (selector: Selector, endpoint: Endpoint): boolean =>
+export const isEndpointAllowed = (selector: Selector, endpoint: Endpoint): boolean =>
     endpoint.serves === selector.target.serves
     && (selector.target.versions.length === 0 || selector.target.versions.includes(endpoint.version))
     && matchLabels(selector.target.labels, endpoint.labels);
--- a/packages/wigeonpulley/src/scheduling/index.ts
+++ b/packages/wigeonpulley/src/scheduling/index.ts
@@ -13,7 +13,7 @@
     type SlotRefusal,
     type SlotResult,
 } from "./group-scheduler.js";
-export { allowsEndpoint, type EndpointGroup, formGroups } from "./groups.js";
+export { createGroups, type EndpointGroup, isEndpointAllowed } from "./groups.js";
 export { PREFIX_BLOCK_TOKENS, PrefixIndex } from "./prefix-index.js";
 export { AgedShortestFirstOrder, EarliestDeadlineOrder, type QueueEntry, QueueOrder } from "./queue-order.js";
 export { SchedulerService, type SchedulerServiceOptions } from "./scheduler-service.js";
--- a/packages/wigeonpulley/src/scheduling/scheduler-link.ts
+++ b/packages/wigeonpulley/src/scheduling/scheduler-link.ts
@@ -146,8 +146,8 @@
 
     private async run(): Promise<void> {
         const { peer, transport, timers, heartbeatMs } = this.options;
-        const cancelHeartbeat = timers.subscribe(heartbeatMs, () => this.beat());
-        this.beat();
+        const cancelHeartbeat = timers.subscribe(heartbeatMs, () => this.sendHeartbeat());
+        this.sendHeartbeat();
         let reason = "the stream ended";
         try {
             const messages = transport.openSchedule(peer, this.outgoing, this.abort.signal);
@@ -167,7 +167,7 @@
         lost.forEach(settle => settle(undefined));
     }
 
-    private beat(): void {
+    private sendHeartbeat(): void {
         if (this.options.timers.now() - this.heardAt > this.options.peerTimeoutMs) {
             this.abort.abort();
             return;
--- a/packages/wigeonpulley/src/scheduling/scheduler-service.ts
+++ b/packages/wigeonpulley/src/scheduling/scheduler-service.ts
@@ -22,7 +22,7 @@
 import type { MembershipService } from "../membership/index.js";
 import type { CancelTimer, TimerService } from "../time/index.js";
 import { GroupScheduler, type SlotResult } from "./group-scheduler.js";
-import { type EndpointGroup, formGroups } from "./groups.js";
+import { createGroups, type EndpointGroup } from "./groups.js";
 import type { QueueOrder } from "./queue-order.js";
 
 /** What the service is built from. */
@@ -65,7 +65,7 @@
             this.updateEndpoints();
         });
         options.membership.subscribe(() => {
-            this.handOverGroups();
+            this.releaseGroups();
             this.updateEndpoints();
         });
     }
@@ -79,7 +79,7 @@
     applyConfiguration(configuration: Configuration): void {
         this.configuration = configuration;
         this.selectors = new Map(configuration.selectors.map(selector => [selector.name, selector]));
-        const groups = formGroups(configuration, this.options.endpointsPerGroup);
+        const groups = createGroups(configuration, this.options.endpointsPerGroup);
         this.groups = new Map(groups.map(group => [group.name, group]));
         this.updateEndpoints();
     }
@@ -145,7 +145,7 @@
             if (gateway !== vm) {
                 logger.write("GatewayLost", { vm: gateway });
             }
-            this.schedulers.forEach(scheduler => scheduler.dropGateway(gateway));
+            this.schedulers.forEach(scheduler => scheduler.removeGateway(gateway));
         }
     }
 
@@ -280,7 +280,7 @@
     }
 
     /** Sends the tickets of groups that now belong to another VM back to their gateways. */
-    private handOverGroups(): void {
+    private releaseGroups(): void {
         for (const [group, scheduler] of this.schedulers) {
             const place = this.groups.get(group);
             const owner = place === undefined ? undefined : this.options.membership.findOwner(group, place);
--- a/packages/wigeonpulley/src/scheduling/ticket-client.ts
+++ b/packages/wigeonpulley/src/scheduling/ticket-client.ts
@@ -20,7 +20,7 @@
 import type { TimerService } from "../time/index.js";
 import type { GroupChooser } from "./group-chooser.js";
 import type { SlotRefusal, SlotResult } from "./group-scheduler.js";
-import { allowsEndpoint, type EndpointGroup, formGroups } from "./groups.js";
+import { createGroups, type EndpointGroup, isEndpointAllowed } from "./groups.js";
 import { createRefusalError } from "./refusal-error.js";
 import { RefusalTally } from "./refusal-tally.js";
 import { LocalLink, RemoteLink, type SchedulerLink } from "./scheduler-link.js";
@@ -100,7 +100,7 @@
 
     /** Takes over a configuration. */
     applyConfiguration(configuration: Configuration): void {
-        this.groups = formGroups(configuration, this.options.endpointsPerGroup);
+        this.groups = createGroups(configuration, this.options.endpointsPerGroup);
         this.announceRunning();
     }
 
@@ -166,7 +166,7 @@
     listCandidates(request: Pick<SlotRequest, "match">): readonly EndpointGroup[] {
         const { selector } = request.match;
         return this.groups.filter(group =>
-            group.endpoints.some(endpoint => allowsEndpoint(selector, endpoint))
+            group.endpoints.some(endpoint => isEndpointAllowed(selector, endpoint))
         );
     }
 
--- a/packages/wigeonpulley/src/vm/entry-vm.ts
+++ b/packages/wigeonpulley/src/vm/entry-vm.ts
@@ -17,7 +17,7 @@
 import type { RandomSource } from "../random/index.js";
 import {
     AgedShortestFirstOrder,
-    formGroups,
+    createGroups,
     GroupChooser,
     type QueueOrder,
     SchedulerService,
@@ -260,7 +260,7 @@
 
     private applyConfiguration(configuration: Configuration): void {
         this.callers = new Map(configuration.callers.map(caller => [caller.keyHash, caller]));
-        const groups = formGroups(configuration, this.options.settings.endpointsPerGroup);
+        const groups = createGroups(configuration, this.options.settings.endpointsPerGroup);
         this.groupByEndpoint = new Map(
             groups.flatMap(group => group.endpoints.map(endpoint => [endpoint.name, group.name] as const)),
         );
--- a/packages/wigeonpulley/src/vm/vm-peer-handler.ts
+++ b/packages/wigeonpulley/src/vm/vm-peer-handler.ts
@@ -32,7 +32,7 @@
     }
 
     override exchange(digest: MemberDigest): MemberDigest {
-        return this.options.membership.receiveDigest(digest);
+        return this.options.membership.handleDigest(digest);
     }
 
     override schedule(
--- a/packages/wigeonpulley/test/scheduling/group-scheduler.test.ts
+++ b/packages/wigeonpulley/test/scheduling/group-scheduler.test.ts
@@ -105,7 +105,7 @@
     const fixture = createSchedulerFixture(1);
     void submitTicket(fixture, createTestTicket("running"));
     void submitTicket(fixture, createTestTicket("waiting"));
-    fixture.scheduler.dropGateway("vm-1");
+    fixture.scheduler.removeGateway("vm-1");
     await fixture.timers.advance(1_000);
     expect(fixture.refused).toEqual(["waiting"]);
     expect(fixture.scheduler.countFree()).toBe(0);
