Keep to a subset of groups, and close links that nothing needs

Cause: a gateway opened a link to the owner of every group that it offered a request to; at the target that is most of 400 VMs at 0.1 KB/s each, against a budget of 4 KB/s. Change: each VM uses a stable subset of groups for a selector (groupsPerSelector, 8) and the others only before it refuses, so that the order of tiers still covers all groups; idle links are closed after 30 s. Ruled out: a smaller subset for refusals, too, which would refuse a tier while a lower one waits elsewhere. Shown failing without the subset, without the other groups, and with an idle link taken for a lost one.

--- a/packages/stand-ins/src/peers/model-peer-network.ts
+++ b/packages/stand-ins/src/peers/model-peer-network.ts
@@ -64,6 +64,11 @@
         this.frozen.delete(name);
     }
 
+    /** Number of open streams. */
+    countStreams(): number {
+        return new Set([...this.streams.values()].flatMap(ends => [...ends])).size;
+    }
+
     /** The transport of one VM. */
     createTransport(name: string): PeerTransport {
         return ModelTransport.create(name, this);
--- a/packages/wigeonpulley/src/config/settings.ts
+++ b/packages/wigeonpulley/src/config/settings.ts
@@ -95,6 +95,9 @@
     endpointsPerGroup: countSchema.default(8).describe(
         "Most endpoints that one scheduler handles; the same on every VM.",
     ),
+    groupsPerSelector: countSchema.default(8).describe(
+        "Endpoint groups that this VM uses for a selector until all of them refuse.",
+    ),
     limits: limitsSchema.prefault({}).describe("Limits that protect one VM."),
     timing: timingSchema.prefault({}).describe("Intervals and timeouts."),
     logLevel: z.enum(["error", "warn", "info", "debug"]).default("info").describe(
--- a/packages/wigeonpulley/src/logging/event-catalogue.ts
+++ b/packages/wigeonpulley/src/logging/event-catalogue.ts
@@ -62,7 +62,7 @@
     GatewayLost: defineEvent<{ vm: string; }>(
         304,
         "warn",
-        ({ vm }) => `the gateway on VM ${vm} is gone; its waiting tickets are dropped`,
+        ({ vm }) => `the gateway on VM ${vm} is gone; its tickets are dropped and its slots run out`,
     ),
     RequestDispatched: defineEvent<{ id: string; endpoint: string; tier: string; }>(
         401,
--- a/packages/wigeonpulley/src/scheduling/group-scheduler.ts
+++ b/packages/wigeonpulley/src/scheduling/group-scheduler.ts
@@ -176,19 +176,21 @@
         this.endpoints.get(endpoint)?.forgetBlocks(blocks);
     }
 
-    /** Forgets the waiting tickets of a gateway that is gone and lets its slots run out. */
-    removeGateway(gateway: string): void {
-        for (const waiter of this.waiting.listAll().filter(candidate => candidate.gateway === gateway)) {
-            this.refuse(waiter, RefusalReason.WITHDRAWN);
-        }
+    /**
+     * Forgets the waiting tickets of a gateway that is gone and lets its slots run out.
+     * Returns the number of tickets and slots concerned.
+     */
+    removeGateway(gateway: string): number {
+        const waiters = this.waiting.listAll().filter(waiter => waiter.gateway === gateway);
+        waiters.forEach(waiter => this.refuse(waiter, RefusalReason.WITHDRAWN));
         const now = this.options.timers.now();
-        for (const state of this.endpoints.values()) {
-            for (const slot of state.listSlots()) {
-                if (slot.gateway === gateway) {
-                    slot.expiresAt = Math.max(now, slot.startedAt + slot.expectedMs) + ORPHAN_GRACE_MS;
-                }
-            }
+        const slots = [...this.endpoints.values()]
+            .flatMap(state => [...state.listSlots()])
+            .filter(slot => slot.gateway === gateway);
+        for (const slot of slots) {
+            slot.expiresAt = Math.max(now, slot.startedAt + slot.expectedMs) + ORPHAN_GRACE_MS;
         }
+        return waiters.length + slots.length;
     }
 
     /** Refuses everything that waits and ends the timers. */
--- a/packages/wigeonpulley/src/scheduling/scheduler-link.ts
+++ b/packages/wigeonpulley/src/scheduling/scheduler-link.ts
@@ -34,6 +34,8 @@
     abstract release(release: Release): void;
     /** Sends readings of the pace of streams. */
     abstract observe(observation: Observation): void;
+    /** True while no ticket waits for an answer. */
+    abstract get isIdle(): boolean;
     /** Closes the link. */
     abstract close(): void;
 }
@@ -69,6 +71,10 @@
         this.service.observe(observation);
     }
 
+    override get isIdle(): boolean {
+        return false; // It costs nothing and is never closed.
+    }
+
     override close(): void {
         // Nothing to close within one process.
     }
@@ -135,6 +141,10 @@
         this.send({ case: "observation", value: observation });
     }
 
+    override get isIdle(): boolean {
+        return this.pending.size === 0;
+    }
+
     override close(): void {
         this.abort.abort();
         this.outgoing.close();
--- a/packages/wigeonpulley/src/scheduling/scheduler-service.ts
+++ b/packages/wigeonpulley/src/scheduling/scheduler-service.ts
@@ -114,7 +114,7 @@
         gateway: string,
         incoming: AsyncIterable<GatewayMessage>,
     ): AsyncGenerator<SchedulerMessage, void, undefined> {
-        const { timers, logger, heartbeatMs, peerTimeoutMs, vm } = this.options;
+        const { timers, logger, heartbeatMs, peerTimeoutMs } = this.options;
         const outgoing = MessageQueue.create<SchedulerMessage>();
         let heardAt = timers.now();
         const cancelHeartbeat = timers.subscribe(heartbeatMs, () => {
@@ -142,10 +142,12 @@
         }
         finally {
             cancelHeartbeat();
-            if (gateway !== vm) {
+            const concerned = [...this.schedulers.values()].map(scheduler =>
+                scheduler.removeGateway(gateway)
+            );
+            if (concerned.some(count => count > 0)) {
                 logger.write("GatewayLost", { vm: gateway });
             }
-            this.schedulers.forEach(scheduler => scheduler.removeGateway(gateway));
         }
     }
 
--- a/packages/wigeonpulley/src/scheduling/ticket-client.ts
+++ b/packages/wigeonpulley/src/scheduling/ticket-client.ts
@@ -1,7 +1,7 @@
 /** A gateway's side of scheduling: chooses groups, keeps tickets until they are granted or finally refused. */
 import { create } from "@bufbuild/protobuf";
 import { Err, Ok, type Result } from "ts-results-es";
-import type { Configuration, MatchedRequest } from "../config/index.js";
+import type { Configuration, MatchedRequest, Selector } from "../config/index.js";
 import { SchedulerError } from "../errors/index.js";
 import {
     type Observation,
@@ -17,10 +17,11 @@
 import type { PeerTransport } from "../peers/index.js";
 import type { VmEntry } from "../platform/index.js";
 import type { RandomSource } from "../random/index.js";
-import type { TimerService } from "../time/index.js";
+import type { CancelTimer, TimerService } from "../time/index.js";
 import type { GroupChooser } from "./group-chooser.js";
 import type { SlotRefusal, SlotResult } from "./group-scheduler.js";
-import { createGroups, type EndpointGroup, isEndpointAllowed } from "./groups.js";
+import { findSelectorGroups, type SelectorGroups } from "./group-subset.js";
+import { createGroups, type EndpointGroup } from "./groups.js";
 import { createRefusalError } from "./refusal-error.js";
 import { RefusalTally } from "./refusal-tally.js";
 import { LocalLink, RemoteLink, type SchedulerLink } from "./scheduler-link.js";
@@ -37,6 +38,8 @@
     readonly chooser: GroupChooser;
     readonly random: RandomSource;
     readonly endpointsPerGroup: number;
+    /** Groups that are used for a selector until all of them refuse. */
+    readonly groupsPerSelector: number;
     readonly heartbeatMs: number;
     readonly peerTimeoutMs: number;
 }
@@ -71,6 +74,12 @@
 /** Wait before a ticket whose scheduler was lost is placed again, in milliseconds. */
 const REPLACE_DELAY_MS = 50;
 
+/** Interval of looking for links that are no longer needed, in milliseconds. */
+const IDLE_CHECK_MS = 10_000;
+
+/** Time after which a link that nothing needed is closed, in milliseconds. */
+const LINK_IDLE_MS = 30_000;
+
 /** Largest share by which the time to come back is prolonged at random. */
 const RETRY_SPREAD = 0.5;
 
@@ -81,12 +90,18 @@
 export class TicketClient {
     /** Links by the address of the VM: a replacement with the same name has another one. */
     private readonly links = new Map<string, SchedulerLink>();
+    /** Time at which each link was last needed, by address. */
+    private readonly usedAt = new Map<string, number>();
     private groups: readonly EndpointGroup[] = [];
+    /** Groups by selector; emptied with every configuration. */
+    private readonly groupsBySelector = new Map<string, SelectorGroups>();
+    private readonly cancelIdleCheck: CancelTimer;
     /** Slots in use with the addresses of the VMs that know of them. */
     private readonly running = new Map<string, { readonly slot: Slot; readonly knownBy: Set<string>; }>();
 
     private constructor(private readonly options: TicketClientOptions) {
         this.links.set(options.self.peerUrl, LocalLink.create(options.self.name, options.schedulers));
+        this.cancelIdleCheck = options.timers.subscribe(IDLE_CHECK_MS, () => this.closeIdleLinks());
         options.membership.subscribe(() => {
             this.closeDeadLinks();
             this.announceRunning();
@@ -101,6 +116,7 @@
     /** Takes over a configuration. */
     applyConfiguration(configuration: Configuration): void {
         this.groups = createGroups(configuration, this.options.endpointsPerGroup);
+        this.groupsBySelector.clear();
         this.announceRunning();
     }
 
@@ -114,7 +130,10 @@
         let idleGroup: EndpointGroup | undefined;
         while (!request.signal.aborted) {
             const refusals = tally.listValid();
-            const candidates = this.listCandidates(request).filter(({ name }) => !refusals.has(name));
+            const { preferred, all } = this.findGroups(request.match.selector);
+            const candidates = [preferred, all]
+                .map(groups => groups.filter(({ name }) => !refusals.has(name)))
+                .find(groups => groups.length > 0) ?? [];
             const group = candidates.find(candidate => candidate === idleGroup)
                 ?? this.options.chooser.choose(candidates, request.prefixBlocks);
             idleGroup = undefined;
@@ -162,19 +181,20 @@
         }
     }
 
-    /** Groups with an endpoint that the request may use. */
-    listCandidates(request: Pick<SlotRequest, "match">): readonly EndpointGroup[] {
-        const { selector } = request.match;
-        return this.groups.filter(group =>
-            group.endpoints.some(endpoint => isEndpointAllowed(selector, endpoint))
-        );
-    }
-
     /** Closes all links. */
     close(): void {
+        this.cancelIdleCheck();
         this.links.forEach(link => link.close());
     }
 
+    private findGroups(selector: Selector): SelectorGroups {
+        const { self, groupsPerSelector } = this.options;
+        const known = this.groupsBySelector.get(selector.name)
+            ?? findSelectorGroups(this.groups, selector, self, groupsPerSelector);
+        this.groupsBySelector.set(selector.name, known);
+        return known;
+    }
+
     /** Offers the request to one group; takes it back when one of the others has become idle. */
     private async acquireFrom(
         group: EndpointGroup,
@@ -265,6 +285,7 @@
     }
 
     private findLink(peer: VmEntry): SchedulerLink {
+        this.usedAt.set(peer.peerUrl, this.options.timers.now());
         const known = this.links.get(peer.peerUrl);
         if (known !== undefined) {
             return known;
@@ -308,6 +329,20 @@
         }
     }
 
+    /** Closes links that nothing needed for a while. */
+    private closeIdleLinks(): void {
+        const needed = new Set([...this.running.values()].flatMap(({ knownBy }) => [...knownBy]));
+        const now = this.options.timers.now();
+        for (const [address, link] of this.links) {
+            const idleMs = now - (this.usedAt.get(address) ?? Number.POSITIVE_INFINITY);
+            if (idleMs > LINK_IDLE_MS && link.isIdle && !needed.has(address)) {
+                this.links.delete(address);
+                this.usedAt.delete(address);
+                link.close();
+            }
+        }
+    }
+
     /** Tells the present owners about running requests that they don't know of. */
     private announceRunning(): void {
         for (const { slot, knownBy } of this.running.values()) {
--- a/packages/wigeonpulley/src/vm/entry-vm.ts
+++ b/packages/wigeonpulley/src/vm/entry-vm.ts
@@ -233,6 +233,7 @@
             chooser,
             random,
             endpointsPerGroup: settings.endpointsPerGroup,
+            groupsPerSelector: settings.groupsPerSelector,
             heartbeatMs: settings.timing.heartbeatMs,
             peerTimeoutMs: settings.timing.peerTimeoutMs,
         });
--- /dev/null
+++ b/packages/wigeonpulley/test/scheduling/group-subset.test.ts
@@ -0,0 +1,75 @@
+/** A VM keeps to a stable subset of groups and turns to the others before it refuses. */
+import { expect, test } from "vitest";
+import { createEngineEndpoint, createTestConfiguration } from "../fixtures/test-configuration.js";
+import { createChatRequest, findTestCaller, TestSystem } from "../fixtures/test-system.js";
+
+const GROUPS = 10;
+const SUBSET = 3;
+
+const createSystem = (): Promise<TestSystem> => {
+    const endpoints = Array.from(
+        { length: GROUPS },
+        (unused, index) =>
+            createEngineEndpoint(`engine-${index}`, { concurrency: { initial: 2, maximum: 2 } }),
+    );
+    const selectors = [{ name: "checks", tier: "checks", target: { serves: "grafting-7b" } }];
+    return TestSystem.create({
+        configuration: createTestConfiguration({ endpoints, selectors }),
+        settings: { endpointsPerGroup: 1, groupsPerSelector: SUBSET },
+    });
+};
+
+const countUsedEngines = (system: TestSystem): number =>
+    [...system.endpoints.engines.values()].filter(engine => engine.runs.size > 0).length;
+
+test("a VM without contention uses its subset of groups only", async () => {
+    const system = await createSystem();
+    const { gateway } = system.findVm("vm-1").vm;
+    for (let round = 0; round < 30; round += 1) {
+        void gateway.serve(findTestCaller(system), createChatRequest({}));
+        await system.timers.advance(1_000);
+    }
+    expect(countUsedEngines(system)).toBeLessThanOrEqual(SUBSET);
+    system.close();
+});
+
+test("before a VM refuses a request it has asked every group", async () => {
+    const system = await createSystem();
+    const { gateway } = system.findVm("vm-1").vm;
+    const refused: string[] = [];
+    for (let index = 0; index < 200; index += 1) {
+        void gateway.serve(findTestCaller(system), createChatRequest({ tokens: 100 })).then(served => {
+            if (served.isErr()) {
+                refused.push(served.error.name);
+            }
+        });
+    }
+    await system.timers.advance(60_000);
+    expect(refused.length).toBeGreaterThan(0);
+    expect(countUsedEngines(system)).toBe(GROUPS);
+    system.close();
+});
+
+test("links that nothing needs are closed, and opened again on demand", async () => {
+    const system = await createSystem();
+    const sendFromAll = async (): Promise<number> => {
+        let answered = 0;
+        for (let round = 0; round < 5; round += 1) {
+            system.vms.forEach(({ vm }) => {
+                void vm.gateway.serve(findTestCaller(system), createChatRequest({})).then(served => {
+                    answered += served.isOk() ? 1 : 0;
+                });
+            });
+            await system.timers.advance(1_000);
+        }
+        return answered;
+    };
+    expect(await sendFromAll()).toBe(15);
+    expect(system.network.countStreams()).toBeGreaterThan(0);
+    await system.timers.advance(60_000);
+    expect(system.network.countStreams()).toBe(0);
+    expect(await sendFromAll()).toBe(15);
+    expect(system.sink.events.filter(event => event.name === "LinkLost" || event.name === "MemberDead"))
+        .toEqual([]);
+    system.close();
+});
