Tell the streams of one gateway apart

Cause: a scheduler knew a gateway's tickets and slots by the gateway's name. When a lost stream ended here after the gateway had opened the next one, the new tickets were sent back and the new slots marked as orphans. Ruled out: the order of messages within a stream, which holds. Change: each stream counts as a session of its own.

--- a/packages/wigeonpulley/src/gateway/gateway.ts
+++ b/packages/wigeonpulley/src/gateway/gateway.ts
@@ -63,6 +63,9 @@
 /** Time after which a refused caller may try again when nothing better is known, in milliseconds. */
 const DEFAULT_RETRY_MS = 1_000;
 
+/** Tier under which requests are counted that were refused before they were matched. */
+const NO_TIER = "none";
+
 /** An answer whose first event has arrived. */
 interface StartedAnswer {
     readonly reader: AnswerReader;
@@ -100,6 +103,7 @@
     async serve(caller: Caller, request: CallerRequest): Promise<Result<Answer, SchedulerError>> {
         const call = this.openCall(caller, request);
         if (call.isErr()) {
+            this.options.metrics.countRequest(NO_TIER, call.error.name);
             return call;
         }
         const { id, match, open, displaced } = call.value;
--- a/packages/wigeonpulley/src/scheduling/scheduler-service.ts
+++ b/packages/wigeonpulley/src/scheduling/scheduler-service.ts
@@ -58,6 +58,8 @@
     private readonly reportedVersions = new Map<string, string>();
     private readonly cancelReports: CancelTimer;
     private isStopping = false;
+    /** Streams of gateways served so far. */
+    private sessions = 0;
 
     private constructor(private readonly options: SchedulerServiceOptions) {
         this.cancelReports = options.timers.subscribe(REPORT_INTERVAL_MS, () => {
@@ -116,6 +118,9 @@
     ): AsyncGenerator<SchedulerMessage, void, undefined> {
         const { timers, logger, heartbeatMs, peerTimeoutMs } = this.options;
         const outgoing = MessageQueue.create<SchedulerMessage>();
+        // A gateway may open its next stream before the end of the last one is noticed here.
+        this.sessions += 1;
+        const session = `${gateway} ${this.sessions}`;
         let heardAt = timers.now();
         const cancelHeartbeat = timers.subscribe(heartbeatMs, () => {
             const value = create(HeartbeatSchema, { loads: [...this.listLoads()] });
@@ -128,7 +133,7 @@
             try {
                 for await (const message of incoming) {
                     heardAt = timers.now();
-                    this.handleMessage(message, gateway, outgoing);
+                    this.handleMessage(message, session, outgoing);
                 }
             }
             catch {
@@ -143,7 +148,7 @@
         finally {
             cancelHeartbeat();
             const concerned = [...this.schedulers.values()].map(scheduler =>
-                scheduler.removeGateway(gateway)
+                scheduler.removeGateway(session)
             );
             if (concerned.some(count => count > 0)) {
                 logger.write("GatewayLost", { vm: gateway });
