Wait for the outcome of orders before a shutdown ends; tell of answers not kept

Cause: an order counted as finished before its outcome was in the log. A VM that stopped while the log was out left the claim without an outcome, and the repeat was answered as unknown. Ruled out: the retries of the append, which go on until the process ends. And a repeat of an order with an answer of more than 4,096 characters got an empty body with status 200. Change: the request stays open until its outcome or release is recorded; such a repeat gets AnswerNotKept.

--- a/packages/wigeonpulley/src/claims/claim-service.ts
+++ b/packages/wigeonpulley/src/claims/claim-service.ts
@@ -77,7 +77,7 @@
 
     /**
      * Claims a key for a request, waiting for the log until `giveUpAt` (monotonic, in milliseconds).
-     * Fails with KeyReused, KeyInProgress, OutcomeUnknown or LogUnavailable; the request was not dispatched by this try.
+     * Fails with KeyReused, KeyInProgress, OutcomeUnknown, AnswerNotKept or LogUnavailable; this try dispatched nothing.
      */
     async claim(
         key: string,
@@ -226,7 +226,9 @@
             return Err(SchedulerError.create("KeyReused", {}));
         }
         if (holder.answer !== undefined) {
-            return Ok({ kind: "repeat", answer: holder.answer });
+            return holder.answer.isComplete
+                ? Ok({ kind: "repeat", answer: holder.answer })
+                : Err(SchedulerError.create("AnswerNotKept", {}));
         }
         const { vm, incarnation } = holder.claimant;
         const own = this.createClaimant();
--- a/packages/wigeonpulley/src/errors/error-catalogue.ts
+++ b/packages/wigeonpulley/src/errors/error-catalogue.ts
@@ -179,6 +179,13 @@
         status: 409,
         notRun: false,
     }),
+    AnswerNotKept: defineError<Record<never, never>>({
+        title: "The request ran before, and its answer was not kept.",
+        message: () => "The request with this Idempotency-Key ran once; its answer was too long to keep.",
+        hint: "Read the result from the service; do not use a new key for the same operation.",
+        status: 409,
+        notRun: false,
+    }),
     ResumeTokenInvalid: defineError<Record<never, never>>({
         title: "The Last-Event-ID is not valid.",
         message: () => "The Last-Event-ID is forged, expired, or belongs to another caller.",
--- a/packages/wigeonpulley/src/gateway/gateway.ts
+++ b/packages/wigeonpulley/src/gateway/gateway.ts
@@ -106,14 +106,13 @@
             this.options.metrics.countRequest(NO_TIER, call.error.name);
             return call;
         }
-        const { id, match, open, displaced } = call.value;
+        const { id, match, displaced } = call.value;
         const answer = call.value.request.kind === "engine"
             ? await this.serveEngine(call.value as MatchedCall<EngineRequest>)
             : await this.services.serve(call.value as MatchedCall<ServiceRequest>);
         if (answer.isOk()) {
             return answer;
         }
-        open.leave();
         const error = displaced.aborted && answer.error.name === "RequestCancelled"
             ? SchedulerError.create("Overloaded", { tier: match.tier.name }, {
                 retryAfterMs: DEFAULT_RETRY_MS,
@@ -223,6 +222,7 @@
             },
         );
         if (placed.isErr()) {
+            open.leave();
             return placed;
         }
         const { slot, endpoint, answer: started, dispatchedAt } = placed.value;
--- a/packages/wigeonpulley/src/gateway/service-requests.ts
+++ b/packages/wigeonpulley/src/gateway/service-requests.ts
@@ -37,7 +37,10 @@
         return new ServiceRequests(options);
     }
 
-    /** Serves a request. One that is not idempotent is claimed first and repeated answers come from the log. */
+    /**
+     * Serves a request. One that is not idempotent is claimed first, and repeated answers come from the log.
+     * Leaves the open request in every case.
+     */
     async serve(call: MatchedCall<ServiceRequest>): Promise<Result<WholeAnswer, SchedulerError>> {
         const { id, caller, request, match, open } = call;
         if (match.selector.idempotent || request.idempotencyKey === undefined) {
@@ -51,6 +54,7 @@
         );
         const decision = await this.options.claims.claim(key, digest, call.deadlineAt);
         if (decision.isErr()) {
+            open.leave();
             return decision;
         }
         if (decision.value.kind === "repeat") {
@@ -58,24 +62,23 @@
             return Ok({ kind: "whole", requestId: id, ...decision.value.answer });
         }
         const answer = await this.runService(call);
-        this.recordOutcome(decision.value.claim, answer);
-        open.leave();
+        // The request stays open until its outcome is recorded, so that a shutdown waits for the log.
+        void this.recordOutcome(decision.value.claim, answer).finally(open.leave);
         return answer;
     }
 
-    /** Writes to the log what became of a claimed request; goes on in the background. */
-    private recordOutcome(claim: ClaimHandle, answer: Result<WholeAnswer, SchedulerError>): void {
+    /** Writes to the log what became of a claimed request. */
+    private recordOutcome(claim: ClaimHandle, answer: Result<WholeAnswer, SchedulerError>): Promise<void> {
         const { claims } = this.options;
-        if (answer.isErr() && answer.error.entry.notRun) {
-            void claims.release(claim);
-        }
-        else if (answer.isErr()) {
-            const problem = createProblemBody(SchedulerError.create("OutcomeUnknown", {}));
-            void claims.complete(claim, problem.status, "application/problem+json", JSON.stringify(problem));
+        if (answer.isOk()) {
+            const { status, contentType, body } = answer.value;
+            return claims.complete(claim, status, contentType, body);
         }
-        else {
-            void claims.complete(claim, answer.value.status, answer.value.contentType, answer.value.body);
+        if (answer.error.entry.notRun) {
+            return claims.release(claim);
         }
+        const problem = createProblemBody(SchedulerError.create("OutcomeUnknown", {}));
+        return claims.complete(claim, problem.status, "application/problem+json", JSON.stringify(problem));
     }
 
     private async runService(
--- a/packages/wigeonpulley/test/gateway/once-only.test.ts
+++ b/packages/wigeonpulley/test/gateway/once-only.test.ts
@@ -193,3 +193,30 @@
     expect(system.findService("orders-1").runsByKey.get("order-1")).toBe(1);
     system.close();
 });
+
+plainTest("a VM that stops has recorded the outcome of its orders", async () => {
+    const system = await TestSystem.create({ settings: { timing: { balancerDelayMs: 10 } } });
+    const first = await serveRequest(system, "vm-1", createOrderRequest("order-1"));
+    system.platform.isLogOut = true;
+    const stopped = system.findVm("vm-1").vm.stop();
+    system.timers.schedule(5_000, () => {
+        system.platform.isLogOut = false;
+    });
+    await system.timers.runUntil(stopped, RUN_MS);
+    system.killVm("vm-1");
+    const repeat = await serveRequest(system, "vm-2", createOrderRequest("order-1"));
+    expect(repeat.unwrap()).toMatchObject({ body: (first.unwrap() as { body: string; }).body });
+    system.close();
+});
+
+plainTest("the repeat of an order whose answer was too long to keep is told so", async () => {
+    const system = await TestSystem.create();
+    const request = { ...createOrderRequest("order-1"), path: `/place?note=${"x".repeat(5_000)}` };
+    const first = await serveRequest(system, "vm-1", request);
+    expect(first.isOk()).toBe(true);
+    await system.timers.advance(1_000);
+    const repeat = await serveRequest(system, "vm-2", request);
+    expect(repeat.isErr() && repeat.error.name).toBe("AnswerNotKept");
+    expectKeysOnce(system);
+    system.close();
+});
