Log when an endpoint's state changes

Cause: the catalogue had the event, and nothing wrote it. Change: the scheduler of an endpoint's group writes it when the endpoint becomes ready, leaving, silent, under maintenance or of another version.

--- a/packages/wigeonpulley/src/scheduling/scheduler-service.ts
+++ b/packages/wigeonpulley/src/scheduling/scheduler-service.ts
@@ -56,6 +56,8 @@
     /** Reports in a row that each endpoint missed, and the version it last reported. */
     private readonly missedReports = new Map<string, number>();
     private readonly reportedVersions = new Map<string, string>();
+    /** State of each endpoint that was last logged. */
+    private readonly loggedStates = new Map<string, string>();
     private readonly cancelReports: CancelTimer;
     private isStopping = false;
     /** Streams of gateways served so far. */
@@ -246,10 +248,20 @@
     private updateGroup(group: string, scheduler: GroupScheduler): void {
         scheduler.updateEndpoints(
             this.groups.get(group)?.endpoints ?? [],
-            endpoint => this.readEndpointState(endpoint) === "ready",
+            endpoint => this.noteEndpointState(endpoint) === "ready",
         );
     }
 
+    /** Reads the state of an endpoint and logs it when it has changed. */
+    private noteEndpointState(endpoint: Endpoint): string {
+        const state = this.readEndpointState(endpoint);
+        if (state !== (this.loggedStates.get(endpoint.name) ?? "ready")) {
+            this.options.logger.write("EndpointStateChanged", { endpoint: endpoint.name, state });
+        }
+        this.loggedStates.set(endpoint.name, state);
+        return state;
+    }
+
     /** Whether an endpoint gets new work, and why not. */
     readEndpointState(endpoint: Endpoint): "ready" | "leaving" | "maintenance" | "silent" | "other version" {
         const { membership, timers } = this.options;
--- a/packages/wigeonpulley/test/scheduling/leaving.test.ts
+++ b/packages/wigeonpulley/test/scheduling/leaving.test.ts
@@ -42,6 +42,8 @@
     await system.timers.advance(20_000);
     expect(before).toBeGreaterThan(0);
     expect(system.findEngine("engine-1").runs.size).toBe(before);
+    const states = system.sink.events.filter(event => event.name === "EndpointStateChanged");
+    expect(states.map(event => event.details)).toContainEqual({ endpoint: "engine-1", state: "leaving" });
     await system.timers.advance(BACKLOG_MS);
     answers.forEach(answer => expectWholeAnswer(answer, TOKENS));
     system.close();
