Bound the tries at an answer that is always cut; let the last VM finish its queue

Cause, found by reading: an engine whose new connections ended at once was asked again without pause or end, since only failed resumptions counted; and a leaving VM that knew no other found no owner for its groups, so that waiting requests were placed again every 50 ms until the shutdown's limit. Change: a reopened connection that is lost before its first event counts as a failed try (silence does not, it may mean a long prompt); a VM without live peers stays the owner until it ends; a ticket whose scheduler can't be found past its deadline is refused. Both tests fail without the change: the first had not ended after 120 s of virtual time, the second hit the limit.

--- a/packages/wigeonpulley/src/claims/claim-service.ts
+++ b/packages/wigeonpulley/src/claims/claim-service.ts
@@ -253,7 +253,7 @@
     ): Promise<Result<number, SchedulerError>> {
         const { self, membership, transport } = this.options;
         const owner = membership.findOwner(`claims/${partition}`, { dataCentre: "", region: "" });
-        if (owner === undefined || owner.name === self.name) {
+        if (owner.name === self.name) {
             return this.findAppender(partition).append(record);
         }
         const request = create(ClaimRequestSchema, { partition, recordJson: JSON.stringify(record) });
--- a/packages/wigeonpulley/src/gateway/answer-reader.ts
+++ b/packages/wigeonpulley/src/gateway/answer-reader.ts
@@ -68,6 +68,7 @@
      * Fails with EndpointFailed or ResumeUnavailable.
      */
     async read(): Promise<Result<EngineEvent | undefined | typeof NEVER_RAN, SchedulerError>> {
+        let hasReopened = false;
         for (let failures = 0; failures < RESUME_TRIES;) {
             if (this.isDone) {
                 return Ok(undefined);
@@ -78,10 +79,17 @@
                 this.isDone = item.data === END_OF_STREAM;
                 return Ok(item);
             }
+            if (hasReopened && item !== "silent") {
+                // The new connection gave nothing either. Silence alone may mean a long prompt or a long queue.
+                failures += 1;
+                await this.options.timers.sleep(RESUME_INTERVAL_MS);
+            }
             switch (await this.reopen()) {
                 case "open":
+                    hasReopened = true;
                     break;
                 case "failed":
+                    hasReopened = false;
                     failures += 1;
                     await this.options.timers.sleep(RESUME_INTERVAL_MS);
                     break;
--- a/packages/wigeonpulley/src/membership/membership-service.ts
+++ b/packages/wigeonpulley/src/membership/membership-service.ts
@@ -69,7 +69,7 @@
     private liveNames = "";
     /** Derived from the live members; emptied whenever they change. */
     private liveCache: readonly VmEntry[] | undefined;
-    private readonly ownerCache = new Map<string, VmEntry | undefined>();
+    private readonly ownerCache = new Map<string, VmEntry>();
 
     private constructor(private readonly options: MembershipOptions) {
         this.incarnation = BigInt(Math.floor(options.timers.readWallClock()));
@@ -162,17 +162,12 @@
 
     /**
      * The VM that owns a key: picked among the live VMs of the data centre, else of the region, else of all.
-     * Undefined only while this VM is leaving and knows no other.
+     * A VM that is leaving and knows no other stays the owner until it ends.
      */
-    findOwner(key: string, place: OwnerPlace): VmEntry | undefined {
-        if (!this.ownerCache.has(key)) {
-            const live = this.listLive();
-            const near = live.filter(vm => vm.dataCentre === place.dataCentre);
-            const regional = live.filter(vm => vm.region === place.region);
-            const candidates = [near, regional, live].find(list => list.length > 0) ?? [];
-            this.ownerCache.set(key, pickByRendezvous(key, candidates, vm => vm.name));
-        }
-        return this.ownerCache.get(key);
+    findOwner(key: string, place: OwnerPlace): VmEntry {
+        const known = this.ownerCache.get(key) ?? this.pickOwner(key, place);
+        this.ownerCache.set(key, known);
+        return known;
     }
 
     /** True when the endpoint stands on the platform's list of leaving VMs. */
@@ -195,6 +190,14 @@
         return this.createDigest();
     }
 
+    private pickOwner(key: string, place: OwnerPlace): VmEntry {
+        const live = this.listLive();
+        const near = live.filter(vm => vm.dataCentre === place.dataCentre);
+        const regional = live.filter(vm => vm.region === place.region);
+        const candidates = [near, regional, live].find(list => list.length > 0) ?? [];
+        return pickByRendezvous(key, candidates, vm => vm.name) ?? this.options.self;
+    }
+
     private callMembers(): void {
         this.updateConfiguration();
         this.notifyIfChanged();
--- a/packages/wigeonpulley/src/scheduling/ticket-client.ts
+++ b/packages/wigeonpulley/src/scheduling/ticket-client.ts
@@ -147,6 +147,9 @@
             }
             const refusal = result?.isErr() === true ? result.error : undefined;
             if (refusal === undefined || isTransient(refusal.reason)) {
+                if (this.isPastDeadline(request)) {
+                    return Err(this.createFinalRefusal(request, []));
+                }
                 await this.options.timers.sleep(REPLACE_DELAY_MS, request.signal);
             }
             else if (refusal.reason === RefusalReason.WITHDRAWN) {
@@ -224,6 +227,10 @@
         }
     }
 
+    private isPastDeadline({ match, deadlineAt }: SlotRequest): boolean {
+        return !match.tier.durable && this.options.timers.now() > deadlineAt;
+    }
+
     private acceptGrant(
         group: EndpointGroup,
         request: SlotRequest,
--- a/packages/wigeonpulley/src/vm/entry-vm.ts
+++ b/packages/wigeonpulley/src/vm/entry-vm.ts
@@ -86,7 +86,7 @@
             pollMs: timing.logPollMs,
             fetchFromPeer: known => this.fetchFromPeer(known),
             isRepeater: () =>
-                this.membership.findOwner("configuration", { dataCentre: "", region: "" })?.name === name,
+                this.membership.findOwner("configuration", { dataCentre: "", region: "" }).name === name,
         });
         this.follower.subscribe(({ configuration }) => this.applyConfiguration(configuration));
         this.gateway = this.createGateway();
--- a/packages/wigeonpulley/test/gateway/dispatch.test.ts
+++ b/packages/wigeonpulley/test/gateway/dispatch.test.ts
@@ -1,7 +1,7 @@
 /** Dispatch at most once, true refusals and whole answers, with faults on every connection and killed VMs. */
 import { fc, test } from "@fast-check/vitest";
 import type { EndpointFault } from "@wigeonpulley/stand-ins";
-import { expect } from "vitest";
+import { expect, test as plainTest } from "vitest";
 import { expectDispatchedOnce, expectTrueRefusals, expectWholeAnswer } from "../fixtures/judges.js";
 import { SYSTEM_PROPERTY } from "../fixtures/properties.js";
 import {
@@ -9,6 +9,7 @@
     type CollectedAnswer,
     createChatRequest,
     findTestCaller,
+    serveRequest,
     TestSystem,
 } from "../fixtures/test-system.js";
 
@@ -86,3 +87,17 @@
     );
     system.close();
 });
+
+plainTest("an answer whose connections are cut at once, again and again, ends with an error", async () => {
+    const system = await TestSystem.create();
+    let resumptions = 0;
+    system.endpoints.chooseFault = operation => {
+        resumptions += operation === "resume" ? 1 : 0;
+        return operation === "report" ? { kind: "none" } : { kind: "cut", afterEvents: 0 };
+    };
+    const served = await serveRequest(system, "vm-1", createChatRequest({ tokens: TOKENS }));
+    expect(served.isErr() && served.error.name).toBe("EndpointFailed");
+    expect(resumptions).toBeLessThan(20);
+    expectDispatchedOnce(system);
+    system.close();
+});
--- a/packages/wigeonpulley/test/gateway/stopping.test.ts
+++ b/packages/wigeonpulley/test/gateway/stopping.test.ts
@@ -71,3 +71,21 @@
     expect(system.sink.events.some(event => event.name === "StopLimitReached")).toBe(true);
     system.close();
 });
+
+plainTest("the last VM serves what waits on it before it ends", async () => {
+    const system = await TestSystem.create({ vmCount: 1 });
+    const { vm } = system.findVm("vm-1");
+    const answers: CollectedAnswer[] = [];
+    for (let index = 0; index < 60; index += 1) {
+        const request = createChatRequest({ kind: "quote", tokens: TOKENS });
+        void vm.gateway.serve(findTestCaller(system), request).then(served =>
+            answers.push(collectAnswer(served.unwrap()))
+        );
+    }
+    await system.timers.advance(50);
+    expect(await system.timers.runUntil(vm.stop(), RUN_MS)).toBe(true);
+    await system.timers.settle();
+    expect(answers).toHaveLength(60);
+    answers.forEach(answer => expectWholeAnswer(answer, TOKENS));
+    system.close();
+});
