--- /dev/null
+++ b/packages/wigeonpulley/src/discovery/instance-directory.ts
@@ -0,0 +1,144 @@
+/**
+ * The instances that can be used at this moment. Entries that went missing while the platform's store was out are kept
+ * for a short time after its return, because live instances then register anew.
+ */
+import type { EventLogger } from "../logging/index.js";
+import type { CancelTimer, TimerService } from "../time/index.js";
+import { type Instance, isSameIncarnation } from "./instance.js";
+
+/** A change of one entry; `instance` is undefined when the entry names no instance to use. */
+export interface InstanceChange {
+    readonly id: string;
+    readonly instance: Instance | undefined;
+}
+
+/** Called when the usable instances changed. */
+export type DirectoryListener = () => void;
+
+/** Time after the return of the store in which live instances register anew, in milliseconds (PROTOCOL: about 2 s). */
+const REGISTER_GRACE_MS = 2_200;
+
+/** Known instances. */
+export class InstanceDirectory {
+    private readonly instances = new Map<string, Instance>();
+    private readonly doubtful = new Map<string, CancelTimer>();
+    private readonly listeners: DirectoryListener[] = [];
+    private storeLostAt: number | undefined;
+    private storeBackAt = Number.NEGATIVE_INFINITY;
+    private isListed = false;
+    private revision = 0;
+
+    private constructor(private readonly timers: TimerService, private readonly logger: EventLogger) {}
+
+    /** Creates an empty directory. */
+    static create(timers: TimerService, logger: EventLogger): InstanceDirectory {
+        return new InstanceDirectory(timers, logger);
+    }
+
+    /** Calls back when an instance came, went or changed. */
+    subscribe(listener: DirectoryListener): void {
+        this.listeners.push(listener);
+    }
+
+    /** True once a whole list has been read. */
+    get isKnown(): boolean {
+        return this.isListed;
+    }
+
+    /** Changes whenever an instance came, went or changed. */
+    get currentRevision(): number {
+        return this.revision;
+    }
+
+    /** All known instances, those that are leaving included. */
+    list(): readonly Instance[] {
+        return [...this.instances.values()];
+    }
+
+    /** An instance by its id. */
+    find(id: string): Instance | undefined {
+        return this.instances.get(id);
+    }
+
+    /** True when the instance is known in this incarnation and may get new work. */
+    isUsable(instance: Instance): boolean {
+        const known = this.instances.get(instance.id);
+        return known !== undefined && known.state === "ready" && isSameIncarnation(known, instance);
+    }
+
+    /** Takes a whole list over; an entry that is missing from it is gone. */
+    applyList(changes: readonly InstanceChange[]): void {
+        const listed = new Map(changes.map(change => [change.id, change]));
+        this.isListed = true;
+        for (const id of this.instances.keys()) {
+            if (!listed.has(id)) {
+                this.applyOne({ id, instance: undefined });
+            }
+        }
+        changes.forEach(change => this.applyOne(change));
+        this.notify();
+    }
+
+    /** Takes single changes over, in their order. */
+    applyChanges(changes: readonly InstanceChange[]): void {
+        changes.forEach(change => this.applyOne(change));
+        this.notify();
+    }
+
+    /** Notes that the store does not answer. */
+    noteStoreLost(): void {
+        this.storeLostAt ??= this.timers.now();
+    }
+
+    /** Notes that the store answers. */
+    noteStoreBack(): void {
+        if (this.storeLostAt !== undefined) {
+            this.storeLostAt = undefined;
+            this.storeBackAt = this.timers.now();
+        }
+    }
+
+    private applyOne({ id, instance }: InstanceChange): void {
+        const before = this.instances.get(id);
+        if (instance !== undefined) {
+            this.keep(instance, before);
+        }
+        else if (before !== undefined && !this.doubtful.has(id)) {
+            const wait = this.storeBackAt + REGISTER_GRACE_MS - this.timers.now();
+            if (wait > 0) {
+                this.doubtful.set(id, this.timers.schedule(wait, () => this.remove(id)));
+            }
+            else {
+                this.remove(id);
+            }
+        }
+    }
+
+    private keep(instance: Instance, before: Instance | undefined): void {
+        this.doubtful.get(instance.id)?.();
+        this.doubtful.delete(instance.id);
+        this.instances.set(instance.id, instance);
+        if (before === undefined || before.state !== instance.state || !isSameIncarnation(before, instance)) {
+            this.revision += 1;
+            this.logger.write("InstanceSeen", {
+                instance: instance.id,
+                service: instance.service,
+                address: `${instance.host}:${instance.port}`,
+                state: instance.state,
+                version: instance.version,
+            });
+        }
+    }
+
+    private remove(id: string): void {
+        this.doubtful.delete(id);
+        this.instances.delete(id);
+        this.revision += 1;
+        this.logger.write("InstanceGone", { instance: id });
+        this.notify();
+    }
+
+    private notify(): void {
+        this.listeners.forEach(listener => listener());
+    }
+}
--- /dev/null
+++ b/packages/wigeonpulley/src/forwarding/endpoint-transport.ts
@@ -0,0 +1,60 @@
+/** How a request gets to an instance: one exchange on one connection. */
+import type { Instance } from "../discovery/index.js";
+import type { ParsedHeaders } from "./header-codec.js";
+
+/** A request as the endpoint gets it. */
+export interface OutgoingRequest {
+    readonly method: string;
+    /** Path with query, byte for byte as the caller sent it. */
+    readonly path: string;
+    /** Names and values by turns. */
+    readonly headers: readonly string[];
+    readonly body: Buffer | undefined;
+    /** True when a second run does harm: the request takes no connection that may have gone stale. */
+    readonly isOnce: boolean;
+}
+
+/** Status and headers of an answer. */
+export interface AnswerHead {
+    readonly status: number;
+    readonly statusText: string;
+    readonly headers: ParsedHeaders;
+}
+
+/** Why an exchange failed. */
+export interface ExchangeFailure {
+    /** False when the request provably never left this VM. */
+    readonly mayHaveRun: boolean;
+    readonly reason: string;
+}
+
+/** One request on one connection. */
+export abstract class EndpointExchange {
+    /** Resolves with the head, or with the failure. */
+    abstract readHead(): Promise<AnswerHead | ExchangeFailure>;
+
+    /** The next bytes of the body, `undefined` at its end, or the failure. */
+    abstract readChunk(): Promise<Buffer | undefined | ExchangeFailure>;
+
+    /** True while bytes are at hand, so that `readChunk` does not wait. */
+    abstract get hasChunk(): boolean;
+
+    /** Ends the exchange; the endpoint sees its connection close. */
+    abstract abort(reason: string): void;
+}
+
+/** Connections to instances. */
+export abstract class EndpointTransport {
+    /** Begins an exchange. */
+    abstract send(instance: Instance, request: OutgoingRequest): EndpointExchange;
+
+    /** Closes idle connections to an instance. */
+    abstract closeIdle(instanceId: string): void;
+
+    /** Closes all connections. */
+    abstract close(): void;
+}
+
+/** True for the failure of an exchange. */
+export const isExchangeFailure = (value: unknown): value is ExchangeFailure =>
+    value instanceof Object && "mayHaveRun" in value;
--- /dev/null
+++ b/packages/wigeonpulley/src/forwarding/forwarder.ts
@@ -0,0 +1,207 @@
+/**
+ * Serves one request from its last byte to the last byte of its answer: waits for an instance, sends the request, passes
+ * the answer back, and decides whether it may be sent again.
+ */
+import { SchedulerError } from "../errors/index.js";
+import type { EventLogger } from "../logging/index.js";
+import type { Placement, PlacementService } from "../placement/index.js";
+import type { TimerService } from "../time/index.js";
+import type { RepeatAllowance } from "./allowances.js";
+import type { AnswerWriter } from "./answer-writer.js";
+import { Attempt, type AttemptOutcome } from "./attempt.js";
+import type { EndpointTransport } from "./endpoint-transport.js";
+import type { HeaderCodec } from "./header-codec.js";
+import { type EndReason } from "./request-lifetime.js";
+import { computePatienceMs, computeRank, isRepeatable, type RoutedRequest } from "./routed-request.js";
+import { StreamRelay } from "./stream-relay.js";
+
+/** What the forwarder is built from. */
+export interface ForwarderOptions {
+    readonly timers: TimerService;
+    readonly logger: EventLogger;
+    readonly codec: HeaderCodec;
+    readonly transport: EndpointTransport;
+    readonly placement: PlacementService;
+    readonly repeats: RepeatAllowance;
+}
+
+/** How a request ended. */
+export interface ForwardSummary {
+    /** Status sent to the caller; 0 when the connection was cut. */
+    readonly status: number;
+    readonly outcome: string;
+    readonly instance: string;
+    /** Endpoints that the request was sent to. */
+    readonly sends: number;
+    /** Time until the first endpoint was chosen, in milliseconds. */
+    readonly waitedMs: number;
+    /** True when an endpoint may have run the request. */
+    readonly mayHaveRun: boolean;
+}
+
+/** Share of the caller's patience for which a request may wait before it is told to come back. */
+const WAIT_SHARE = 0.45;
+/** Sends that endpoints refused unread and that do not count as attempts; bounds the work for one request. */
+const MOST_REFUSED_SENDS = 2;
+
+/** Progress of one request. */
+interface Progress {
+    readonly relay: StreamRelay;
+    readonly excluded: Set<string>;
+    /** Sends that an endpoint may have run. */
+    attempts: number;
+    refusedSends: number;
+    waitedMs: number | undefined;
+    instance: string;
+}
+
+/** Forwards requests. */
+export class Forwarder {
+    private constructor(private readonly options: ForwarderOptions) {}
+
+    /** Creates a forwarder. */
+    static create(options: ForwarderOptions): Forwarder {
+        return new Forwarder(options);
+    }
+
+    /** Serves a request; resolves when its answer is complete or cut. */
+    async serve(request: RoutedRequest, writer: AnswerWriter): Promise<ForwardSummary> {
+        this.options.repeats.noteRequest(request.service);
+        const progress: Progress = {
+            relay: StreamRelay.create(writer),
+            excluded: new Set(),
+            attempts: 0,
+            refusedSends: 0,
+            waitedMs: undefined,
+            instance: "",
+        };
+        for (;;) {
+            const placement = await this.acquire(request, progress);
+            if (placement instanceof SchedulerError) {
+                return this.finishWithError(writer, progress, this.explain(request, progress, placement));
+            }
+            const outcome = await this.send(request, writer, progress, placement);
+            const end = this.judge(request, writer, progress, outcome);
+            if (end !== undefined) {
+                return end;
+            }
+        }
+    }
+
+    private async acquire(request: RoutedRequest, progress: Progress): Promise<Placement | SchedulerError> {
+        const { timers, placement } = this.options;
+        const { facts, route, workspace, lifetime } = request;
+        const patienceMs = Math.min(computePatienceMs(request), lifetime.leftMs);
+        const placed = await placement.acquire({
+            requestId: facts.attemptId,
+            service: request.service,
+            rank: computeRank(route, workspace),
+            isEngine: request.isEngine,
+            promptTokens: facts.tokens?.prompt ?? 0,
+            prompt: facts.promptParts,
+            waitUntil: Math.max(request.arrivedAt, progress.attempts === 0 ? 0 : timers.now())
+                + patienceMs * WAIT_SHARE,
+            excluded: progress.excluded,
+        }, { subscribe: listener => lifetime.subscribe(listener) });
+        progress.waitedMs ??= timers.now() - request.arrivedAt;
+        return placed.isOk() ? placed.value : placed.error;
+    }
+
+    private send(
+        request: RoutedRequest,
+        writer: AnswerWriter,
+        progress: Progress,
+        placement: Placement,
+    ): Promise<AttemptOutcome> {
+        progress.instance = placement.instance.id;
+        progress.excluded.add(placement.instance.id);
+        return Attempt.create({ ...this.options, request, writer, relay: progress.relay, placement }).run();
+    }
+
+    /** Decides what follows an attempt: the end of the request, or another attempt when it returns undefined. */
+    private judge(
+        request: RoutedRequest,
+        writer: AnswerWriter,
+        progress: Progress,
+        outcome: AttemptOutcome,
+    ): ForwardSummary | undefined {
+        if (outcome.kind === "answered") {
+            progress.attempts += 1;
+            return this.summarize(progress, outcome.status, "answered", true);
+        }
+        const isNotRun = outcome.kind === "not-run";
+        progress.attempts += isNotRun ? 0 : 1;
+        progress.refusedSends += isNotRun ? 1 : 0;
+        const { endReason } = request.lifetime;
+        if (endReason !== undefined) {
+            return this.finishWithError(writer, progress, this.createEndError(endReason, progress));
+        }
+        const mayGoOn = isNotRun
+            ? progress.refusedSends <= MOST_REFUSED_SENDS
+            : isRepeatable(request.route) && progress.attempts < request.route.maxAttempts;
+        if (mayGoOn && this.options.repeats.tryRepeat(request.service)) {
+            this.options.logger.write("RequestRepeated", {
+                id: request.facts.attemptId,
+                instance: progress.instance,
+                reason: outcome.reason,
+                attempts: progress.attempts,
+                lastEventId: progress.relay.lastEventId ?? "",
+            });
+            return undefined;
+        }
+        if (outcome.kind === "failed" && outcome.passOn !== undefined && !writer.hasStarted) {
+            outcome.passOn();
+            return this.summarize(progress, outcome.status, outcome.reason, true);
+        }
+        return this.finishWithError(writer, progress, this.createFailure(progress, outcome.reason));
+    }
+
+    private createFailure(progress: Progress, reason: string): SchedulerError {
+        const endpoint = progress.instance;
+        const retryAfterMs = this.options.placement.pickRetryAfterMs();
+        return progress.attempts === 0
+            ? SchedulerError.create("EndpointUnreachable", { endpoint, reason }, { retryAfterMs })
+            : SchedulerError.create("EndpointFailed", { endpoint, reason });
+    }
+
+    /** A request that was sent before can't be refused as not run any more. */
+    private explain(request: RoutedRequest, progress: Progress, error: SchedulerError): SchedulerError {
+        const { endReason } = request.lifetime;
+        if (endReason !== undefined) {
+            return this.createEndError(endReason, progress);
+        }
+        return progress.attempts === 0 || isRepeatable(request.route) && !progress.relay.eventCount
+            ? error
+            : this.createFailure(progress, error.message);
+    }
+
+    private createEndError(reason: EndReason, progress: Progress): SchedulerError {
+        if (reason === "caller-gone") {
+            return SchedulerError.create("RequestCancelled", {});
+        }
+        const retryAfterMs = this.options.placement.pickRetryAfterMs();
+        if (progress.attempts > 0) {
+            return SchedulerError.create("DeadlineExceeded", {});
+        }
+        return reason === "shutdown"
+            ? SchedulerError.create("Stopping", {}, { retryAfterMs })
+            : SchedulerError.create("Overloaded", { tier: "any" }, { retryAfterMs });
+    }
+
+    private finishWithError(writer: AnswerWriter, progress: Progress, error: SchedulerError): ForwardSummary {
+        const status = writer.hasStarted ? 0 : error.entry.status;
+        writer.sendError(error);
+        return this.summarize(progress, status, error.name, progress.attempts > 0);
+    }
+
+    private summarize(progress: Progress, status: number, outcome: string, mayHaveRun: boolean): ForwardSummary {
+        return {
+            status,
+            outcome,
+            instance: progress.instance,
+            sends: progress.attempts + progress.refusedSends,
+            waitedMs: Math.round(progress.waitedMs ?? 0),
+            mayHaveRun,
+        };
+    }
+}
--- /dev/null
+++ b/packages/wigeonpulley/src/forwarding/front-server.ts
@@ -0,0 +1,300 @@
+/**
+ * The address for callers of routed traffic. Takes a request apart, admits or refuses it, and hands it to the forwarder.
+ * It stands on node:http directly: any method, path and framing has to pass byte for byte, and a web framework's router
+ * would only be in the way (docs/decisions/0003).
+ */
+import * as Option from "fp-ts/lib/Option.js";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { Err, Ok, type Result } from "ts-results-es";
+import { SchedulerError } from "../errors/index.js";
+import type { EventLogger } from "../logging/index.js";
+import type { MetricsRegistry } from "../metrics/index.js";
+import type { RandomSource } from "../random/index.js";
+import { type CallerLimits, type ConfigurationKeeper, pickTarget, type Route, type RouteTable, type Workspace } from "../routing/index.js";
+import type { TimerService } from "../time/index.js";
+import type { QuotaAllowance } from "./allowances.js";
+import { AnswerWriter } from "./answer-writer.js";
+import { readBody } from "./body-reader.js";
+import type { Forwarder, ForwardSummary } from "./forwarder.js";
+import type { HeaderCodec, RequestFacts } from "./header-codec.js";
+import { RequestLifetime } from "./request-lifetime.js";
+import { countQuotaTokens, type RoutedRequest } from "./routed-request.js";
+
+/** What the server is built from. */
+export interface FrontServerOptions {
+    readonly timers: TimerService;
+    readonly random: RandomSource;
+    readonly logger: EventLogger;
+    readonly metrics: MetricsRegistry;
+    readonly codec: HeaderCodec;
+    readonly keeper: ConfigurationKeeper;
+    readonly forwarder: Forwarder;
+    readonly quotas: QuotaAllowance;
+    readonly host: string;
+    readonly port: number;
+    /** Most requests open at the same time. */
+    readonly mostOpen: number;
+    /** Age of the configuration from which requests with a key are refused, in milliseconds. */
+    readonly keyAgeLimitMs: number;
+    /** Age of the configuration from which nothing is called unknown, in milliseconds. */
+    readonly unknownAgeLimitMs: number;
+    /** Reads the configuration at once; resolves when the read is over. */
+    readonly refreshConfiguration: () => Promise<void>;
+}
+
+/** Interval at which connections are looked at for heads that take too long, in milliseconds. */
+const CONNECTION_CHECK_MS = 500;
+/** Head of the first configuration's absence, in bytes; Node's own limit is larger than any that is configured. */
+const FIRST_HEADER_BYTES = 16_384;
+/** Delay told to callers whom this VM can't serve for reasons of its own, in milliseconds. */
+const OWN_RETRY_AFTER_MS = 500;
+
+/** What admission found out about a request. */
+interface Admission {
+    readonly table: RouteTable;
+    readonly route: Route;
+    readonly workspace: Workspace | undefined;
+}
+
+/** Server for callers. */
+export class FrontServer {
+    private readonly server: Server;
+    private readonly lifetimes = new Set<RequestLifetime>();
+    private readonly idleWaiters: (() => void)[] = [];
+    private open = 0;
+    private isStopping = false;
+
+    private constructor(private readonly options: FrontServerOptions) {
+        this.server = createServer({
+            maxHeaderSize: FIRST_HEADER_BYTES,
+            connectionsCheckingInterval: CONNECTION_CHECK_MS,
+            requestTimeout: 0,
+            noDelay: true,
+        }, (request, response) => void this.handle(request, response));
+        options.keeper.subscribe(({ configuration }) => this.applyLimits(configuration.limits));
+    }
+
+    /** Creates a server that does not listen yet. */
+    static create(options: FrontServerOptions): FrontServer {
+        return new FrontServer(options);
+    }
+
+    /** Begins to listen. */
+    listen(): Promise<void> {
+        return new Promise((resolve, reject) => {
+            this.server.once("error", reject);
+            this.server.listen({ port: this.options.port, host: this.options.host, backlog: 1_024 }, () => resolve());
+        });
+    }
+
+    /** Requests that are open. */
+    get openCount(): number {
+        return this.open;
+    }
+
+    /** Asks callers to leave with their next answer. */
+    beginStop(): void {
+        this.isStopping = true;
+    }
+
+    /** Takes no new connection, and ends idle ones. */
+    refuseNew(): void {
+        this.server.close();
+        this.server.closeIdleConnections();
+    }
+
+    /** Resolves when no request is open. */
+    waitIdle(): Promise<void> {
+        return this.open === 0 ? Promise.resolve() : new Promise(resolve => this.idleWaiters.push(resolve));
+    }
+
+    /** Ends all requests that are still open. */
+    endAll(): void {
+        this.lifetimes.forEach(lifetime => lifetime.end("shutdown"));
+    }
+
+    private applyLimits(limits: CallerLimits): void {
+        this.server.headersTimeout = limits.headerTimeoutMs;
+        this.server.keepAliveTimeout = limits.idleTimeoutMs;
+        // Read by Node for each new connection.
+        Object.assign(this.server, { maxHeaderSize: limits.headerBytes });
+    }
+
+    private async handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
+        const { logger, timers } = this.options;
+        const arrivedAt = timers.now();
+        const writer = AnswerWriter.create(response, () => this.isStopping);
+        this.open += 1;
+        try {
+            await this.serve(message, response, writer, arrivedAt);
+        }
+        catch (cause) {
+            const error = SchedulerError.fromUnknown(cause);
+            logger.writeError(error);
+            writer.sendError(error);
+        }
+        finally {
+            this.open -= 1;
+            if (this.open === 0) {
+                this.idleWaiters.splice(0).forEach(resolve => resolve());
+            }
+        }
+    }
+
+    private async serve(
+        message: IncomingMessage,
+        response: ServerResponse,
+        writer: AnswerWriter,
+        arrivedAt: number,
+    ): Promise<void> {
+        const facts = this.options.codec.readRequest(message.headers);
+        if (facts.isErr()) {
+            this.refuse(writer, "", "", facts.error);
+            return;
+        }
+        const admitted = await this.admit(message, facts.value);
+        const limitBytes = this.options.keeper.current?.configuration.limits.bodyBytes ?? 0;
+        const body = admitted.isOk() ? await readBody(message, limitBytes) : Ok(undefined);
+        const refusal = admitted.isErr() ? admitted.error : body.isErr() ? body.error : undefined;
+        if (refusal !== undefined || admitted.isErr() || body.isErr()) {
+            const routeName = admitted.isOk() ? admitted.value.route.name : "";
+            this.refuse(writer, facts.value.attemptId, routeName, refusal ?? SchedulerError.create("Stopping", {}));
+            return;
+        }
+        const request = this.createRequest(message, facts.value, admitted.value, body.value, arrivedAt);
+        this.lifetimes.add(request.lifetime);
+        response.once("close", () => {
+            if (!response.writableFinished) {
+                request.lifetime.end("caller-gone");
+            }
+        });
+        if (message.socket.destroyed) {
+            request.lifetime.end("caller-gone");
+        }
+        await this.forward(request, writer);
+        request.lifetime.close();
+        this.lifetimes.delete(request.lifetime);
+    }
+
+    private async forward(request: RoutedRequest, writer: AnswerWriter): Promise<void> {
+        const { quotas, forwarder } = this.options;
+        const { workspace } = request;
+        const units = countQuotaTokens(request);
+        if (workspace?.quota !== undefined && !quotas.tryTake(workspace.name, workspace.quota, units)) {
+            const retryAfterMs = quotas.estimateWaitMs(workspace.name, workspace.quota, units);
+            this.refuse(
+                writer,
+                request.facts.attemptId,
+                request.route.name,
+                SchedulerError.create("QuotaExceeded", { workspace: workspace.name }, { retryAfterMs }),
+            );
+            return;
+        }
+        const summary = await forwarder.serve(request, writer);
+        if (workspace?.quota !== undefined && !summary.mayHaveRun) {
+            quotas.giveBack(workspace.name, units);
+        }
+        this.writeSummary(request, summary);
+    }
+
+    /** Checks the route and the key. A configuration that may be out of date proves nothing unknown. */
+    private async admit(message: IncomingMessage, facts: RequestFacts): Promise<Result<Admission, SchedulerError>> {
+        const first = this.match(message, facts);
+        if (first.isOk() || (first.error.name !== "ConfigurationStale")) {
+            return first;
+        }
+        await this.options.refreshConfiguration();
+        return this.match(message, facts);
+    }
+
+    private match(message: IncomingMessage, facts: RequestFacts): Result<Admission, SchedulerError> {
+        const { keeper, keyAgeLimitMs, unknownAgeLimitMs, mostOpen } = this.options;
+        const table = keeper.current;
+        const retry = { retryAfterMs: OWN_RETRY_AFTER_MS };
+        if (table === undefined) {
+            return Err(SchedulerError.create("ConfigurationUnavailable", {}, retry));
+        }
+        if (this.open > mostOpen) {
+            return Err(SchedulerError.create("TooManyStreams", { limit: mostOpen }, retry));
+        }
+        const ageMs = keeper.readAgeMs();
+        const stale = SchedulerError.create("ConfigurationStale", { ageMs: Math.round(ageMs) }, retry);
+        const path = (message.url ?? "").split("?", 1)[0] ?? "";
+        const route = Option.toUndefined(table.findRoute(message.headers.host ?? "", path));
+        if (route === undefined) {
+            return Err(ageMs > unknownAgeLimitMs ? stale : SchedulerError.create("NoRoute", { path }));
+        }
+        const workspace = facts.key === undefined
+            ? undefined
+            : Option.toUndefined(table.findWorkspace(facts.key));
+        if (table.needsKey(route)) {
+            if (ageMs > keyAgeLimitMs) {
+                return Err(stale);
+            }
+            if (workspace === undefined) {
+                return Err(ageMs > unknownAgeLimitMs ? stale : SchedulerError.create("UnknownCaller", {}));
+            }
+        }
+        return Ok({ table, route, workspace });
+    }
+
+    private createRequest(
+        message: IncomingMessage,
+        facts: RequestFacts,
+        { table, route, workspace }: Admission,
+        body: Buffer | undefined,
+        arrivedAt: number,
+    ): RoutedRequest {
+        const { timers, random } = this.options;
+        const limitMs = Math.min(route.timeoutMs, facts.deadlineMs ?? route.timeoutMs);
+        const service = pickTarget(route, random.pickFraction());
+        return {
+            facts,
+            method: message.method ?? "GET",
+            path: message.url ?? "/",
+            rawHeaders: message.rawHeaders,
+            body,
+            route,
+            service,
+            isEngine: Option.exists<{ readonly isEngine: boolean; }>(found => found.isEngine)(table.findService(service)),
+            workspace,
+            arrivedAt,
+            configurationVersion: table.configuration.version,
+            lifetime: RequestLifetime.create(timers, arrivedAt + limitMs),
+        };
+    }
+
+    private refuse(writer: AnswerWriter, id: string, route: string, error: SchedulerError): void {
+        const { logger, keeper, metrics } = this.options;
+        const ageMs = keeper.readAgeMs();
+        logger.write("RequestNotAdmitted", {
+            id,
+            route,
+            error: error.name,
+            version: keeper.current?.configuration.version ?? 0,
+            ageMs: Number.isFinite(ageMs) ? Math.round(ageMs) : -1,
+        });
+        metrics.countRequest(route, error.name);
+        writer.sendError(error);
+    }
+
+    private writeSummary(request: RoutedRequest, summary: ForwardSummary): void {
+        const { logger, metrics, timers } = this.options;
+        const tookMs = Math.round(timers.now() - request.arrivedAt);
+        metrics.countRequest(request.route.name, summary.outcome);
+        metrics.record(request.route.name, "total", tookMs);
+        logger.write("RequestEnded", {
+            id: request.facts.attemptId,
+            route: request.route.name,
+            service: request.service,
+            workspace: request.workspace?.name ?? "",
+            version: request.configurationVersion,
+            status: summary.status,
+            outcome: summary.outcome,
+            instance: summary.instance,
+            sends: summary.sends,
+            waitedMs: summary.waitedMs,
+            tookMs,
+        });
+    }
+}
--- /dev/null
+++ b/packages/wigeonpulley/src/forwarding/index.ts
@@ -0,0 +1,31 @@
+/**
+ * Forwarding: carries requests of routes to instances and their answers back, byte for byte.
+ * Decides whether a request may be sent again; may not decide which request goes first or which instance it gets.
+ */
+export { QuotaAllowance, RepeatAllowance } from "./allowances.js";
+export { AnswerWriter } from "./answer-writer.js";
+export { Attempt, type AttemptOptions, type AttemptOutcome } from "./attempt.js";
+export {
+    type AnswerHead,
+    EndpointExchange,
+    EndpointTransport,
+    type ExchangeFailure,
+    isExchangeFailure,
+    type OutgoingRequest,
+} from "./endpoint-transport.js";
+export { EventSplitter, type StreamEvent } from "./event-splitter.js";
+export { Forwarder, type ForwarderOptions, type ForwardSummary } from "./forwarder.js";
+export { FrontServer, type FrontServerOptions } from "./front-server.js";
+export {
+    type AnswerFacts,
+    type DispatchFacts,
+    HeaderCodec,
+    type ParsedHeaders,
+    type PromptPart,
+    type RequestFacts,
+} from "./header-codec.js";
+export { listAnswerHeaders, listForwardedHeaders } from "./hop-by-hop.js";
+export { type EndReason, RequestLifetime } from "./request-lifetime.js";
+export { computePatienceMs, computeRank, countQuotaTokens, isRepeatable, type RoutedRequest } from "./routed-request.js";
+export { StreamRelay } from "./stream-relay.js";
+export { type TransportOptions, UndiciTransport } from "./undici-transport.js";
--- /dev/null
+++ b/packages/wigeonpulley/src/forwarding/routed-request.ts
@@ -0,0 +1,60 @@
+/** One request of a caller, matched to its route. */
+import type { Route, Workspace } from "../routing/index.js";
+import type { RequestFacts } from "./header-codec.js";
+import type { RequestLifetime } from "./request-lifetime.js";
+
+/** A request that is being served. */
+export interface RoutedRequest {
+    readonly facts: RequestFacts;
+    readonly method: string;
+    /** Path with query, byte for byte. */
+    readonly path: string;
+    readonly rawHeaders: readonly string[];
+    readonly body: Buffer | undefined;
+    readonly route: Route;
+    readonly service: string;
+    readonly isEngine: boolean;
+    readonly workspace: Workspace | undefined;
+    /** Monotonic time of its arrival, in milliseconds. */
+    readonly arrivedAt: number;
+    /** Version of the configuration that admitted it. */
+    readonly configurationVersion: number;
+    readonly lifetime: RequestLifetime;
+}
+
+/** Callers abandon a stream that stays silent for the longest of these (PROTOCOL, "Requests"). */
+const PATIENCE_SHORTEST_MS = 2_000;
+const PATIENCE_TARGETS = 4;
+const PATIENCE_GAPS = 8;
+/** Ranks of routes lie below this, so that a workspace's rank goes first. */
+const RANK_STEP = 1_000;
+
+/** Silence after which the caller of a stream gives up, in milliseconds; the whole time for other requests. */
+export const computePatienceMs = ({ route, lifetime }: RoutedRequest): number =>
+    route.kind === "stream"
+        ? Math.max(
+            PATIENCE_SHORTEST_MS,
+            PATIENCE_TARGETS * route.targetLatencyMs,
+            PATIENCE_GAPS * (route.gapTargetMs ?? 0),
+        )
+        : lifetime.leftMs;
+
+/** One number for the order of ranks: the workspace's goes before the route's. */
+export const computeRank = (route: Route, workspace: Workspace | undefined): number =>
+    (workspace?.rank ?? 0) * RANK_STEP + route.rank;
+
+/** True when a second run does no harm. */
+export const isRepeatable = (route: Route): boolean =>
+    route.kind === "idempotent" || (route.kind === "stream" && route.isResumable);
+
+/** Tokens that the request counts against a quota. */
+export const countQuotaTokens = ({ facts, workspace }: RoutedRequest): number => {
+    const quota = workspace?.quota;
+    if (quota === undefined) {
+        return 0;
+    }
+    if (quota.unit === "requests") {
+        return 1;
+    }
+    return facts.tokens === undefined ? quota.plainTokens : facts.tokens.prompt + facts.tokens.output;
+};
--- /dev/null
+++ b/packages/wigeonpulley/src/forwarding/stream-relay.ts
@@ -0,0 +1,62 @@
+/** Passes the events of a stream on, whole and once each, also when the stream goes on at another endpoint. */
+import type { AnswerWriter } from "./answer-writer.js";
+import type { AnswerHead } from "./endpoint-transport.js";
+import { EventSplitter } from "./event-splitter.js";
+
+/** Relay of one request's stream. */
+export class StreamRelay {
+    private splitter = EventSplitter.create();
+    private lastId: string | undefined;
+    private events = 0;
+
+    private constructor(private readonly writer: AnswerWriter) {}
+
+    /** Creates a relay that has passed nothing on. */
+    static create(writer: AnswerWriter): StreamRelay {
+        return new StreamRelay(writer);
+    }
+
+    /** Id of the last event that the caller got from this relay. */
+    get lastEventId(): string | undefined {
+        return this.lastId;
+    }
+
+    /** Events passed on. */
+    get eventCount(): number {
+        return this.events;
+    }
+
+    /** Begins with the answer of one endpoint; only the first one's head reaches the caller. */
+    begin(head: AnswerHead): void {
+        this.splitter = EventSplitter.create();
+        if (!this.writer.hasStarted) {
+            this.writer.startStream(head);
+        }
+    }
+
+    /** Passes on what is complete; resolves when the caller can take more. */
+    async push(chunk: Buffer): Promise<void> {
+        const fresh = this.splitter.push(chunk).filter(({ id }) => this.isNew(id));
+        if (fresh.length === 0) {
+            return;
+        }
+        this.events += fresh.length;
+        this.lastId = fresh.findLast(({ id }) => id !== undefined)?.id ?? this.lastId;
+        const [first] = fresh;
+        await this.writer.write(
+            fresh.length === 1 && first !== undefined
+                ? first.bytes
+                : Buffer.concat(fresh.map(({ bytes }) => bytes)),
+        );
+    }
+
+    /** True when the endpoint stopped between two events. */
+    get isBetweenEvents(): boolean {
+        return this.splitter.remainder.length === 0;
+    }
+
+    /** An endpoint that goes on may repeat events that the caller has. */
+    private isNew(id: string | undefined): boolean {
+        return id === undefined || this.lastId === undefined || Number(id) > Number(this.lastId);
+    }
+}
--- a/packages/wigeonpulley/src/logging/event-catalogue.ts
+++ b/packages/wigeonpulley/src/logging/event-catalogue.ts
@@ -105,6 +105,85 @@
         "info",
         ({ endpoint, state }) => `endpoint ${endpoint} is ${state}`,
     ),
+    RoutingInForce: defineEvent<{ version: number; before: number; routes: number; workspaces: number; }>(
+        202,
+        "info",
+        ({ version, before, routes, workspaces }) =>
+            `routing configuration ${version} with ${routes} routes and ${workspaces} workspaces replaces ${before}`,
+    ),
+    StoreLost: defineEvent<{ topic: string; reason: string; }>(
+        203,
+        "warn",
+        ({ topic, reason }) => `reading ${topic} from the store fails: ${reason}`,
+    ),
+    StoreBack: defineEvent<{ topic: string; lostMs: number; }>(
+        204,
+        "info",
+        ({ topic, lostMs }) => `reading ${topic} from the store works again after ${lostMs} ms`,
+    ),
+    RequestEnded: defineEvent<
+        {
+            id: string;
+            route: string;
+            service: string;
+            workspace: string;
+            version: number;
+            status: number;
+            outcome: string;
+            instance: string;
+            sends: number;
+            waitedMs: number;
+            tookMs: number;
+        }
+    >(
+        406,
+        "info",
+        ({ id, status, outcome, instance }) =>
+            `request ${id} ended with status ${status} (${outcome}) of instance ${instance}`,
+    ),
+    RequestNotAdmitted: defineEvent<
+        { id: string; route: string; error: string; version: number; ageMs: number; }
+    >(
+        407,
+        "info",
+        ({ id, error, version, ageMs }) =>
+            `request ${id} was not admitted by configuration ${version}, confirmed ${ageMs} ms ago: ${error}`,
+    ),
+    RequestRepeated: defineEvent<
+        { id: string; instance: string; reason: string; attempts: number; lastEventId: string; }
+    >(
+        408,
+        "info",
+        ({ id, instance, reason, lastEventId }) =>
+            `request ${id} failed at instance ${instance} (${reason}) and goes on elsewhere after event ${lastEventId}`,
+    ),
+    InstanceSeen: defineEvent<
+        { instance: string; service: string; address: string; state: string; version: string; }
+    >(
+        504,
+        "info",
+        ({ instance, service, address, state, version }) =>
+            `instance ${instance} of ${service} at ${address} is ${state} with version ${version}`,
+    ),
+    InstanceGone: defineEvent<{ instance: string; }>(505, "info", ({ instance }) => `instance ${instance} is gone`),
+    InstanceDistrusted: defineEvent<
+        { instance: string; reason: string; failureShare: number; pauseMs: number; }
+    >(
+        506,
+        "warn",
+        ({ instance, reason, failureShare, pauseMs }) =>
+            `instance ${instance} gets no work for ${pauseMs} ms after a failure share of ${failureShare}: ${reason}`,
+    ),
+    InstanceTrusted: defineEvent<{ instance: string; }>(
+        507,
+        "info",
+        ({ instance }) => `instance ${instance} is used without doubt again`,
+    ),
+    LinesDropped: defineEvent<{ count: number; }>(
+        902,
+        "warn",
+        ({ count }) => `${count} log lines were dropped because the output did not keep up`,
+    ),
     Failure: defineEvent<{ error: string; message: string; }>(
         901,
         "error",
--- a/packages/wigeonpulley/src/membership/index.ts
+++ b/packages/wigeonpulley/src/membership/index.ts
@@ -8,4 +8,5 @@
     type MembershipOptions,
     MembershipService,
     type OwnerPlace,
+    ReportExchange,
 } from "./membership-service.js";
--- a/packages/wigeonpulley/src/membership/membership-service.ts
+++ b/packages/wigeonpulley/src/membership/membership-service.ts
@@ -5,6 +5,7 @@
  */
 import { create } from "@bufbuild/protobuf";
 import {
+    type LoadReport,
     type MemberDigest,
     MemberDigestSchema,
     type MemberState,
@@ -12,12 +13,21 @@
 } from "../gen/wigeonpulley/peer/v1/peer_pb.js";
 import { pickByRendezvous } from "../hashing/index.js";
 import type { EventLogger } from "../logging/index.js";
-import type { PeerTransport } from "../peers/index.js";
+import type { MemberTransport } from "../peers/index.js";
 import type { VmEntry, VmList } from "../platform/index.js";
 import type { RandomSource } from "../random/index.js";
 import type { CancelTimer, TimerService } from "../time/index.js";
 import { isNewerState, MemberTable, readEntry } from "./member-table.js";
 
+/** Reports of load that VMs pass on with their calls. */
+export abstract class ReportExchange {
+    /** This VM's report and those of others that are worth passing on. */
+    abstract createReports(incarnation: bigint): readonly LoadReport[];
+
+    /** Takes reports over. */
+    abstract applyReports(reports: readonly LoadReport[]): void;
+}
+
 /** What the service is built from. */
 export interface MembershipOptions {
     readonly self: VmEntry;
@@ -25,7 +35,9 @@
     readonly random: RandomSource;
     readonly logger: EventLogger;
     readonly vmList: VmList;
-    readonly transport: PeerTransport;
+    readonly transport: MemberTransport;
+    /** Reports that travel with the calls; none when absent. */
+    readonly reports?: ReportExchange;
     /** Interval of the rounds of calls, in milliseconds. */
     readonly heartbeatMs: number;
     /** Time in which a suspected VM can deny it, in milliseconds. */
@@ -226,6 +238,7 @@
         return create(MemberDigestSchema, {
             sender: this.options.self.name,
             members: [this.self, ...this.table.takeChanges(DIGEST_CHANGES)],
+            reports: [...this.options.reports?.createReports(this.incarnation) ?? []],
         });
     }
 
@@ -252,6 +265,7 @@
             }
         }
         this.table.noteContact(digest.sender, now);
+        this.options.reports?.applyReports(digest.reports);
         this.notifyIfChanged();
     }
 
--- a/packages/wigeonpulley/src/peers/connect-peer-transport.ts
+++ b/packages/wigeonpulley/src/peers/connect-peer-transport.ts
@@ -7,6 +7,7 @@
     type ConnectRouter,
     createClient,
     type Interceptor,
+    type ServiceImpl,
 } from "@connectrpc/connect";
 import { connectNodeAdapter, createGrpcTransport, Http2SessionManager } from "@connectrpc/connect-node";
 import { timingSafeEqual } from "node:crypto";
@@ -32,7 +33,7 @@
     type SchedulerMessage,
 } from "../gen/wigeonpulley/peer/v1/peer_pb.js";
 import type { VmEntry } from "../platform/index.js";
-import { type PeerHandler, PeerTransport } from "./peer-transport.js";
+import { type MemberHandler, PeerHandler, PeerTransport } from "./peer-transport.js";
 
 const CALL_TIMEOUT_MS = 2_000;
 const VM_HEADER = "x-vm-name";
@@ -156,7 +157,7 @@
     }
 
     /** Creates a server for a handler; calls without the shared key are refused. */
-    static create(handler: PeerHandler, key: string): PeerServer {
+    static create(handler: MemberHandler, key: string): PeerServer {
         return new PeerServer(createServer(connectNodeAdapter({ routes: createRoutes(handler, key) })));
     }
 
@@ -189,22 +190,27 @@
     return headers.get(VM_HEADER) ?? "";
 };
 
-const createRoutes = (handler: PeerHandler, key: string) => (router: ConnectRouter): void => {
+/** A VM without schedulers answers the calls for them as not implemented. */
+const createRoutes = (handler: MemberHandler, key: string) => (router: ConnectRouter): void => {
     router.service(PeerService, {
         exchange: (digest, context) => {
             readIdentity(context.requestHeader, key);
             return handler.exchange(digest);
         },
-        schedule: (incoming, context) => handler.schedule(readIdentity(context.requestHeader, key), incoming),
-        fetchConfiguration: ({ known }, context) => {
-            readIdentity(context.requestHeader, key);
-            const version = handler.fetchConfiguration(known - 1);
-            const versionJson = version === undefined ? "" : JSON.stringify(version);
-            return create(FetchConfigurationResponseSchema, { versionJson });
-        },
-        claim: (request, context) => {
-            readIdentity(context.requestHeader, key);
-            return handler.claim(request);
-        },
+        ...(handler instanceof PeerHandler ? createSchedulerRoutes(handler, key) : {}),
     });
 };
+
+const createSchedulerRoutes = (handler: PeerHandler, key: string): Partial<ServiceImpl<typeof PeerService>> => ({
+    schedule: (incoming, context) => handler.schedule(readIdentity(context.requestHeader, key), incoming),
+    fetchConfiguration: ({ known }, context) => {
+        readIdentity(context.requestHeader, key);
+        const version = handler.fetchConfiguration(known - 1);
+        const versionJson = version === undefined ? "" : JSON.stringify(version);
+        return create(FetchConfigurationResponseSchema, { versionJson });
+    },
+    claim: (request, context) => {
+        readIdentity(context.requestHeader, key);
+        return handler.claim(request);
+    },
+});
--- a/packages/wigeonpulley/src/peers/peer-transport.ts
+++ b/packages/wigeonpulley/src/peers/peer-transport.ts
@@ -11,11 +11,14 @@
 } from "../gen/wigeonpulley/peer/v1/peer_pb.js";
 import type { VmEntry } from "../platform/index.js";
 
-/** Calls to other VMs. */
-export abstract class PeerTransport {
+/** The call that every VM makes to others. */
+export abstract class MemberTransport {
     /** Exchanges member digests. Fails with PeerUnavailable. */
     abstract exchange(peer: VmEntry, digest: MemberDigest): Promise<Result<MemberDigest, SchedulerError>>;
+}
 
+/** Calls to other VMs. */
+export abstract class PeerTransport extends MemberTransport {
     /**
      * Opens the stream of tickets to a peer's schedulers.
      * The iteration ends or throws when the stream is lost or the signal aborts.
@@ -36,11 +39,14 @@
     abstract claim(peer: VmEntry, request: ClaimRequest): Promise<Result<ClaimResponse, SchedulerError>>;
 }
 
-/** What a VM offers to its peers. */
-export abstract class PeerHandler {
+/** What every VM offers to the others. */
+export abstract class MemberHandler {
     /** Merges a digest and answers with this VM's. */
     abstract exchange(digest: MemberDigest): MemberDigest;
+}
 
+/** What a VM with schedulers offers to its peers. */
+export abstract class PeerHandler extends MemberHandler {
     /** Serves the tickets of one gateway until its stream ends. */
     abstract schedule(
         gateway: string,
--- /dev/null
+++ b/packages/wigeonpulley/src/placement/load-reports.ts
@@ -0,0 +1,92 @@
+/** What the other VMs reported of their load, for as long as it means anything. */
+import { create } from "@bufbuild/protobuf";
+import { type LoadReport, LoadReportSchema } from "../gen/wigeonpulley/peer/v1/peer_pb.js";
+import type { TimerService } from "../time/index.js";
+import { PeerLoads } from "./peer-loads.js";
+
+/** Age from which a report says nothing any more, in milliseconds; several intervals between reports. */
+const EXPIRY_MS = 2_500;
+/** Age up to which a report is passed on, in milliseconds. */
+const PASS_ON_MS = 1_000;
+/** Most reports passed on with one call; bounds its bytes. */
+const MOST_PASSED_ON = 8;
+
+interface HeardReport {
+    readonly report: LoadReport;
+    /** Monotonic time at which the report was made, in milliseconds. */
+    readonly madeAt: number;
+}
+
+/** Newest report of each VM. */
+export class LoadReports extends PeerLoads {
+    private readonly heard = new Map<string, HeardReport>();
+
+    private constructor(private readonly self: string, private readonly timers: TimerService) {
+        super();
+    }
+
+    /** Creates a view without reports. */
+    static create(self: string, timers: TimerService): LoadReports {
+        return new LoadReports(self, timers);
+    }
+
+    /** Takes a report over; false when a newer one is known. */
+    apply(report: LoadReport): boolean {
+        const known = this.heard.get(report.vm)?.report;
+        const isOld = known !== undefined && (known.incarnation > report.incarnation
+            || (known.incarnation === report.incarnation && known.sequence >= report.sequence));
+        if (report.vm === this.self || isOld) {
+            return false;
+        }
+        this.heard.set(report.vm, { report, madeAt: this.timers.now() - report.ageMs });
+        return true;
+    }
+
+    /** Reports of other VMs that are worth passing on, freshest first, with their age. */
+    listToPassOn(): readonly LoadReport[] {
+        const now = this.timers.now();
+        return [...this.heard.values()]
+            .filter(({ madeAt }) => now - madeAt <= PASS_ON_MS)
+            .sort((left, right) => right.madeAt - left.madeAt)
+            .slice(0, MOST_PASSED_ON)
+            .map(({ report, madeAt }) =>
+                create(LoadReportSchema, { ...report, ageMs: Math.max(0, Math.round(now - madeAt)) })
+            );
+    }
+
+    /** VMs whose reports are fresh. */
+    countFresh(): number {
+        return this.listFresh().length;
+    }
+
+    override countInFlight(instance: string): number {
+        return this.sum(report => report.instances.find(load => load.instance === instance)?.inFlight ?? 0);
+    }
+
+    override countPendingTokens(instance: string): number {
+        return this.sum(report => report.instances.find(load => load.instance === instance)?.pendingTokens ?? 0);
+    }
+
+    override countWaiting(service: string, rank: number): number {
+        return this.sum(report =>
+            report.queues.reduce(
+                (count, queue) => count + (queue.service === service && queue.rank <= rank ? queue.waiting : 0),
+                0,
+            )
+        );
+    }
+
+    private sum(read: (report: LoadReport) => number): number {
+        return this.listFresh().reduce((total, report) => total + read(report), 0);
+    }
+
+    private listFresh(): readonly LoadReport[] {
+        const oldest = this.timers.now() - EXPIRY_MS;
+        for (const [vm, { madeAt }] of this.heard) {
+            if (madeAt < oldest) {
+                this.heard.delete(vm);
+            }
+        }
+        return [...this.heard.values()].map(({ report }) => report);
+    }
+}
--- /dev/null
+++ b/packages/wigeonpulley/src/placement/placement-service.ts
@@ -0,0 +1,384 @@
+/**
+ * Gives each request an instance, or lets it wait for one. Endpoints admit in order of arrival and know no ranks, so
+ * whatever has to wait waits here: strictly by rank, then by arrival.
+ */
+import { Err, Ok, type Result } from "ts-results-es";
+import type { Instance, InstanceDirectory } from "../discovery/index.js";
+import { SchedulerError } from "../errors/index.js";
+import type { EventLogger } from "../logging/index.js";
+import type { RandomSource } from "../random/index.js";
+import type { TimerService } from "../time/index.js";
+import { type Evidence, InstanceHealth } from "./instance-health.js";
+import { InstancePace } from "./instance-pace.js";
+import type { PeerLoads } from "./peer-loads.js";
+import { type Part, PrefixMemory } from "./prefix-memory.js";
+
+/** What a request needs. */
+export interface Demand {
+    readonly requestId: string;
+    readonly service: string;
+    /** 0 is the most important. */
+    readonly rank: number;
+    readonly isEngine: boolean;
+    readonly promptTokens: number;
+    readonly prompt: readonly Part[];
+    /** Monotonic time in milliseconds until which it may wait for an instance. */
+    readonly waitUntil: number;
+    /** Instances that it must not get. */
+    readonly excluded: ReadonlySet<string>;
+}
+
+/** Ends the wait of a request. */
+export interface WaitControl {
+    /** Calls back when the request must not wait any longer; returns how to unsubscribe. */
+    readonly subscribe: (listener: () => void) => () => void;
+}
+
+/** What the service is built from. */
+export interface PlacementOptions {
+    readonly timers: TimerService;
+    readonly random: RandomSource;
+    readonly logger: EventLogger;
+    readonly directory: InstanceDirectory;
+    readonly peers: PeerLoads;
+    readonly dataCentre: string;
+    readonly region: string;
+    /** Region by data centre. */
+    readonly regions: Readonly<Record<string, string>>;
+}
+
+/** Requests sent to an instance beyond its slots, so that a freed slot is not idle for a round trip. */
+const ENGINE_OVERLAP = 1;
+/** Time added for an instance in another data centre of the region, in milliseconds; stands for the round trip and its price. */
+const OTHER_DATA_CENTRE_MS = 4;
+/** Time added for an instance in another region, in milliseconds; stands for the round trip and the price of the narrow link. */
+const OTHER_REGION_MS = 60;
+/** Interval at which waiting requests are looked at again without an event, in milliseconds. */
+const RECHECK_MS = 50;
+/** Time for which an instance that refused for being full gets nothing new, in milliseconds. */
+const FULL_PAUSE_MS = 150;
+/** Shortest and longest delay told to a refused caller, in milliseconds. */
+const RETRY_SHORTEST_MS = 400;
+const RETRY_SPREAD_MS = 1_200;
+
+interface Waiter {
+    readonly demand: Demand;
+    readonly arrivedAt: number;
+    readonly settle: (outcome: Result<Placement, SchedulerError>) => void;
+}
+
+interface Occupancy {
+    inFlight: number;
+    pendingTokens: number;
+    fullUntil: number;
+}
+
+/** An instance given to one request until `release` is called. */
+export class Placement {
+    private isReleased = false;
+    private isPending = true;
+
+    private constructor(
+        readonly instance: Instance,
+        readonly unreadTokens: number,
+        private readonly startedAt: number,
+        private readonly backlogTokens: number,
+        private readonly owner: PlacementService,
+    ) {}
+
+    /** Used by the service only. */
+    static create(
+        instance: Instance,
+        unreadTokens: number,
+        startedAt: number,
+        backlogTokens: number,
+        owner: PlacementService,
+    ): Placement {
+        return new Placement(instance, unreadTokens, startedAt, backlogTokens, owner);
+    }
+
+    /** Notes that the endpoint began to answer. */
+    noteFirstEvent(): void {
+        if (this.isPending) {
+            this.isPending = false;
+            this.owner.endPrefill(this.instance, this.unreadTokens);
+            this.owner.observeFirstEvent(this.instance, this.backlogTokens + this.unreadTokens, this.startedAt);
+        }
+    }
+
+    /** Notes that a whole answer of a plain service came. */
+    noteAnswer(): void {
+        this.owner.observeAnswer(this.instance, this.startedAt);
+    }
+
+    /** Gives the place back; undefined evidence says nothing of the instance. */
+    release(evidence: Evidence | "full" | undefined, reason: string): void {
+        if (this.isReleased) {
+            return;
+        }
+        this.isReleased = true;
+        if (this.isPending) {
+            this.isPending = false;
+            this.owner.endPrefill(this.instance, this.unreadTokens);
+        }
+        this.owner.release(this.instance, evidence, reason);
+    }
+}
+
+/** Queues and places of one VM. */
+export class PlacementService {
+    readonly health: InstanceHealth;
+    private readonly queues = new Map<string, Waiter[]>();
+    private readonly occupancies = new Map<string, Occupancy>();
+    private readonly paces = new Map<string, InstancePace>();
+    private readonly prefixes = PrefixMemory.create();
+    private isRecheckPlanned = false;
+
+    private constructor(private readonly options: PlacementOptions) {
+        this.health = InstanceHealth.create(options.timers, options.logger);
+        options.directory.subscribe(() => this.applyDirectory());
+    }
+
+    /** Creates empty queues. */
+    static create(options: PlacementOptions): PlacementService {
+        return new PlacementService(options);
+    }
+
+    /** Waits for an instance. Fails with NoEndpoint or Overloaded; the request has not run then. */
+    acquire(demand: Demand, control: WaitControl): Promise<Result<Placement, SchedulerError>> {
+        const queue = this.findQueue(demand.service);
+        return new Promise(resolve => {
+            const { timers } = this.options;
+            let unsubscribe = (): void => undefined;
+            let cancelTimeout = (): void => undefined;
+            const waiter: Waiter = {
+                demand,
+                arrivedAt: timers.now(),
+                settle: outcome => {
+                    unsubscribe();
+                    cancelTimeout();
+                    resolve(outcome);
+                },
+            };
+            insertByRank(queue, waiter);
+            this.pump(demand.service);
+            if (queue.includes(waiter)) {
+                cancelTimeout = timers.schedule(demand.waitUntil - timers.now(), () => this.refuse(queue, waiter));
+                unsubscribe = control.subscribe(() => {
+                    removeWaiter(queue, waiter);
+                    waiter.settle(Err(SchedulerError.create("RequestCancelled", {})));
+                });
+            }
+        });
+    }
+
+    /** Looks at all queues again, for example because other VMs told of their load. */
+    pumpAll(): void {
+        this.queues.forEach((queue, service) => this.pump(service));
+    }
+
+    /** Own requests at an instance. */
+    countInFlight(instance: string): number {
+        return this.occupancies.get(instance)?.inFlight ?? 0;
+    }
+
+    /** Own prompt tokens that an instance has still to read. */
+    countPendingTokens(instance: string): number {
+        return this.occupancies.get(instance)?.pendingTokens ?? 0;
+    }
+
+    /** Waiting requests by service and rank. */
+    listWaiting(): readonly { readonly service: string; readonly rank: number; readonly count: number; }[] {
+        return [...this.queues].flatMap(([service, queue]) => {
+            const counts = new Map<number, number>();
+            queue.forEach(({ demand: { rank } }) => counts.set(rank, (counts.get(rank) ?? 0) + 1));
+            return [...counts].map(([rank, count]) => ({ service, rank, count }));
+        });
+    }
+
+    /** Used by placements only. */
+    endPrefill(instance: Instance, tokens: number): void {
+        const occupancy = this.findOccupancy(instance.id);
+        occupancy.pendingTokens = Math.max(0, occupancy.pendingTokens - tokens);
+    }
+
+    /** Used by placements only. */
+    observeFirstEvent(instance: Instance, tokens: number, startedAt: number): void {
+        this.findPace(instance.id).observeFirstEvent(tokens, this.options.timers.now() - startedAt);
+    }
+
+    /** Used by placements only. */
+    observeAnswer(instance: Instance, startedAt: number): void {
+        this.findPace(instance.id).observeAnswer(this.options.timers.now() - startedAt);
+    }
+
+    /** Used by placements only. */
+    release(instance: Instance, evidence: Evidence | "full" | undefined, reason: string): void {
+        const occupancy = this.findOccupancy(instance.id);
+        occupancy.inFlight = Math.max(0, occupancy.inFlight - 1);
+        if (evidence === "full") {
+            occupancy.fullUntil = this.options.timers.now() + FULL_PAUSE_MS;
+            this.health.noteNothing(instance.id);
+        }
+        else if (evidence === undefined) {
+            this.health.noteNothing(instance.id);
+        }
+        else {
+            this.health.note(instance.service, instance.id, evidence, reason);
+        }
+        this.pump(instance.service);
+    }
+
+    /** Delay after which a refused caller should come back, spread in time, in milliseconds. */
+    pickRetryAfterMs(): number {
+        return RETRY_SHORTEST_MS + this.options.random.pickFraction() * RETRY_SPREAD_MS;
+    }
+
+    private pump(service: string): void {
+        const queue = this.findQueue(service);
+        const passedOver: Waiter[] = [];
+        for (let waiter = queue.shift(); waiter !== undefined; waiter = queue.shift()) {
+            const placement = this.place(waiter.demand);
+            if (placement === undefined) {
+                passedOver.push(waiter);
+                if (waiter.demand.excluded.size === 0) {
+                    break;
+                }
+            }
+            else {
+                waiter.settle(Ok(placement));
+            }
+        }
+        queue.unshift(...passedOver);
+        this.planRecheck(queue);
+    }
+
+    private planRecheck(queue: readonly Waiter[]): void {
+        if (queue.length > 0 && !this.isRecheckPlanned) {
+            this.isRecheckPlanned = true;
+            this.options.timers.schedule(RECHECK_MS, () => {
+                this.isRecheckPlanned = false;
+                this.pumpAll();
+            });
+        }
+    }
+
+    private place(demand: Demand): Placement | undefined {
+        let best: { readonly instance: Instance; readonly cost: number; readonly unread: number; } | undefined;
+        for (const instance of this.options.directory.list()) {
+            if (!this.isCandidate(instance, demand) || this.countFree(instance) <= 0) {
+                continue;
+            }
+            const unread = this.prefixes.countUnread(instance.id, demand.prompt, demand.promptTokens);
+            const cost = this.estimateCost(instance, demand, unread);
+            if (best === undefined || cost < best.cost) {
+                best = { instance, cost, unread };
+            }
+        }
+        return best === undefined ? undefined : this.occupy(best.instance, demand, best.unread);
+    }
+
+    private isCandidate(instance: Instance, demand: Demand): boolean {
+        return instance.service === demand.service
+            && instance.state === "ready"
+            && !demand.excluded.has(instance.id)
+            && this.health.canUse(instance.id);
+    }
+
+    private countFree(instance: Instance): number {
+        const { slots, id } = instance;
+        const occupancy = this.occupancies.get(id);
+        if (occupancy !== undefined && occupancy.fullUntil > this.options.timers.now()) {
+            return 0;
+        }
+        const overlap = ENGINE_OVERLAP;
+        return slots + overlap - (occupancy?.inFlight ?? 0) - this.options.peers.countInFlight(id, slots);
+    }
+
+    private estimateCost(instance: Instance, demand: Demand, unread: number): number {
+        const { peers } = this.options;
+        const pace = this.findPace(instance.id);
+        const inFlight = this.countInFlight(instance.id) + peers.countInFlight(instance.id, instance.slots);
+        const backlog = this.countPendingTokens(instance.id) + peers.countPendingTokens(instance.id);
+        const work = demand.isEngine
+            ? pace.estimateFirstEventMs(backlog + unread) * (1 + inFlight / instance.slots / 2)
+            : pace.estimateAnswerMs(inFlight, instance.slots);
+        return work + this.readDistanceMs(instance) + this.health.readFailureShare(instance.id) * work;
+    }
+
+    private readDistanceMs({ dataCentre }: Instance): number {
+        const { dataCentre: own, region, regions } = this.options;
+        if (dataCentre === own) {
+            return 0;
+        }
+        return regions[dataCentre] === region ? OTHER_DATA_CENTRE_MS : OTHER_REGION_MS;
+    }
+
+    private occupy(instance: Instance, demand: Demand, unread: number): Placement {
+        const { timers, peers } = this.options;
+        const occupancy = this.findOccupancy(instance.id);
+        const backlog = occupancy.pendingTokens + peers.countPendingTokens(instance.id);
+        occupancy.inFlight += 1;
+        occupancy.pendingTokens += unread;
+        this.health.noteDispatch(instance.id);
+        this.prefixes.note(instance.id, demand.prompt);
+        return Placement.create(instance, unread, timers.now(), backlog, this);
+    }
+
+    private refuse(queue: Waiter[], waiter: Waiter): void {
+        removeWaiter(queue, waiter);
+        const { directory } = this.options;
+        const { service, rank, excluded } = waiter.demand;
+        const hasInstance = directory.list().some(instance => instance.service === service && !excluded.has(instance.id));
+        const retryAfterMs = this.pickRetryAfterMs();
+        waiter.settle(Err(
+            hasInstance
+                ? SchedulerError.create("Overloaded", { tier: String(rank) }, { retryAfterMs })
+                : SchedulerError.create("NoEndpoint", { target: service }, { retryAfterMs }),
+        ));
+    }
+
+    private applyDirectory(): void {
+        const ids = new Set(this.options.directory.list().map(instance => instance.id));
+        this.health.retain(ids);
+        this.prefixes.retain(ids);
+        for (const [id, occupancy] of this.occupancies) {
+            if (!ids.has(id) && occupancy.inFlight === 0) {
+                this.occupancies.delete(id);
+                this.paces.delete(id);
+            }
+        }
+        this.pumpAll();
+    }
+
+    private findQueue(service: string): Waiter[] {
+        const queue = this.queues.get(service) ?? [];
+        this.queues.set(service, queue);
+        return queue;
+    }
+
+    private findOccupancy(id: string): Occupancy {
+        const occupancy = this.occupancies.get(id) ?? { inFlight: 0, pendingTokens: 0, fullUntil: 0 };
+        this.occupancies.set(id, occupancy);
+        return occupancy;
+    }
+
+    private findPace(id: string): InstancePace {
+        const pace = this.paces.get(id) ?? InstancePace.create();
+        this.paces.set(id, pace);
+        return pace;
+    }
+}
+
+/** Keeps the queue in order of rank, then of arrival. */
+const insertByRank = (queue: Waiter[], waiter: Waiter): void => {
+    const index = queue.findIndex(other => other.demand.rank > waiter.demand.rank);
+    queue.splice(index === -1 ? queue.length : index, 0, waiter);
+};
+
+const removeWaiter = (queue: Waiter[], waiter: Waiter): void => {
+    const index = queue.indexOf(waiter);
+    if (index !== -1) {
+        queue.splice(index, 1);
+    }
+};
--- /dev/null
+++ b/packages/wigeonpulley/src/routed-vm/index.ts
@@ -0,0 +1,9 @@
+/**
+ * One VM for routed traffic as a whole, and its daemon. Wires the other domains together; decides when the VM is ready
+ * and how it shuts down.
+ */
+export { type RoutedDaemonOptions, type RunningRoutedDaemon, startRoutedDaemon } from "./daemon.js";
+export { type OperatorRecord, PlatformAdapter } from "./platform-adapter.js";
+export { ReportService } from "./report-service.js";
+export { type Bounds, type RoutedSettings, routedSettingsSchema } from "./routed-settings.js";
+export { RoutedVm, type RoutedVmOptions } from "./routed-vm.js";
--- /dev/null
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -0,0 +1,318 @@
+/** One VM that serves routed traffic: configuration, endpoints, placement, quotas and forwarding put together. */
+import { type Instance, InstanceDirectory } from "../discovery/index.js";
+import { EndpointTransport, Forwarder, FrontServer } from "../forwarding/index.js";
+import type { MemberDigest } from "../gen/wigeonpulley/peer/v1/peer_pb.js";
+import type { EventLogger } from "../logging/index.js";
+import { MembershipService } from "../membership/index.js";
+import type { MetricsRegistry } from "../metrics/index.js";
+import { MemberHandler, type MemberTransport } from "../peers/index.js";
+import type { VmEntry } from "../platform/index.js";
+import { LoadReports, PlacementService } from "../placement/index.js";
+import { QuotaLedger, RepeatBudget } from "../quotas/index.js";
+import type { RandomSource } from "../random/index.js";
+import { ConfigurationKeeper } from "../routing/index.js";
+import { type KeyedRecord, StoreVmList, TopicFollower } from "../store/index.js";
+import type { TimerService } from "../time/index.js";
+import type { PlatformAdapter } from "./platform-adapter.js";
+import { ReportService } from "./report-service.js";
+import type { RoutedSettings } from "./routed-settings.js";
+
+/** Everything outside of the VM. Tests replace each of these. */
+export interface RoutedVmOptions {
+    readonly settings: RoutedSettings;
+    readonly timers: TimerService;
+    readonly random: RandomSource;
+    readonly logger: EventLogger;
+    readonly metrics: MetricsRegistry;
+    readonly adapter: PlatformAdapter;
+    readonly transport: EndpointTransport;
+    readonly peers: MemberTransport;
+}
+
+/** Time for which a read of the operators' records waits, in milliseconds: a read costs, and its age counts from its sending. */
+const OPERATOR_WAIT_MS = 1_500;
+/** Pause between reads of the instances, whose entries change all the time, in milliseconds. */
+const INSTANCE_PAUSE_MS = 800;
+/** Part of the time to revoke a key after which an unconfirmed configuration admits no key. */
+const KEY_AGE_SHARE = 0.6;
+/** Part of the time to apply a configuration after which an unconfirmed one proves nothing unknown. */
+const UNKNOWN_AGE_SHARE = 0.85;
+/** Interval of calls between VMs, in milliseconds. */
+const HEARTBEAT_MS = 250;
+const PEER_TIMEOUT_MS = 2_000;
+const VM_LIST_POLL_MS = 4_000;
+/** Time for the platform to notice that a VM is not ready: two checks of one a second, in milliseconds. */
+const UNREADY_NOTICE_MS = 2_600;
+const MS_PER_S = 1_000;
+/** Time kept free at the end of the grace period, in milliseconds. */
+const GRACE_RESERVE_MS = 500;
+/** Descriptors that open requests may use: one to the caller, one to the endpoint, and a reserve. */
+const DESCRIPTORS_PER_REQUEST = 3;
+/** Memory of an open request with its body and answer, in megabytes, at the most that is planned for. */
+const MEMORY_PER_REQUEST_MB = 0.15;
+
+/** One VM. */
+export class RoutedVm extends MemberHandler {
+    readonly keeper: ConfigurationKeeper;
+    readonly directory: InstanceDirectory;
+    readonly placement: PlacementService;
+    readonly membership: MembershipService;
+    readonly front: FrontServer;
+    readonly quotas: QuotaLedger;
+    private readonly reports: LoadReports;
+    private readonly operatorRecords: TopicFollower;
+    private readonly instanceRecords: TopicFollower;
+    private isStopping = false;
+
+    private constructor(private readonly options: RoutedVmOptions) {
+        super();
+        const { settings, timers, logger } = options;
+        this.keeper = ConfigurationKeeper.create(timers, logger);
+        this.directory = InstanceDirectory.create(timers, logger);
+        this.reports = LoadReports.create(settings.name, timers);
+        this.placement = PlacementService.create({
+            timers,
+            random: options.random,
+            logger,
+            directory: this.directory,
+            peers: this.reports,
+            dataCentre: settings.dataCentre,
+            region: settings.region,
+            regions: settings.regions,
+        });
+        this.quotas = QuotaLedger.create({
+            timers,
+            countVms: () => this.membership.listMembers().length,
+            countHeard: () => this.reports.countFresh() + 1,
+        });
+        this.membership = this.createMembership();
+        this.operatorRecords = this.followOperator();
+        this.instanceRecords = this.followInstances();
+        this.front = this.createFront();
+    }
+
+    /** Creates a VM that takes part in nothing yet. */
+    static create(options: RoutedVmOptions): RoutedVm {
+        return new RoutedVm(options);
+    }
+
+    /** Begins to read the store and to call the other VMs. */
+    async start(): Promise<void> {
+        this.operatorRecords.start();
+        this.instanceRecords.start();
+        await this.front.listen();
+        await this.membership.start();
+    }
+
+    /** True while the balancer may send callers here. */
+    isReady(): boolean {
+        return !this.isStopping && this.keeper.current !== undefined && this.directory.isKnown;
+    }
+
+    /** Shuts down gracefully within the grace period; resolves with true when nothing was cut. */
+    async stop(): Promise<boolean> {
+        const { timers, settings, logger } = this.options;
+        const deadline = timers.now() + settings.bounds.graceS * MS_PER_S - GRACE_RESERVE_MS;
+        this.isStopping = true;
+        logger.write("VmStopping", { open: this.front.openCount });
+        this.front.beginStop();
+        void this.membership.announceLeaving();
+        await timers.sleep(UNREADY_NOTICE_MS);
+        this.front.refuseNew();
+        const limit = new AbortController();
+        const isGraceful = await Promise.race([
+            this.front.waitIdle().then(() => true),
+            timers.sleep(deadline - timers.now(), limit.signal).then(() => false),
+        ]);
+        limit.abort();
+        if (isGraceful) {
+            logger.write("VmStopped", {});
+        }
+        else {
+            logger.write("StopLimitReached", { open: this.front.openCount });
+            this.front.endAll();
+        }
+        this.halt();
+        return isGraceful;
+    }
+
+    /** Ends all tasks at once. */
+    halt(): void {
+        this.operatorRecords.stop();
+        this.instanceRecords.stop();
+        this.membership.stop();
+    }
+
+    override exchange(digest: MemberDigest): MemberDigest {
+        return this.membership.handleDigest(digest);
+    }
+
+    /** What operators see of this VM. */
+    readStatus(): unknown {
+        const { settings } = this.options;
+        const ageMs = this.keeper.readAgeMs();
+        return {
+            vm: settings.name,
+            state: this.isStopping ? "stopping" : this.isReady() ? "ready" : "starting",
+            configuration: {
+                version: this.keeper.current?.configuration.version,
+                ageMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined,
+            },
+            openRequests: this.front.openCount,
+            members: this.membership.listMembers().map(({ entry, isLive, isLeaving }) => ({
+                vm: entry.name,
+                dataCentre: entry.dataCentre,
+                isLive,
+                isLeaving,
+            })),
+            instances: this.directory.list().map(instance => this.describeInstance(instance)),
+            queues: this.placement.listWaiting(),
+            quotas: this.quotas.listUse(),
+        };
+    }
+
+    private describeInstance(instance: Instance): unknown {
+        return {
+            id: instance.id,
+            service: instance.service,
+            dataCentre: instance.dataCentre,
+            state: instance.state,
+            version: instance.version,
+            isTrusted: this.placement.health.isSound(instance.id),
+            failureShare: Number(this.placement.health.readFailureShare(instance.id).toFixed(2)),
+            inFlight: this.placement.countInFlight(instance.id),
+            inFlightElsewhere: this.reports.countInFlight(instance.id),
+        };
+    }
+
+    private createMembership(): MembershipService {
+        const { settings, timers, random, logger, adapter, peers } = this.options;
+        const self: VmEntry = {
+            name: settings.name,
+            region: settings.region,
+            dataCentre: settings.dataCentre,
+            peerUrl: `http://${settings.listen.peers}`,
+            state: "live",
+        };
+        return MembershipService.create({
+            self,
+            timers,
+            random,
+            logger,
+            vmList: StoreVmList.create(adapter.store),
+            transport: peers,
+            reports: ReportService.create({
+                self: settings.name,
+                directory: this.directory,
+                placement: this.placement,
+                quotas: this.quotas,
+                reports: this.reports,
+            }),
+            heartbeatMs: HEARTBEAT_MS,
+            peerTimeoutMs: PEER_TIMEOUT_MS,
+            vmListPollMs: VM_LIST_POLL_MS,
+            readConfigurationVersion: () => this.keeper.current?.configuration.version ?? -1,
+        });
+    }
+
+    private followOperator(): TopicFollower {
+        const { timers, random, logger, adapter } = this.options;
+        const apply = (records: readonly KeyedRecord[]): void => records.forEach(record => this.applyOperator(record));
+        return TopicFollower.create({
+            store: adapter.store,
+            topic: "operator",
+            timers,
+            random,
+            logger,
+            waitMs: OPERATOR_WAIT_MS,
+            pauseMs: 0,
+            listener: {
+                applyList: apply,
+                applyChanges: apply,
+                confirm: sentAt => this.keeper.confirm(sentAt),
+                noteLost: () => undefined,
+                noteBack: () => undefined,
+            },
+        });
+    }
+
+    private applyOperator(record: KeyedRecord): void {
+        const read = this.options.adapter.readOperatorRecord(record);
+        if (read.isErr()) {
+            this.options.logger.writeError(read.error);
+        }
+        else if (read.value.kind === "configuration") {
+            this.keeper.apply(read.value.configuration);
+        }
+    }
+
+    private followInstances(): TopicFollower {
+        const { timers, random, logger, adapter } = this.options;
+        const readAll = (records: readonly KeyedRecord[]): readonly { id: string; instance: Instance | undefined; }[] =>
+            records.map(record => ({ id: record.key, instance: this.readInstance(record) }));
+        return TopicFollower.create({
+            store: adapter.store,
+            topic: "instances",
+            timers,
+            random,
+            logger,
+            waitMs: 0,
+            pauseMs: INSTANCE_PAUSE_MS,
+            listener: {
+                applyList: records => this.directory.applyList(readAll(records)),
+                applyChanges: records => this.directory.applyChanges(readAll(records)),
+                confirm: () => undefined,
+                noteLost: () => this.directory.noteStoreLost(),
+                noteBack: () => this.directory.noteStoreBack(),
+            },
+        });
+    }
+
+    /** An entry that can't be read names no instance to use. */
+    private readInstance(record: KeyedRecord): Instance | undefined {
+        const read = this.options.adapter.readInstance(record);
+        if (read.isErr()) {
+            this.options.logger.writeError(read.error);
+            return undefined;
+        }
+        return read.value;
+    }
+
+    private createFront(): FrontServer {
+        const { settings, timers, random, logger, metrics, adapter, transport } = this.options;
+        const { bounds, listen, memoryMb, mostDescriptors } = settings;
+        const [host = "", port = "0"] = listen.callers.split(":");
+        const repeats = RepeatBudget.create({
+            timers,
+            ratio: bounds.repeatRatio,
+            extra: bounds.repeatExtra,
+            windowMs: bounds.repeatWindowS * MS_PER_S,
+            countVms: () => this.membership.listMembers().length,
+        });
+        return FrontServer.create({
+            timers,
+            random,
+            logger,
+            metrics,
+            codec: adapter.codec,
+            keeper: this.keeper,
+            forwarder: Forwarder.create({
+                timers,
+                logger,
+                codec: adapter.codec,
+                transport,
+                placement: this.placement,
+                repeats,
+            }),
+            quotas: this.quotas,
+            host,
+            port: Number(port),
+            mostOpen: Math.floor(
+                Math.min(mostDescriptors / DESCRIPTORS_PER_REQUEST, memoryMb / 2 / MEMORY_PER_REQUEST_MB),
+            ),
+            keyAgeLimitMs: bounds.keyRevokeMs * KEY_AGE_SHARE,
+            unknownAgeLimitMs: bounds.applyMs * UNKNOWN_AGE_SHARE,
+            refreshConfiguration: () => this.operatorRecords.refresh(),
+        });
+    }
+}
--- /dev/null
+++ b/packages/wigeonpulley/src/routing/configuration-keeper.ts
@@ -0,0 +1,64 @@
+/**
+ * The routing configuration in force on this VM, and how long ago it was confirmed. Versions only go up.
+ * The age counts from the sending of the read that confirmed it, since the answer may have waited on the way.
+ */
+import type { EventLogger } from "../logging/index.js";
+import { AgeStamp, type TimerService } from "../time/index.js";
+import { RouteTable } from "./route-table.js";
+import type { RoutingConfiguration } from "./routing-configuration.js";
+
+/** Called with each new version. */
+export type ConfigurationListener = (table: RouteTable) => void;
+
+/** Holds the configuration in force. */
+export class ConfigurationKeeper {
+    private table: RouteTable | undefined;
+    private confirmedAt: AgeStamp | undefined;
+    private readonly listeners: ConfigurationListener[] = [];
+
+    private constructor(private readonly timers: TimerService, private readonly logger: EventLogger) {}
+
+    /** Creates a keeper that knows no configuration. */
+    static create(timers: TimerService, logger: EventLogger): ConfigurationKeeper {
+        return new ConfigurationKeeper(timers, logger);
+    }
+
+    /** Calls back with every new version. */
+    subscribe(listener: ConfigurationListener): void {
+        this.listeners.push(listener);
+    }
+
+    /** Takes a configuration over if it is newer than the one in force. */
+    apply(configuration: RoutingConfiguration): void {
+        const before = this.table?.configuration.version;
+        if (before !== undefined && configuration.version <= before) {
+            return;
+        }
+        const table = RouteTable.create(configuration);
+        this.table = table;
+        this.logger.write("RoutingInForce", {
+            version: configuration.version,
+            before: before ?? 0,
+            routes: configuration.routes.length,
+            workspaces: configuration.workspaces?.length ?? 0,
+        });
+        this.listeners.forEach(listener => listener(table));
+    }
+
+    /** Notes that a read sent at `sentAt` found nothing newer than what has been applied. */
+    confirm(sentAt: AgeStamp): void {
+        if (this.confirmedAt === undefined || sentAt.isAfter(this.confirmedAt)) {
+            this.confirmedAt = sentAt;
+        }
+    }
+
+    /** The tables of the configuration in force. */
+    get current(): RouteTable | undefined {
+        return this.table;
+    }
+
+    /** Time since the configuration was last known to be the newest, in milliseconds. */
+    readAgeMs(): number {
+        return this.confirmedAt?.readAgeMs(this.timers) ?? Number.POSITIVE_INFINITY;
+    }
+}
--- /dev/null
+++ b/packages/wigeonpulley/src/routing/route-table.ts
@@ -0,0 +1,66 @@
+/** Finds the route and the workspace of a request in one version of the configuration. */
+import * as Option from "fp-ts/lib/Option.js";
+import type { Route, RoutingConfiguration, Service, Workspace } from "./routing-configuration.js";
+
+/** Lookup tables of one configuration. */
+export class RouteTable {
+    private readonly routesByHost = new Map<string, readonly Route[]>();
+    private readonly workspaceByKey = new Map<string, Workspace>();
+    private readonly serviceByName: ReadonlyMap<string, Service>;
+
+    private constructor(readonly configuration: RoutingConfiguration) {
+        for (const route of configuration.routes) {
+            this.routesByHost.set(route.host, [...this.routesByHost.get(route.host) ?? [], route]);
+        }
+        for (const [host, routes] of this.routesByHost) {
+            this.routesByHost.set(
+                host,
+                routes.toSorted((left, right) => right.pathPrefix.length - left.pathPrefix.length),
+            );
+        }
+        for (const workspace of configuration.workspaces ?? []) {
+            workspace.keys.forEach(key => this.workspaceByKey.set(key, workspace));
+        }
+        this.serviceByName = new Map(configuration.services.map(service => [service.name, service]));
+    }
+
+    /** Builds the tables. */
+    static create(configuration: RoutingConfiguration): RouteTable {
+        return new RouteTable(configuration);
+    }
+
+    /** The route with the longest prefix that begins the path, among the routes of the host. */
+    findRoute(host: string, path: string): Option.Option<Route> {
+        const name = host.replace(/:\d+$/, "").toLowerCase();
+        const routes = this.routesByHost.get(name) ?? [];
+        return Option.fromNullable(routes.find(route => path.startsWith(route.pathPrefix)));
+    }
+
+    /** The workspace that holds a key. */
+    findWorkspace(key: string): Option.Option<Workspace> {
+        return Option.fromNullable(this.workspaceByKey.get(key));
+    }
+
+    /** A service by name. */
+    findService(name: string): Option.Option<Service> {
+        return Option.fromNullable(this.serviceByName.get(name));
+    }
+
+    /** True when requests on the route have to present a key. */
+    needsKey(route: Route): boolean {
+        return this.configuration.workspaces !== undefined && !route.isPublic;
+    }
+}
+
+/** Picks the service for one request; `fraction` is uniform from 0 to 1. */
+export const pickTarget = (route: Route, fraction: number): string => {
+    const total = route.targets.reduce((sum, target) => sum + target.weight, 0);
+    let rest = fraction * total;
+    for (const target of route.targets) {
+        rest -= target.weight;
+        if (rest < 0) {
+            return target.service;
+        }
+    }
+    return (route.targets.find(target => target.weight > 0) ?? route.targets[0])?.service ?? "";
+};
