--- a/packages/wigeonpulley/src/forwarding/front-server.ts
+++ b/packages/wigeonpulley/src/forwarding/front-server.ts
@@ -5,6 +5,7 @@
  */
 import * as Option from "fp-ts/lib/Option.js";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import { Err, Ok, type Result } from "ts-results-es";
 import { SchedulerError } from "../errors/index.js";
 import type { EventLogger } from "../logging/index.js";
@@ -61,8 +62,11 @@
     private readonly server: Server;
     private readonly lifetimes = new Set<RequestLifetime>();
     private readonly idleWaiters: (() => void)[] = [];
+    /** Requests in progress by connection. */
+    private readonly sockets = new Map<Socket, number>();
     private open = 0;
     private isStopping = false;
+    private refusesNew = false;
 
     private constructor(private readonly options: FrontServerOptions) {
         this.server = createServer({
@@ -71,6 +75,10 @@
             requestTimeout: 0,
             noDelay: true,
         }, (request, response) => void this.handle(request, response));
+        this.server.on("connection", socket => {
+            this.sockets.set(socket, 0);
+            socket.once("close", () => this.sockets.delete(socket));
+        });
         options.keeper.subscribe(({ configuration }) => this.applyLimits(configuration.limits));
     }
 
@@ -97,10 +105,16 @@
         this.isStopping = true;
     }
 
-    /** Takes no new connection, and ends idle ones. */
+    /** Takes no new connection or request, and ends the connections that serve none. */
     refuseNew(): void {
+        this.refusesNew = true;
         this.server.close();
-        this.server.closeIdleConnections();
+        // Node counts a connection that has sent nothing yet as busy, so the sockets are tracked here.
+        this.sockets.forEach((busyCount, socket) => {
+            if (busyCount === 0) {
+                socket.end();
+            }
+        });
     }
 
     /** Resolves when no request is open. */
@@ -125,6 +139,7 @@
         const arrivedAt = timers.now();
         const writer = AnswerWriter.create(response, () => this.isStopping);
         this.open += 1;
+        this.addBusy(message.socket, 1);
         try {
             await this.serve(message, response, writer, arrivedAt);
         }
@@ -135,12 +150,20 @@
         }
         finally {
             this.open -= 1;
+            this.addBusy(message.socket, -1);
             if (this.open === 0) {
                 this.idleWaiters.splice(0).forEach(resolve => resolve());
             }
         }
     }
 
+    private addBusy(socket: Socket, change: number): void {
+        const count = this.sockets.get(socket);
+        if (count !== undefined) {
+            this.sockets.set(socket, count + change);
+        }
+    }
+
     private async serve(
         message: IncomingMessage,
         response: ServerResponse,
@@ -214,6 +237,9 @@
         if (table === undefined) {
             return Err(SchedulerError.create("ConfigurationUnavailable", {}, retry));
         }
+        if (this.refusesNew) {
+            return Err(SchedulerError.create("Stopping", {}, retry));
+        }
         if (this.open > mostOpen) {
             return Err(SchedulerError.create("TooManyStreams", { limit: mostOpen }, retry));
         }
--- a/packages/wigeonpulley/src/membership/membership-service.ts
+++ b/packages/wigeonpulley/src/membership/membership-service.ts
@@ -5,7 +5,7 @@
  */
 import { create } from "@bufbuild/protobuf";
 import {
-    type LoadReport,
+    type CarriedReport,
     type MemberDigest,
     MemberDigestSchema,
     type MemberState,
@@ -22,10 +22,10 @@
 /** Reports of load that VMs pass on with their calls. */
 export abstract class ReportExchange {
     /** This VM's report and those of others that are worth passing on. */
-    abstract createReports(incarnation: bigint): readonly LoadReport[];
+    abstract createReports(incarnation: bigint): readonly CarriedReport[];
 
     /** Takes reports over. */
-    abstract applyReports(reports: readonly LoadReport[]): void;
+    abstract applyReports(reports: readonly CarriedReport[]): void;
 }
 
 /** What the service is built from. */
--- a/packages/wigeonpulley/src/peers/connect-peer-transport.ts
+++ b/packages/wigeonpulley/src/peers/connect-peer-transport.ts
@@ -33,6 +33,7 @@
     type SchedulerMessage,
 } from "../gen/wigeonpulley/peer/v1/peer_pb.js";
 import type { VmEntry } from "../platform/index.js";
+import { GossipChannel } from "./gossip-channel.js";
 import { type MemberHandler, PeerHandler, PeerTransport } from "./peer-transport.js";
 
 const CALL_TIMEOUT_MS = 2_000;
@@ -44,6 +45,8 @@
 
 /** Counts bytes of control messages that this VM sent. */
 export interface ByteCounter {
+    /** True when the calls between members are counted, which costs their encoding a second time. */
+    readonly countsMembers: boolean;
     /** Adds bytes of one kind of message. */
     readonly add: (kind: "exchange" | "schedule" | "claim", bytes: number) => void;
 }
@@ -57,6 +60,7 @@
 /** Peer calls of one VM. */
 export class ConnectPeerTransport extends PeerTransport {
     private readonly clients = new Map<string, Client<typeof PeerService>>();
+    private readonly channels = new Map<string, GossipChannel>();
 
     private constructor(
         private readonly vm: string,
@@ -75,8 +79,10 @@
         peer: VmEntry,
         digest: MemberDigest,
     ): Promise<Result<MemberDigest, SchedulerError>> {
-        this.counter.add("exchange", toBinary(MemberDigestSchema, digest).length + MESSAGE_FRAME_BYTES);
-        return this.call(peer, client => client.exchange(digest, { timeoutMs: CALL_TIMEOUT_MS }));
+        if (this.counter.countsMembers) {
+            this.counter.add("exchange", toBinary(MemberDigestSchema, digest).length + MESSAGE_FRAME_BYTES);
+        }
+        return this.findChannel(peer).exchange(digest);
     }
 
     override openSchedule(
@@ -105,6 +111,16 @@
         return this.call(peer, client => client.claim(request, { timeoutMs: CALL_TIMEOUT_MS }));
     }
 
+    private findChannel(peer: VmEntry): GossipChannel {
+        const known = this.channels.get(peer.peerUrl);
+        if (known !== undefined && !known.isClosed) {
+            return known;
+        }
+        const channel = GossipChannel.create(peer, this.findClient(peer));
+        this.channels.set(peer.peerUrl, channel);
+        return channel;
+    }
+
     private findClient(peer: VmEntry): Client<typeof PeerService> {
         const known = this.clients.get(peer.peerUrl);
         if (known !== undefined) {
@@ -195,9 +211,11 @@
 /** A VM without schedulers answers the calls for them as not implemented. */
 const createRoutes = (handler: MemberHandler, key: string) => (router: ConnectRouter): void => {
     router.service(PeerService, {
-        exchange: (digest, context) => {
+        gossip: async function*(digests, context) {
             readIdentity(context.requestHeader, key);
-            return handler.exchange(digest);
+            for await (const digest of digests) {
+                yield handler.exchange(digest);
+            }
         },
         ...(handler instanceof PeerHandler ? createSchedulerRoutes(handler, key) : {}),
     });
--- /dev/null
+++ b/packages/wigeonpulley/src/peers/gossip-channel.ts
@@ -0,0 +1,66 @@
+/** One open stream of digests to a peer; each digest gets one answer, in order. */
+import type { Client } from "@connectrpc/connect";
+import { Err, Ok, type Result } from "ts-results-es";
+import { MessageQueue } from "../concurrency/index.js";
+import { describeCause, SchedulerError } from "../errors/index.js";
+import type { MemberDigest, PeerService } from "../gen/wigeonpulley/peer/v1/peer_pb.js";
+import type { VmEntry } from "../platform/index.js";
+
+/** Time for an answer, in milliseconds; a stream that misses it may be silent for good and is replaced. */
+const ANSWER_TIMEOUT_MS = 1_500;
+
+type Answer = Result<MemberDigest, SchedulerError>;
+
+/** Stream to one peer. */
+export class GossipChannel {
+    private readonly outgoing = MessageQueue.create<MemberDigest>();
+    private readonly waiting: ((answer: Answer) => void)[] = [];
+    private readonly abort = new AbortController();
+    private closed = false;
+
+    private constructor(private readonly peer: VmEntry, client: Client<typeof PeerService>) {
+        void this.readAnswers(client);
+    }
+
+    /** Opens a stream. */
+    static create(peer: VmEntry, client: Client<typeof PeerService>): GossipChannel {
+        return new GossipChannel(peer, client);
+    }
+
+    /** True when the stream has ended and can't be used any more. */
+    get isClosed(): boolean {
+        return this.closed;
+    }
+
+    /** Sends a digest and waits for the peer's. Fails with PeerUnavailable. */
+    exchange(digest: MemberDigest): Promise<Answer> {
+        return new Promise(resolve => {
+            const timeout = setTimeout(() => this.close("no answer in time"), ANSWER_TIMEOUT_MS);
+            this.waiting.push(answer => {
+                clearTimeout(timeout);
+                resolve(answer);
+            });
+            this.outgoing.push(digest);
+        });
+    }
+
+    private async readAnswers(client: Client<typeof PeerService>): Promise<void> {
+        try {
+            for await (const answer of client.gossip(this.outgoing, { signal: this.abort.signal })) {
+                this.waiting.shift()?.(Ok(answer));
+            }
+            this.close("the stream ended");
+        }
+        catch (cause) {
+            this.close(describeCause(cause));
+        }
+    }
+
+    private close(reason: string): void {
+        this.closed = true;
+        this.outgoing.close();
+        this.abort.abort();
+        const error = SchedulerError.create("PeerUnavailable", { peer: this.peer.name, reason });
+        this.waiting.splice(0).forEach(resolve => resolve(Err(error)));
+    }
+}
--- a/packages/wigeonpulley/src/placement/load-reports.ts
+++ b/packages/wigeonpulley/src/placement/load-reports.ts
@@ -1,6 +1,11 @@
 /** What the other VMs reported of their load, for as long as it means anything. */
-import { create } from "@bufbuild/protobuf";
-import { type LoadReport, LoadReportSchema } from "../gen/wigeonpulley/peer/v1/peer_pb.js";
+import { create, fromBinary } from "@bufbuild/protobuf";
+import {
+    type CarriedReport,
+    CarriedReportSchema,
+    type LoadReport,
+    LoadReportSchema,
+} from "../gen/wigeonpulley/peer/v1/peer_pb.js";
 import type { TimerService } from "../time/index.js";
 import { PeerLoads } from "./peer-loads.js";
 
@@ -13,8 +18,15 @@
 
 interface HeardReport {
     readonly report: LoadReport;
+    readonly encoded: Uint8Array;
     /** Monotonic time at which the report was made, in milliseconds. */
     readonly madeAt: number;
+    readonly loadByInstance: ReadonlyMap<string, InstanceLoad>;
+}
+
+interface InstanceLoad {
+    readonly inFlight: number;
+    readonly pendingTokens: number;
 }
 
 /** Newest report of each VM. */
@@ -30,27 +42,38 @@
         return new LoadReports(self, timers);
     }
 
-    /** Takes a report over; false when a newer one is known. */
-    apply(report: LoadReport): boolean {
+    /** Takes a report over and returns it; undefined when a newer one is known. */
+    apply(carried: CarriedReport): LoadReport | undefined {
+        const report = fromBinary(LoadReportSchema, carried.report);
         const known = this.heard.get(report.vm)?.report;
         const isOld = known !== undefined && (known.incarnation > report.incarnation
             || (known.incarnation === report.incarnation && known.sequence >= report.sequence));
         if (report.vm === this.self || isOld) {
-            return false;
+            return undefined;
         }
-        this.heard.set(report.vm, { report, madeAt: this.timers.now() - report.ageMs });
-        return true;
+        this.heard.set(report.vm, {
+            report,
+            encoded: carried.report,
+            madeAt: this.timers.now() - carried.ageMs,
+            loadByInstance: new Map(
+                report.instances.map((instance, index) => [instance, {
+                    inFlight: report.inFlight[index] ?? 0,
+                    pendingTokens: report.pendingTokens[index] ?? 0,
+                }]),
+            ),
+        });
+        return report;
     }
 
-    /** Reports of other VMs that are worth passing on, freshest first, with their age. */
-    listToPassOn(): readonly LoadReport[] {
+    /** Reports of other VMs that are worth passing on, freshest first. */
+    listToPassOn(): readonly CarriedReport[] {
         const now = this.timers.now();
         return [...this.heard.values()]
             .filter(({ madeAt }) => now - madeAt <= PASS_ON_MS)
             .sort((left, right) => right.madeAt - left.madeAt)
             .slice(0, MOST_PASSED_ON)
-            .map(({ report, madeAt }) =>
-                create(LoadReportSchema, { ...report, ageMs: Math.max(0, Math.round(now - madeAt)) })
+            .map(({ encoded, madeAt }) =>
+                create(CarriedReportSchema, { report: encoded, ageMs: Math.max(0, Math.round(now - madeAt)) })
             );
     }
 
@@ -60,33 +83,36 @@
     }
 
     override countInFlight(instance: string): number {
-        return this.sum(report => report.instances.find(load => load.instance === instance)?.inFlight ?? 0);
+        return this.sum(({ loadByInstance }) => loadByInstance.get(instance)?.inFlight ?? 0);
     }
 
     override countPendingTokens(instance: string): number {
-        return this.sum(report => report.instances.find(load => load.instance === instance)?.pendingTokens ?? 0);
+        return this.sum(({ loadByInstance }) => loadByInstance.get(instance)?.pendingTokens ?? 0);
     }
 
     override countWaiting(service: string, rank: number): number {
-        return this.sum(report =>
-            report.queues.reduce(
-                (count, queue) => count + (queue.service === service && queue.rank <= rank ? queue.waiting : 0),
+        return this.sum(({ report }) =>
+            report.queueServices.reduce(
+                (count, name, index) =>
+                    count + (name === service && (report.queueRanks[index] ?? 0) <= rank
+                        ? report.queueWaiting[index] ?? 0
+                        : 0),
                 0,
             )
         );
     }
 
-    private sum(read: (report: LoadReport) => number): number {
-        return this.listFresh().reduce((total, report) => total + read(report), 0);
+    private sum(read: (heard: HeardReport) => number): number {
+        return this.listFresh().reduce((total, heard) => total + read(heard), 0);
     }
 
-    private listFresh(): readonly LoadReport[] {
+    private listFresh(): readonly HeardReport[] {
         const oldest = this.timers.now() - EXPIRY_MS;
         for (const [vm, { madeAt }] of this.heard) {
             if (madeAt < oldest) {
                 this.heard.delete(vm);
             }
         }
-        return [...this.heard.values()].map(({ report }) => report);
+        return [...this.heard.values()];
     }
 }
--- a/packages/wigeonpulley/src/routed-vm/daemon.ts
+++ b/packages/wigeonpulley/src/routed-vm/daemon.ts
@@ -55,6 +55,7 @@
         adapter: options.createAdapter(timers),
         transport,
         peers: ConnectPeerTransport.create(settings.name, peerKey, {
+            countsMembers: false,
             add: (kind, bytes) => metrics.countControlBytes(kind, bytes),
         }),
     });
--- a/packages/wigeonpulley/src/routed-vm/report-service.ts
+++ b/packages/wigeonpulley/src/routed-vm/report-service.ts
@@ -1,10 +1,15 @@
 /** Makes this VM's reports for the others, and takes theirs over. */
-import { create } from "@bufbuild/protobuf";
+import { create, toBinary } from "@bufbuild/protobuf";
 import type { InstanceDirectory } from "../discovery/index.js";
-import { type LoadReport, LoadReportSchema } from "../gen/wigeonpulley/peer/v1/peer_pb.js";
+import {
+    type CarriedReport,
+    CarriedReportSchema,
+    type LoadReport,
+    LoadReportSchema,
+} from "../gen/wigeonpulley/peer/v1/peer_pb.js";
 import { ReportExchange } from "../membership/index.js";
 import type { LoadReports, PlacementService } from "../placement/index.js";
-import type { QuotaLedger } from "../quotas/index.js";
+import type { QuotaLedger, WorkspaceUse } from "../quotas/index.js";
 
 /** The parts that are reported on. */
 export interface ReportServiceOptions {
@@ -28,47 +33,46 @@
         return new ReportService(options);
     }
 
-    override createReports(incarnation: bigint): readonly LoadReport[] {
-        const { self, directory, placement, quotas, reports } = this.options;
+    override createReports(incarnation: bigint): readonly CarriedReport[] {
         this.sequence += 1;
-        const own = create(LoadReportSchema, {
-            vm: self,
-            incarnation,
-            sequence: this.sequence,
-            instances: directory.list().flatMap(({ id }) => {
-                const inFlight = placement.countInFlight(id);
-                const pendingTokens = Math.round(placement.countPendingTokens(id));
-                return inFlight > 0 ? [{ instance: id, inFlight, pendingTokens }] : [];
-            }),
-            queues: placement.listWaiting().map(({ service, rank, count }) => ({ service, rank, waiting: count })),
-            quotas: quotas.listUse().map(({ workspace, taken, demandPerS }) => ({
-                workspace,
-                taken: BigInt(Math.max(0, Math.round(taken))),
-                demandPerS: Math.round(demandPerS),
-            })),
-        });
-        return [own, ...reports.listToPassOn()];
+        const report = toBinary(LoadReportSchema, this.createOwn(incarnation));
+        return [create(CarriedReportSchema, { report, ageMs: 0 }), ...this.options.reports.listToPassOn()];
     }
 
-    override applyReports(received: readonly LoadReport[]): void {
+    override applyReports(received: readonly CarriedReport[]): void {
         const { reports, quotas, placement } = this.options;
-        let isNew = false;
-        for (const report of received) {
-            if (reports.apply(report)) {
-                isNew = true;
-                quotas.applyUse(
-                    report.vm,
-                    report.incarnation,
-                    report.quotas.map(({ workspace, taken, demandPerS }) => ({
-                        workspace,
-                        taken: Number(taken),
-                        demandPerS,
-                    })),
-                );
-            }
-        }
-        if (isNew) {
+        const fresh = received.flatMap(carried => reports.apply(carried) ?? []);
+        fresh.forEach(report => quotas.applyUse(report.vm, report.incarnation, listQuotaUse(report)));
+        if (fresh.length > 0) {
             placement.pumpAll();
         }
     }
+
+    private createOwn(incarnation: bigint): LoadReport {
+        const { self, directory, placement, quotas } = this.options;
+        const busy = directory.list().filter(({ id }) => placement.countInFlight(id) > 0);
+        const queues = placement.listWaiting();
+        const uses = quotas.listUse();
+        return create(LoadReportSchema, {
+            vm: self,
+            incarnation,
+            sequence: this.sequence,
+            instances: busy.map(({ id }) => id),
+            inFlight: busy.map(({ id }) => placement.countInFlight(id)),
+            pendingTokens: busy.map(({ id }) => Math.round(placement.countPendingTokens(id))),
+            queueServices: queues.map(({ service }) => service),
+            queueRanks: queues.map(({ rank }) => rank),
+            queueWaiting: queues.map(({ count }) => count),
+            workspaces: uses.map(({ workspace }) => workspace),
+            workspaceTaken: uses.map(({ taken }) => BigInt(Math.max(0, Math.round(taken)))),
+            workspaceDemandPerS: uses.map(({ demandPerS }) => Math.round(demandPerS)),
+        });
+    }
 }
+
+const listQuotaUse = (report: LoadReport): readonly WorkspaceUse[] =>
+    report.workspaces.map((workspace, index) => ({
+        workspace,
+        taken: Number(report.workspaceTaken[index] ?? 0n),
+        demandPerS: report.workspaceDemandPerS[index] ?? 0,
+    }));
--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -38,7 +38,7 @@
 /** Part of the time to apply a configuration after which an unconfirmed one proves nothing unknown. */
 const UNKNOWN_AGE_SHARE = 0.85;
 /** Interval of calls between VMs, in milliseconds. */
-const HEARTBEAT_MS = 250;
+const HEARTBEAT_MS = 500;
 const PEER_TIMEOUT_MS = 2_000;
 const VM_LIST_POLL_MS = 4_000;
 /** Time for the platform to notice that a VM is not ready: two checks of one a second, in milliseconds. */
--- a/packages/wigeonpulley/src/vm/daemon.ts
+++ b/packages/wigeonpulley/src/vm/daemon.ts
@@ -28,6 +28,7 @@
     const metrics = MetricsRegistry.create();
     const { timing } = settings;
     const transport = ConnectPeerTransport.create(settings.name, settings.peerKey, {
+        countsMembers: true,
         add: (kind, bytes) => metrics.countControlBytes(kind, bytes),
     });
     const vm = EntryVm.create({
