Take an answer without a length for incomplete when its connection is reset

Shown failing first by a raw TCP endpoint in test/forwarding/undici-transport.test.ts. Change: each connection keeps the error that ended its socket.

--- a/packages/wigeonpulley/src/forwarding/undici-transport.ts
+++ b/packages/wigeonpulley/src/forwarding/undici-transport.ts
@@ -29,51 +29,78 @@
 /** Bytes of an answer that wait for a slow caller before reading from the endpoint pauses. */
 const HIGH_WATER_BYTES = 65_536;
 
-interface IdleConnection {
+/** One connection to an instance. */
+class EndpointConnection {
+    /** Monotonic time of the end of its last request, in milliseconds. */
+    idleSince = 0;
+    private socketFailure: Error | undefined;
     readonly client: Client;
-    readonly idleSince: number;
-}
 
-/** Opens sockets with a timeout of this VM's own timer service. */
-const createConnector = ({ timers, connectMs }: TransportOptions): buildConnector.connector => (options, callback) => {
-    let settled = false;
-    const socket: Socket = connect({
-        host: options.hostname,
-        port: Number(options.port),
-        noDelay: true,
-        keepAlive: true,
-        keepAliveInitialDelay: KEEP_ALIVE_PROBE_MS,
-    });
-    const settle = (failure: Error | undefined): void => {
-        if (settled) {
-            return;
-        }
-        settled = true;
-        cancelTimeout();
-        if (failure === undefined) {
+    private constructor(instance: Instance, private readonly options: TransportOptions) {
+        this.client = new Client(`http://${instance.host}:${instance.port}`, {
+            connect: (target, callback) => this.connect(target, callback),
+            pipelining: 1,
+            headersTimeout: 0,
+            bodyTimeout: 0,
+        });
+    }
+
+    /** Creates a connection that opens with its first request. */
+    static create(instance: Instance, options: TransportOptions): EndpointConnection {
+        return new EndpointConnection(instance, options);
+    }
+
+    /** The error that ended the socket. The library takes a reset for the end of an answer without a length. */
+    get failure(): Error | undefined {
+        return this.socketFailure;
+    }
+
+    /** True while another request may use it. */
+    get isOpen(): boolean {
+        return !this.client.destroyed && !this.client.closed && this.socketFailure === undefined;
+    }
+
+    /** Closes the connection. */
+    destroy(): void {
+        // A client that is destroyed twice rejects; there is nothing left to do for it.
+        this.client.destroy().catch(() => undefined);
+    }
+
+    /** Opens the socket with a timeout of this VM's own timer service. */
+    private connect(target: buildConnector.Options, callback: buildConnector.Callback): void {
+        const { timers, connectMs } = this.options;
+        const socket: Socket = connect({
+            host: target.hostname,
+            port: Number(target.port),
+            noDelay: true,
+            keepAlive: true,
+            keepAliveInitialDelay: KEEP_ALIVE_PROBE_MS,
+        });
+        const cancelTimeout = timers.schedule(connectMs, () => socket.destroy(new Error("connect timeout")));
+        socket.once("connect", () => {
+            cancelTimeout();
+            socket.off("error", failConnect);
+            socket.once("error", failure => {
+                this.socketFailure = failure;
+            });
             // eslint-disable-next-line no-restricted-syntax -- the library's callback wants null
             callback(null, socket);
-        }
-        else {
-            socket.destroy();
+        });
+        const failConnect = (failure: Error): void => {
+            cancelTimeout();
             // eslint-disable-next-line no-restricted-syntax -- the library's callback wants null
             callback(failure, null);
-        }
-    };
-    const cancelTimeout = timers.schedule(connectMs, () => settle(new Error("connect timeout")));
-    socket.once("connect", () => settle(undefined));
-    socket.once("error", settle);
-    return socket;
-};
+        };
+        socket.once("error", failConnect);
+    }
+}
 
 /** Transport over TCP. */
 export class UndiciTransport extends EndpointTransport {
-    private readonly idle = new Map<string, IdleConnection[]>();
-    private readonly connector: buildConnector.connector;
+    private readonly idle = new Map<string, EndpointConnection[]>();
 
     private constructor(private readonly options: TransportOptions) {
         super();
-        this.connector = createConnector(options);
     }
 
     /** Creates a transport without connections. */
@@ -82,13 +109,14 @@
     }
 
     override send(instance: Instance, request: OutgoingRequest): EndpointExchange {
-        const client = this.takeIdle(instance, request.isOnce) ?? this.open(instance);
-        return UndiciExchange.create(client, request, isReusable => {
+        const connection = this.takeIdle(instance, request.isOnce)
+            ?? EndpointConnection.create(instance, this.options);
+        return UndiciExchange.create(connection, request, isReusable => {
             if (isReusable) {
-                this.keepIdle(instance, client);
+                this.keepIdle(instance, connection);
             }
             else {
-                client.destroy().catch(ignoreDestroyed);
+                connection.destroy();
             }
         });
     }
@@ -96,58 +124,42 @@
     override closeIdle(instanceId: string): void {
         for (const [key, connections] of this.idle) {
             if (key.startsWith(`${instanceId} `)) {
-                connections.forEach(({ client }) => client.destroy().catch(ignoreDestroyed));
+                connections.forEach(connection => connection.destroy());
                 this.idle.delete(key);
             }
         }
     }
 
     override close(): void {
-        this.idle.forEach(connections =>
-            connections.forEach(({ client }) => client.destroy().catch(ignoreDestroyed))
-        );
+        this.idle.forEach(connections => connections.forEach(connection => connection.destroy()));
         this.idle.clear();
     }
 
-    private open(instance: Instance): Client {
-        return new Client(`http://${instance.host}:${instance.port}`, {
-            connect: this.connector,
-            pipelining: 1,
-            headersTimeout: 0,
-            bodyTimeout: 0,
-        });
-    }
-
-    private takeIdle(instance: Instance, isOnce: boolean): Client | undefined {
+    private takeIdle(instance: Instance, isOnce: boolean): EndpointConnection | undefined {
         const connections = this.idle.get(createKey(instance)) ?? [];
-        const oldest = this.options.timers.now() - (isOnce ? this.options.onceIdleMs : this.options.idleMs);
-        while (connections.length > 0) {
-            const last = connections.at(-1);
-            if (last === undefined || (isOnce && last.idleSince < oldest)) {
-                return undefined;
-            }
-            connections.pop();
-            if (last.idleSince >= oldest && !last.client.destroyed && !last.client.closed) {
-                return last.client;
-            }
-            last.client.destroy().catch(ignoreDestroyed);
+        const now = this.options.timers.now();
+        const oldest = now - this.options.idleMs;
+        while ((connections[0]?.idleSince ?? now) < oldest) {
+            connections.shift()?.destroy();
+        }
+        if (isOnce && (connections.at(-1)?.idleSince ?? now) < now - this.options.onceIdleMs) {
+            return undefined;
         }
-        return undefined;
+        const connection = connections.pop();
+        return connection?.isOpen === true ? connection : undefined;
     }
 
-    private keepIdle(instance: Instance, client: Client): void {
+    private keepIdle(instance: Instance, connection: EndpointConnection): void {
         const key = createKey(instance);
         const connections = this.idle.get(key) ?? [];
         this.idle.set(key, connections);
-        connections.push({ client, idleSince: this.options.timers.now() });
+        connection.idleSince = this.options.timers.now();
+        connections.push(connection);
     }
 }
 
 const createKey = ({ id, host, port, bornMs }: Instance): string => `${id} ${host}:${port} ${bornMs}`;
 
-/** A client that is destroyed twice rejects; there is nothing left to do for it. */
-const ignoreDestroyed = (): void => undefined;
-
 /** One request on one client. */
 class UndiciExchange extends EndpointExchange {
     private controller: Dispatcher.DispatchController | undefined;
@@ -159,17 +171,20 @@
     private readonly chunks: Buffer[] = [];
     private wake: (() => void) | undefined;
 
-    private constructor(private readonly release: (isReusable: boolean) => void) {
+    private constructor(
+        private readonly connection: EndpointConnection,
+        private readonly release: (isReusable: boolean) => void,
+    ) {
         super();
     }
 
     static create(
-        client: Client,
+        connection: EndpointConnection,
         request: OutgoingRequest,
         release: (isReusable: boolean) => void,
     ): UndiciExchange {
-        const exchange = new UndiciExchange(release);
-        client.dispatch(
+        const exchange = new UndiciExchange(connection, release);
+        connection.client.dispatch(
             {
                 method: request.method as Dispatcher.HttpMethod,
                 path: request.path,
@@ -238,7 +253,10 @@
                 this.notify();
             },
             onResponseEnd: () => {
-                if (this.failure === undefined) {
+                if (this.connection.failure !== undefined) {
+                    this.fail(describeCause(this.connection.failure));
+                }
+                else if (this.failure === undefined) {
                     this.isComplete = true;
                     this.releaseOnce(true);
                     this.notify();
--- /dev/null
+++ b/packages/wigeonpulley/test/forwarding/undici-transport.test.ts
@@ -0,0 +1,127 @@
+import { afterEach, expect, test } from "vitest";
+import {
+    type AnswerHead,
+    type EndpointExchange,
+    isExchangeFailure,
+    type OutgoingRequest,
+    SystemTimerService,
+    UndiciTransport,
+} from "wigeonpulley";
+import { createInstance, type RawEndpoint, startRawEndpoint } from "../fixtures/raw-endpoint.js";
+
+const GET: OutgoingRequest = {
+    method: "GET",
+    path: "/stock/1",
+    headers: ["host", "stock.example"],
+    body: undefined,
+    isOnce: false,
+};
+const WHOLE = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+const createTransport = (): UndiciTransport =>
+    UndiciTransport.create({
+        timers: SystemTimerService.create(),
+        connectMs: 1_000,
+        idleMs: 5_000,
+        onceIdleMs: 5_000,
+    });
+
+interface ReadAnswer {
+    readonly head: AnswerHead | undefined;
+    readonly body: string;
+    readonly failure: string | undefined;
+    readonly mayHaveRun: boolean;
+}
+
+const readAnswer = async (exchange: EndpointExchange): Promise<ReadAnswer> => {
+    const head = await exchange.readHead();
+    if (isExchangeFailure(head)) {
+        return { head: undefined, body: "", failure: head.reason, mayHaveRun: head.mayHaveRun };
+    }
+    let body = "";
+    for (;;) {
+        const chunk = await exchange.readChunk();
+        if (chunk === undefined) {
+            return { head, body, failure: undefined, mayHaveRun: true };
+        }
+        if (isExchangeFailure(chunk)) {
+            return { head, body, failure: chunk.reason, mayHaveRun: chunk.mayHaveRun };
+        }
+        body += chunk.toString();
+    }
+};
+
+const endpoints: RawEndpoint[] = [];
+const start = async (...parameters: Parameters<typeof startRawEndpoint>): Promise<RawEndpoint> => {
+    const endpoint = await startRawEndpoint(...parameters);
+    endpoints.push(endpoint);
+    return endpoint;
+};
+
+afterEach(() => endpoints.splice(0).forEach(endpoint => endpoint.close()));
+
+test("an answer without a length that ends with its connection is complete", async () => {
+    const endpoint = await start(socket => socket.end("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole"));
+    const answer = await readAnswer(createTransport().send(endpoint.instance, GET));
+    expect(answer).toMatchObject({ body: "whole", failure: undefined });
+});
+
+test("an answer without a length whose connection is reset is a failure", async () => {
+    const endpoint = await start(socket => {
+        socket.write("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf", () => {
+            setTimeout(() => socket.resetAndDestroy(), 50);
+        });
+    });
+    const answer = await readAnswer(createTransport().send(endpoint.instance, GET));
+    expect(answer.failure).toBeDefined();
+});
+
+test("a refused connection proves that the request did not run", async () => {
+    const endpoint = await start(() => undefined);
+    endpoint.close();
+    const answer = await readAnswer(createTransport().send(endpoint.instance, GET));
+    expect(answer).toMatchObject({ mayHaveRun: false });
+    const unreachable = createInstance({ host: "127.0.0.1", port: 1 });
+    expect(await readAnswer(createTransport().send(unreachable, GET))).toMatchObject({ mayHaveRun: false });
+});
+
+test("a request that was sent and got no answer may have run, and is not sent again", async () => {
+    const heads: string[] = [];
+    const endpoint = await start((socket, head) => {
+        heads.push(head);
+        socket.resetAndDestroy();
+    });
+    const answer = await readAnswer(createTransport().send(endpoint.instance, GET));
+    expect(answer).toMatchObject({ mayHaveRun: true });
+    await new Promise(resolve => setTimeout(resolve, 100));
+    expect(heads).toHaveLength(1);
+});
+
+test("an extra answer on a kept connection does not become the next request's", async () => {
+    const endpoint = await start((socket, head, count) => {
+        socket.write(count === 1 ? WHOLE + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray" : WHOLE);
+    });
+    const transport = createTransport();
+    expect(await readAnswer(transport.send(endpoint.instance, GET))).toMatchObject({ body: "ok" });
+    await new Promise(resolve => setTimeout(resolve, 50));
+    expect((await readAnswer(transport.send(endpoint.instance, GET))).body).not.toBe("stray");
+});
+
+test("connections are used again while they are fresh", async () => {
+    const endpoint = await start(socket => socket.write(WHOLE));
+    const transport = createTransport();
+    for (let count = 0; count < 3; count += 1) {
+        expect(await readAnswer(transport.send(endpoint.instance, GET))).toMatchObject({ body: "ok" });
+    }
+    expect(endpoint.connections).toHaveLength(1);
+});
+
+test("aborting an exchange closes its connection", async () => {
+    const closed = new Promise<void>(resolve => {
+        void start(socket => socket.once("close", () => resolve())).then(endpoint => {
+            const exchange = createTransport().send(endpoint.instance, GET);
+            setTimeout(() => exchange.abort("caller-gone"), 50);
+        });
+    });
+    await closed;
+});
