--- a/packages/wigeonpulley/src/forwarding/attempt.ts
+++ b/packages/wigeonpulley/src/forwarding/attempt.ts
@@ -141,6 +141,7 @@
     private async relayStream(head: AnswerHead): Promise<AttemptOutcome> {
         const { relay, writer, placement, timers } = this.options;
         let hasBegun = false;
+        const eventsBefore = relay.eventCount;
         for (;;) {
             const chunk = await this.exchange.readChunk();
             if (isExchangeFailure(chunk)) {
@@ -164,6 +165,7 @@
             return createFailed("the stream ended within an event");
         }
         writer.end();
+        placement.noteEvents(relay.eventCount - eventsBefore);
         return { kind: "answered", status: head.status };
     }
 
--- a/packages/wigeonpulley/src/forwarding/forwarder.ts
+++ b/packages/wigeonpulley/src/forwarding/forwarder.ts
@@ -12,7 +12,7 @@
 import type { EndpointTransport } from "./endpoint-transport.js";
 import type { HeaderCodec } from "./header-codec.js";
 import { type EndReason } from "./request-lifetime.js";
-import { computePatienceMs, computeRank, isRepeatable, type RoutedRequest } from "./routed-request.js";
+import { computePatienceMs, computeRank, estimateEvents, isRepeatable, type RoutedRequest } from "./routed-request.js";
 import { StreamRelay } from "./stream-relay.js";
 
 /** What the forwarder is built from. */
@@ -35,6 +35,10 @@
     readonly sends: number;
     /** Time until the first endpoint was chosen, in milliseconds. */
     readonly waitedMs: number;
+    /** Time until the first byte of the answer came, in milliseconds; -1 without one. */
+    readonly firstMs: number;
+    /** Events of a stream that the caller got. */
+    readonly events: number;
     /** True when an endpoint may have run the request. */
     readonly mayHaveRun: boolean;
 }
@@ -53,6 +57,7 @@
     refusedSends: number;
     waitedMs: number | undefined;
     instance: string;
+    readonly arrivedAt: number;
 }
 
 /** Forwards requests. */
@@ -68,7 +73,8 @@
     async serve(request: RoutedRequest, writer: AnswerWriter): Promise<ForwardSummary> {
         this.options.repeats.noteRequest(request.service);
         const progress: Progress = {
-            relay: StreamRelay.create(writer),
+            relay: StreamRelay.create(writer, this.options.timers),
+            arrivedAt: request.arrivedAt,
             excluded: new Set(),
             attempts: 0,
             refusedSends: 0,
@@ -96,9 +102,12 @@
             requestId: facts.attemptId,
             service: request.service,
             rank: computeRank(route, workspace),
-            isEngine: request.isEngine,
+            isEngine: request.tokensPerEvent !== undefined,
             promptTokens: facts.tokens?.prompt ?? 0,
             prompt: facts.promptParts,
+            expectedEvents: estimateEvents(request),
+            leftMs: lifetime.leftMs,
+            gapTargetMs: route.gapTargetMs,
             waitUntil: Math.max(request.arrivedAt, progress.attempts === 0 ? 0 : timers.now())
                 + patienceMs * WAIT_SHARE,
             excluded: progress.excluded,
@@ -201,6 +210,8 @@
             instance: progress.instance,
             sends: progress.attempts + progress.refusedSends,
             waitedMs: Math.round(progress.waitedMs ?? 0),
+            firstMs: Math.round(progress.relay.firstAt === undefined ? -1 : progress.relay.firstAt - progress.arrivedAt),
+            events: progress.relay.eventCount,
             mayHaveRun,
         };
     }
--- a/packages/wigeonpulley/src/forwarding/front-server.ts
+++ b/packages/wigeonpulley/src/forwarding/front-server.ts
@@ -19,7 +19,7 @@
 import type { Forwarder, ForwardSummary } from "./forwarder.js";
 import type { HeaderCodec, RequestFacts } from "./header-codec.js";
 import { RequestLifetime } from "./request-lifetime.js";
-import { countQuotaTokens, type RoutedRequest } from "./routed-request.js";
+import { computeRank, countQuotaTokens, type RoutedRequest } from "./routed-request.js";
 
 /** What the server is built from. */
 export interface FrontServerOptions {
@@ -35,10 +35,8 @@
     readonly port: number;
     /** Most requests open at the same time. */
     readonly mostOpen: number;
-    /** Age of the configuration from which requests with a key are refused, in milliseconds. */
-    readonly keyAgeLimitMs: number;
-    /** Age of the configuration from which nothing is called unknown, in milliseconds. */
-    readonly unknownAgeLimitMs: number;
+    /** Ages of the configuration from which requests with a key are refused and nothing is called unknown. */
+    readonly readAgeLimits: () => { readonly keyMs: number; readonly unknownMs: number; };
     /** Reads the configuration at once; resolves when the read is over. */
     readonly refreshConfiguration: () => Promise<void>;
 }
@@ -231,7 +229,8 @@
     }
 
     private match(message: IncomingMessage, facts: RequestFacts): Result<Admission, SchedulerError> {
-        const { keeper, keyAgeLimitMs, unknownAgeLimitMs, mostOpen } = this.options;
+        const { keeper, mostOpen } = this.options;
+        const { keyMs, unknownMs } = this.options.readAgeLimits();
         const table = keeper.current;
         const retry = { retryAfterMs: OWN_RETRY_AFTER_MS };
         if (table === undefined) {
@@ -248,17 +247,17 @@
         const path = (message.url ?? "").split("?", 1)[0] ?? "";
         const route = Option.toUndefined(table.findRoute(message.headers.host ?? "", path));
         if (route === undefined) {
-            return Err(ageMs > unknownAgeLimitMs ? stale : SchedulerError.create("NoRoute", { path }));
+            return Err(ageMs > unknownMs ? stale : SchedulerError.create("NoRoute", { path }));
         }
         const workspace = facts.key === undefined
             ? undefined
             : Option.toUndefined(table.findWorkspace(facts.key));
         if (table.needsKey(route)) {
-            if (ageMs > keyAgeLimitMs) {
+            if (ageMs > keyMs) {
                 return Err(stale);
             }
             if (workspace === undefined) {
-                return Err(ageMs > unknownAgeLimitMs ? stale : SchedulerError.create("UnknownCaller", {}));
+                return Err(ageMs > unknownMs ? stale : SchedulerError.create("UnknownCaller", {}));
             }
         }
         return Ok({ table, route, workspace });
@@ -282,7 +281,7 @@
             body,
             route,
             service,
-            isEngine: Option.exists<{ readonly isEngine: boolean; }>(found => found.isEngine)(table.findService(service)),
+            tokensPerEvent: Option.toUndefined(table.findService(service))?.engine?.tokensPerEvent,
             workspace,
             arrivedAt,
             configurationVersion: table.configuration.version,
@@ -319,7 +318,11 @@
             outcome: summary.outcome,
             instance: summary.instance,
             sends: summary.sends,
+            rank: computeRank(request.route, request.workspace),
+            promptTokens: request.facts.tokens?.prompt ?? 0,
             waitedMs: summary.waitedMs,
+            firstMs: summary.firstMs,
+            events: summary.events,
             tookMs,
         });
     }
--- a/packages/wigeonpulley/src/forwarding/header-codec.ts
+++ b/packages/wigeonpulley/src/forwarding/header-codec.ts
@@ -18,6 +18,8 @@
     readonly key: string | undefined;
     /** Prompt tokens and the most output tokens; undefined for requests that declare none. */
     readonly tokens: { readonly prompt: number; readonly output: number; } | undefined;
+    /** The caller's own estimate of the output tokens; often far off. */
+    readonly outputHint: number | undefined;
     readonly promptParts: readonly PromptPart[];
     /** Event after which the caller wants its stream to go on. */
     readonly lastEventId: string | undefined;
--- a/packages/wigeonpulley/src/forwarding/routed-request.ts
+++ b/packages/wigeonpulley/src/forwarding/routed-request.ts
@@ -13,7 +13,8 @@
     readonly body: Buffer | undefined;
     readonly route: Route;
     readonly service: string;
-    readonly isEngine: boolean;
+    /** Tokens of one event, for requests to engines. */
+    readonly tokensPerEvent: number | undefined;
     readonly workspace: Workspace | undefined;
     /** Monotonic time of its arrival, in milliseconds. */
     readonly arrivedAt: number;
@@ -58,3 +59,13 @@
     }
     return facts.tokens === undefined ? quota.plainTokens : facts.tokens.prompt + facts.tokens.output;
 };
+
+/** Share of the most output tokens that is expected of a request without a hint. */
+const EXPECTED_OUTPUT_SHARE = 0.5;
+
+/** Events that the answer is expected to have. */
+export const estimateEvents = ({ facts, tokensPerEvent }: RoutedRequest): number => {
+    const most = facts.tokens?.output ?? 0;
+    const tokens = Math.min(most, facts.outputHint ?? most * EXPECTED_OUTPUT_SHARE);
+    return tokens / (tokensPerEvent ?? 1);
+};
--- a/packages/wigeonpulley/src/forwarding/stream-relay.ts
+++ b/packages/wigeonpulley/src/forwarding/stream-relay.ts
@@ -1,4 +1,5 @@
 /** Passes the events of a stream on, whole and once each, also when the stream goes on at another endpoint. */
+import type { TimerService } from "../time/index.js";
 import type { AnswerWriter } from "./answer-writer.js";
 import type { AnswerHead } from "./endpoint-transport.js";
 import { EventSplitter } from "./event-splitter.js";
@@ -9,11 +10,18 @@
     private lastId: string | undefined;
     private events = 0;
 
-    private constructor(private readonly writer: AnswerWriter) {}
+    private firstPushAt: number | undefined;
+
+    private constructor(private readonly writer: AnswerWriter, private readonly timers: TimerService) {}
 
     /** Creates a relay that has passed nothing on. */
-    static create(writer: AnswerWriter): StreamRelay {
-        return new StreamRelay(writer);
+    static create(writer: AnswerWriter, timers: TimerService): StreamRelay {
+        return new StreamRelay(writer, timers);
+    }
+
+    /** Monotonic time of the first event, in milliseconds. */
+    get firstAt(): number | undefined {
+        return this.firstPushAt;
     }
 
     /** Id of the last event that the caller got from this relay. */
@@ -41,6 +49,7 @@
             return;
         }
         this.events += fresh.length;
+        this.firstPushAt ??= this.timers.now();
         this.lastId = fresh.findLast(({ id }) => id !== undefined)?.id ?? this.lastId;
         const [first] = fresh;
         await this.writer.write(
--- a/packages/wigeonpulley/src/logging/event-catalogue.ts
+++ b/packages/wigeonpulley/src/logging/event-catalogue.ts
@@ -46,6 +46,11 @@
         "warn",
         ({ open }) => `a second signal ended the shutdown with ${open} open requests, which are cut`,
     ),
+    SettingsReloaded: defineEvent<{ vm: string; }>(
+        106,
+        "info",
+        ({ vm }) => `VM ${vm} has read its settings again; bounds are in force, addresses after a restart`,
+    ),
     ConfigurationInForce: defineEvent<{ version: number; author: string; changeId: string; }>(
         201,
         "info",
@@ -132,7 +137,11 @@
             outcome: string;
             instance: string;
             sends: number;
+            rank: number;
+            promptTokens: number;
             waitedMs: number;
+            firstMs: number;
+            events: number;
             tookMs: number;
         }
     >(
--- a/packages/wigeonpulley/src/placement/instance-pace.ts
+++ b/packages/wigeonpulley/src/placement/instance-pace.ts
@@ -7,10 +7,16 @@
 /** Time of an answer of a service that was not seen yet, in milliseconds. */
 const FIRST_GUESS_ANSWER_MS = 30;
 
+/** Time between events of an engine that was not seen yet, in milliseconds. */
+const FIRST_GUESS_GAP_MS = 25;
+/** Events from which the time between them means anything. */
+const LEAST_EVENTS = 4;
+
 /** Pace of one instance. */
 export class InstancePace {
     private tokensPerMs: number | undefined;
     private answerMs: number | undefined;
+    private gapMs: number | undefined;
 
     private constructor() {}
 
@@ -34,6 +40,20 @@
             : this.answerMs + (elapsedMs - this.answerMs) * NEWEST_WEIGHT;
     }
 
+    /** Notes that `events` events after the first one took `elapsedMs`. */
+    observeEvents(events: number, elapsedMs: number): void {
+        if (events < LEAST_EVENTS) {
+            return;
+        }
+        const gap = elapsedMs / events;
+        this.gapMs = this.gapMs === undefined ? gap : this.gapMs + (gap - this.gapMs) * NEWEST_WEIGHT;
+    }
+
+    /** Expected time between two events, in milliseconds. */
+    estimateGapMs(): number {
+        return this.gapMs ?? FIRST_GUESS_GAP_MS;
+    }
+
     /** Expected time to the first event after `tokens` were read, in milliseconds. */
     estimateFirstEventMs(tokens: number): number {
         return tokens / (this.tokensPerMs ?? FIRST_GUESS_TOKENS_PER_MS);
--- a/packages/wigeonpulley/src/placement/placement-service.ts
+++ b/packages/wigeonpulley/src/placement/placement-service.ts
@@ -22,6 +22,12 @@
     readonly isEngine: boolean;
     readonly promptTokens: number;
     readonly prompt: readonly Part[];
+    /** Events that the answer of an engine is expected to have. */
+    readonly expectedEvents: number;
+    /** Time left for the whole answer, in milliseconds. */
+    readonly leftMs: number;
+    /** Longest pause between events that is on time, in milliseconds. */
+    readonly gapTargetMs: number | undefined;
     /** Monotonic time in milliseconds until which it may wait for an instance. */
     readonly waitUntil: number;
     /** Instances that it must not get. */
@@ -53,6 +59,8 @@
 const OTHER_DATA_CENTRE_MS = 4;
 /** Time added for an instance in another region, in milliseconds; stands for the round trip and the price of the narrow link. */
 const OTHER_REGION_MS = 60;
+/** Weight of the time that a stream holds its place against the time to its first event. */
+const HOLDING_WEIGHT = 0.1;
 /** Interval at which waiting requests are looked at again without an event, in milliseconds. */
 const RECHECK_MS = 50;
 /** Time for which an instance that refused for being full gets nothing new, in milliseconds. */
@@ -77,6 +85,7 @@
 export class Placement {
     private isReleased = false;
     private isPending = true;
+    private firstAt: number | undefined;
 
     private constructor(
         readonly instance: Instance,
@@ -102,7 +111,18 @@
         if (this.isPending) {
             this.isPending = false;
             this.owner.endPrefill(this.instance, this.unreadTokens);
-            this.owner.observeFirstEvent(this.instance, this.backlogTokens + this.unreadTokens, this.startedAt);
+            this.firstAt = this.owner.observeFirstEvent(
+                this.instance,
+                this.backlogTokens + this.unreadTokens,
+                this.startedAt,
+            );
+        }
+    }
+
+    /** Notes that a stream ended as complete after so many events. */
+    noteEvents(count: number): void {
+        if (this.firstAt !== undefined) {
+            this.owner.observeEvents(this.instance, count - 1, this.firstAt);
         }
     }
 
@@ -203,8 +223,15 @@
     }
 
     /** Used by placements only. */
-    observeFirstEvent(instance: Instance, tokens: number, startedAt: number): void {
-        this.findPace(instance.id).observeFirstEvent(tokens, this.options.timers.now() - startedAt);
+    observeFirstEvent(instance: Instance, tokens: number, startedAt: number): number {
+        const now = this.options.timers.now();
+        this.findPace(instance.id).observeFirstEvent(tokens, now - startedAt);
+        return now;
+    }
+
+    /** Used by placements only. */
+    observeEvents(instance: Instance, events: number, firstAt: number): void {
+        this.findPace(instance.id).observeEvents(events, this.options.timers.now() - firstAt);
     }
 
     /** Used by placements only. */
@@ -301,7 +328,7 @@
         const inFlight = this.countInFlight(instance.id) + peers.countInFlight(instance.id, instance.slots);
         const backlog = this.countPendingTokens(instance.id) + peers.countPendingTokens(instance.id);
         const work = demand.isEngine
-            ? pace.estimateFirstEventMs(backlog + unread) * (1 + inFlight / instance.slots / 2)
+            ? estimateStreamCost(pace, demand, backlog + unread, inFlight / instance.slots)
             : pace.estimateAnswerMs(inFlight, instance.slots);
         return work + this.readDistanceMs(instance) + this.health.readFailureShare(instance.id) * work;
     }
@@ -370,6 +397,19 @@
     }
 }
 
+/**
+ * Cost of a stream in milliseconds: the time to its first event, a part of the time that it holds its place, and what it
+ * would take beyond its deadline. Engines slow down as they fill up.
+ */
+const estimateStreamCost = (pace: InstancePace, demand: Demand, tokens: number, load: number): number => {
+    const firstMs = pace.estimateFirstEventMs(tokens) * (1 + load / 2);
+    const gapMs = pace.estimateGapMs();
+    const durationMs = demand.expectedEvents * gapMs;
+    const lateMs = Math.max(0, firstMs + durationMs - demand.leftMs);
+    const slowMs = Math.max(0, gapMs - (demand.gapTargetMs ?? gapMs)) * demand.expectedEvents;
+    return firstMs + durationMs * HOLDING_WEIGHT + lateMs + slowMs;
+};
+
 /** Keeps the queue in order of rank, then of arrival. */
 const insertByRank = (queue: Waiter[], waiter: Waiter): void => {
     const index = queue.findIndex(other => other.demand.rank > waiter.demand.rank);
--- a/packages/wigeonpulley/src/quotas/quota-ledger.ts
+++ b/packages/wigeonpulley/src/quotas/quota-ledger.ts
@@ -23,7 +23,7 @@
     /** VMs that may use quotas and whose use can't be known from reports: all that ran lately, this one included. */
     readonly countVms: () => number;
     /** Units by which a workspace may exceed its quota for a moment. */
-    readonly slack: number;
+    readonly readSlack: () => number;
 }
 
 /** Time after which a silent VM is assumed to use an equal share, in milliseconds; a few intervals between reports. */
@@ -83,7 +83,7 @@
         this.fill(account);
         this.noteDemand(account, units);
         this.openWindow(account);
-        const isSpent = account.level <= -OVERDRAFT_SHARE * this.options.slack;
+        const isSpent = account.level <= -OVERDRAFT_SHARE * this.options.readSlack();
         if (isSpent || (this.isContended(account) && account.windowTaken >= account.windowAllowance)) {
             return false;
         }
--- a/packages/wigeonpulley/src/quotas/repeat-budget.ts
+++ b/packages/wigeonpulley/src/quotas/repeat-budget.ts
@@ -8,9 +8,8 @@
 /** Limits of the budget. */
 export interface RepeatBudgetOptions {
     readonly timers: TimerService;
-    readonly ratio: number;
-    readonly extra: number;
-    readonly windowMs: number;
+    /** Repeats for each request, repeats besides, and the window in milliseconds. */
+    readonly readLimits: () => { readonly ratio: number; readonly extra: number; readonly windowMs: number; };
     /** VMs that may use the budget at the same time. */
     readonly countVms: () => number;
 }
@@ -78,8 +77,8 @@
     override tryRepeat(service: string): boolean {
         const slice = this.findSlice(service);
         const { requests, repeats } = this.findCounts(service).totals;
-        const { ratio, extra, countVms } = this.options;
-        const allowed = USED_SHARE * (ratio * requests + extra / Math.max(1, countVms()));
+        const { ratio, extra } = this.options.readLimits();
+        const allowed = USED_SHARE * (ratio * requests + extra / Math.max(1, this.options.countVms()));
         if (repeats + 1 > allowed) {
             return false;
         }
@@ -94,7 +93,7 @@
     }
 
     private findSlice(service: string): Slice {
-        const { timers, windowMs } = this.options;
-        return this.findCounts(service).findSlice(Math.floor(timers.now() / (windowMs / SLICES)));
+        const { timers, readLimits } = this.options;
+        return this.findCounts(service).findSlice(Math.floor(timers.now() / (readLimits().windowMs / SLICES)));
     }
 }
--- a/packages/wigeonpulley/src/routed-vm/daemon.ts
+++ b/packages/wigeonpulley/src/routed-vm/daemon.ts
@@ -22,6 +22,8 @@
 /** A running process. */
 export interface RunningRoutedDaemon {
     readonly vm: RoutedVm;
+    /** Takes new settings over. */
+    readonly reload: (settings: RoutedSettings) => void;
     /** Shuts down gracefully. */
     readonly stop: () => Promise<void>;
 }
@@ -71,6 +73,10 @@
     });
     return {
         vm,
+        reload: changed => {
+            vm.applySettings(changed);
+            logger.write("SettingsReloaded", { vm: changed.name });
+        },
         stop: async () => {
             await vm.stop();
             transport.close();
--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -15,7 +15,7 @@
 import type { TimerService } from "../time/index.js";
 import type { PlatformAdapter } from "./platform-adapter.js";
 import { ReportService } from "./report-service.js";
-import type { RoutedSettings } from "./routed-settings.js";
+import type { Bounds, RoutedSettings } from "./routed-settings.js";
 
 /** Everything outside of the VM. Tests replace each of these. */
 export interface RoutedVmOptions {
@@ -63,10 +63,12 @@
     private readonly operatorRecords: TopicFollower;
     private readonly instanceRecords: TopicFollower;
     private isStopping = false;
+    private bounds: Bounds;
 
     private constructor(private readonly options: RoutedVmOptions) {
         super();
         const { settings, timers, logger } = options;
+        this.bounds = settings.bounds;
         this.keeper = ConfigurationKeeper.create(timers, logger);
         this.directory = InstanceDirectory.create(timers, logger);
         this.reports = LoadReports.create(settings.name, timers);
@@ -83,7 +85,7 @@
         this.quotas = QuotaLedger.create({
             timers,
             countVms: () => this.membership.listMembers().length,
-            slack: settings.bounds.quotaSlack,
+            readSlack: () => this.bounds.quotaSlack,
         });
         this.membership = this.createMembership();
         this.operatorRecords = this.followOperator();
@@ -104,6 +106,11 @@
         await this.membership.start();
     }
 
+    /** Takes new settings over. Addresses and places stay as they were until a restart. */
+    applySettings(settings: RoutedSettings): void {
+        this.bounds = settings.bounds;
+    }
+
     /** True while the balancer may send callers here. */
     isReady(): boolean {
         return !this.isStopping && this.keeper.current !== undefined && this.directory.isKnown;
@@ -111,8 +118,8 @@
 
     /** Shuts down gracefully within the grace period; resolves with true when nothing was cut. */
     async stop(): Promise<boolean> {
-        const { timers, settings, logger } = this.options;
-        const deadline = timers.now() + settings.bounds.graceS * MS_PER_S - GRACE_RESERVE_MS;
+        const { timers, logger } = this.options;
+        const deadline = timers.now() + this.bounds.graceS * MS_PER_S - GRACE_RESERVE_MS;
         this.isStopping = true;
         logger.write("VmStopping", { open: this.front.openCount });
         this.front.beginStop();
@@ -280,13 +287,15 @@
 
     private createFront(): FrontServer {
         const { settings, timers, random, logger, metrics, adapter, transport } = this.options;
-        const { bounds, listen, memoryMb, mostDescriptors } = settings;
+        const { listen, memoryMb, mostDescriptors } = settings;
         const [host = "", port = "0"] = listen.callers.split(":");
         const repeats = RepeatBudget.create({
             timers,
-            ratio: bounds.repeatRatio,
-            extra: bounds.repeatExtra,
-            windowMs: bounds.repeatWindowS * MS_PER_S,
+            readLimits: () => ({
+                ratio: this.bounds.repeatRatio,
+                extra: this.bounds.repeatExtra,
+                windowMs: this.bounds.repeatWindowS * MS_PER_S,
+            }),
             countVms: () => this.membership.listMembers().length,
         });
         return FrontServer.create({
@@ -310,8 +319,10 @@
             mostOpen: Math.floor(
                 Math.min(mostDescriptors / DESCRIPTORS_PER_REQUEST, memoryMb / 2 / MEMORY_PER_REQUEST_MB),
             ),
-            keyAgeLimitMs: bounds.keyRevokeMs * KEY_AGE_SHARE,
-            unknownAgeLimitMs: bounds.applyMs * UNKNOWN_AGE_SHARE,
+            readAgeLimits: () => ({
+                keyMs: this.bounds.keyRevokeMs * KEY_AGE_SHARE,
+                unknownMs: this.bounds.applyMs * UNKNOWN_AGE_SHARE,
+            }),
             refreshConfiguration: () => this.operatorRecords.refresh(),
         });
     }
--- a/packages/wigeonpulley/src/routing/routing-configuration.ts
+++ b/packages/wigeonpulley/src/routing/routing-configuration.ts
@@ -40,7 +40,10 @@
     maxConnections: z.number().int().positive().optional().describe(
         "Most connections that one endpoint takes from all VMs together.",
     ),
-    isEngine: z.boolean().default(false).describe("True for model engines."),
+    engine: z.object({
+        tokensPerEvent: z.number().positive().default(1).describe("Tokens that one event of a stream holds."),
+        memoryTokens: z.number().positive().optional().describe("Tokens that an engine can hold in memory."),
+    }).optional().describe("Present for model engines."),
 });
 
 /** A service. */
--- /dev/null
+++ b/packages/wigeonpulley/test/discovery/instance-directory.test.ts
@@ -0,0 +1,51 @@
+import { expect, test } from "vitest";
+import { EventLogger, InstanceDirectory, MemorySink, VirtualTimerService } from "wigeonpulley";
+import { createInstance } from "../fixtures/raw-endpoint.js";
+
+const createDirectory = (): { readonly directory: InstanceDirectory; readonly timers: VirtualTimerService; } => {
+    const timers = VirtualTimerService.create();
+    return { directory: InstanceDirectory.create(timers, EventLogger.create(MemorySink.create())), timers };
+};
+const A = createInstance({ id: "i-a" });
+const B = createInstance({ id: "i-b", port: 2 });
+
+test("an instance that is missing from a list is gone", () => {
+    const { directory } = createDirectory();
+    directory.applyList([{ id: "i-a", instance: A }, { id: "i-b", instance: B }]);
+    directory.applyList([{ id: "i-b", instance: B }]);
+    expect(directory.list()).toEqual([B]);
+});
+
+test("a draining instance and one that started anew are no longer usable as they were", () => {
+    const { directory } = createDirectory();
+    directory.applyList([{ id: "i-a", instance: A }, { id: "i-b", instance: B }]);
+    expect(directory.isUsable(A)).toBe(true);
+    directory.applyChanges([
+        { id: "i-a", instance: { ...A, state: "draining" } },
+        { id: "i-b", instance: { ...B, bornMs: 5 } },
+    ]);
+    expect(directory.isUsable(A)).toBe(false);
+    expect(directory.isUsable(B)).toBe(false);
+    expect(directory.isUsable({ ...B, bornMs: 5 })).toBe(true);
+});
+
+test("an entry that names no instance removes one that was known", () => {
+    const { directory } = createDirectory();
+    directory.applyList([{ id: "i-a", instance: A }]);
+    directory.applyChanges([{ id: "i-a", instance: undefined }]);
+    expect(directory.list()).toEqual([]);
+});
+
+test("entries that expired during an outage are kept until live instances had time to register", async () => {
+    const { directory, timers } = createDirectory();
+    directory.applyList([{ id: "i-a", instance: A }, { id: "i-b", instance: B }]);
+    directory.noteStoreLost();
+    await timers.advance(5_000);
+    directory.noteStoreBack();
+    directory.applyList([]);
+    expect(directory.list()).toHaveLength(2);
+    await timers.advance(1_000);
+    directory.applyChanges([{ id: "i-b", instance: B }]);
+    await timers.advance(1_500);
+    expect(directory.list()).toEqual([B]);
+});
--- /dev/null
+++ b/packages/wigeonpulley/test/forwarding/forwarder.test.ts
@@ -0,0 +1,190 @@
+import { expect, test } from "vitest";
+import { answer, createForwarding, event, signedHead } from "../fixtures/forwarding-fixture.js";
+
+const STREAM = { kind: "stream", isResumable: true, targetLatencyMs: 800, gapTargetMs: 300, timeoutMs: 15_000 } as const;
+const LIMIT_MS = 30_000;
+
+test("an answer goes back unchanged, and the request goes on without the caller's key", async () => {
+    const { timers, transport, serve } = createForwarding({ script: () => answer("in stock") });
+    const { summary, view } = serve({});
+    expect(await timers.runUntil(summary, LIMIT_MS)).toMatchObject({ status: 200, outcome: "answered", sends: 1 });
+    expect(view).toMatchObject({ status: 200, body: "in stock", isComplete: true });
+    expect(view.headers.get("x-signed")).toBe("1");
+    expect(transport.dispatches[0]?.request.headers).toEqual(
+        ["Host", "wax.example", "X-Other", "kept", "x-deadline", "2000", "x-last", ""],
+    );
+});
+
+test("a request that runs once is never sent again after it may have run", async () => {
+    const { timers, transport, serve } = createForwarding({
+        script: () => [{ kind: "fail", mayHaveRun: true }],
+    });
+    const { summary, view } = serve({ kind: "once", maxAttempts: 3 });
+    await timers.runUntil(summary, LIMIT_MS);
+    expect(transport.dispatches).toHaveLength(1);
+    expect(view.status).toBe(502);
+});
+
+test("a request that runs once is sent elsewhere when it provably did not run", async () => {
+    const { timers, transport, serve } = createForwarding({
+        script: (instance, count) =>
+            count === 1
+                ? [{ kind: "head", status: 503, headers: { "x-not-run": "1" } }]
+                : answer("done"),
+    });
+    const { summary, view } = serve({ kind: "once", maxAttempts: 1 });
+    await timers.runUntil(summary, LIMIT_MS);
+    expect(transport.dispatches.map(({ instance }) => instance)).toEqual(["i-1", "i-2"]);
+    expect(view).toMatchObject({ status: 200, body: "done" });
+});
+
+test("an endpoint's 503 without a proof is not passed on as a promise", async () => {
+    const { timers, serve } = createForwarding({ script: () => answer("busy", 503) });
+    const { summary, view } = serve({ kind: "once" });
+    await timers.runUntil(summary, LIMIT_MS);
+    expect(view.status).toBe(502);
+});
+
+test.each([
+    ["without a signature", { "x-id": "r-1" }],
+    ["of another request", { "x-id": "r-9", "x-signed": "1" }],
+    ["with an encoding", { "x-id": "r-1", "x-signed": "1", "content-encoding": "gzip" }],
+])("an answer %s reaches nobody", async (name, headers) => {
+    const { timers, transport, serve } = createForwarding({
+        script: () => [{ kind: "head", headers }, { kind: "chunk", text: "wrong" }, { kind: "end" }],
+    });
+    const { summary, view } = serve({ kind: "once" });
+    await timers.runUntil(summary, LIMIT_MS);
+    expect(view.status).toBe(502);
+    expect(view.body).not.toContain("wrong");
+    expect(transport.dispatches).toHaveLength(1);
+});
+
+test("a truncated answer of a repeatable request is fetched from another endpoint", async () => {
+    const { timers, serve } = createForwarding({
+        script: (instance, count) =>
+            count === 1
+                ? [signedHead(), { kind: "chunk", text: "in st" }, { kind: "fail", mayHaveRun: true }]
+                : answer("in stock"),
+    });
+    const { summary, view } = serve({ maxAttempts: 2 });
+    await timers.runUntil(summary, LIMIT_MS);
+    expect(view).toMatchObject({ status: 200, body: "in stock", isComplete: true });
+});
+
+test("no request is sent to more endpoints than its route allows", async () => {
+    const { timers, transport, serve } = createForwarding({
+        instances: undefined,
+        script: () => [{ kind: "fail", mayHaveRun: true }],
+    });
+    const { summary, view } = serve({ maxAttempts: 2 });
+    await timers.runUntil(summary, LIMIT_MS);
+    expect(transport.dispatches).toHaveLength(2);
+    expect(view.status).toBe(502);
+});
+
+test("a spent budget ends repetition", async () => {
+    const { timers, transport, serve } = createForwarding({
+        repeatExtra: 0,
+        script: () => [{ kind: "fail", mayHaveRun: true }],
+    });
+    const { summary } = serve({ maxAttempts: 2 });
+    await timers.runUntil(summary, LIMIT_MS);
+    expect(transport.dispatches).toHaveLength(1);
+});
+
+test("a stream goes on at another endpoint after its last whole event", async () => {
+    const { timers, transport, serve } = createForwarding({
+        script: (instance, count) =>
+            count === 1
+                ? [signedHead(), event(1), event(2), { kind: "chunk", text: "id: 3\nda" }, {
+                    kind: "fail",
+                    mayHaveRun: true,
+                }]
+                : [signedHead(), event(2), event(3), event(4), { kind: "end" }],
+    });
+    const { summary, view } = serve(STREAM);
+    await timers.runUntil(summary, LIMIT_MS);
+    expect(transport.dispatches[1]?.request.headers).toContain("2");
+    expect(view.body.match(/piece \d/g)).toEqual(["piece 1", "piece 2", "piece 3", "piece 4"]);
+    expect(view.isComplete).toBe(true);
+});
+
+test("a stream that can't be resumed is cut, not ended, when its endpoint fails", async () => {
+    const { timers, transport, serve } = createForwarding({
+        script: () => [signedHead(), event(1), { kind: "fail", mayHaveRun: true }],
+    });
+    const { summary, view } = serve({ ...STREAM, isResumable: false, maxAttempts: 2 });
+    await timers.runUntil(summary, LIMIT_MS);
+    expect(transport.dispatches).toHaveLength(1);
+    expect(view).toMatchObject({ isComplete: false, isCut: true });
+});
+
+test("a stream that ends within an event is not complete", async () => {
+    const { timers, serve } = createForwarding({
+        script: () => [signedHead(), event(1), { kind: "chunk", text: "id: 2\ndata" }, { kind: "end" }],
+    });
+    const { summary, view } = serve({ ...STREAM, isResumable: false });
+    await timers.runUntil(summary, LIMIT_MS);
+    expect(view).toMatchObject({ isComplete: false, isCut: true });
+});
+
+test("a silent endpoint is left for another one while the caller still waits", async () => {
+    const { timers, transport, serve } = createForwarding({
+        script: (instance, count) =>
+            count === 1 ? [signedHead(60_000)] : [signedHead(), event(1), { kind: "end" }],
+    });
+    const { summary, view } = serve(STREAM);
+    await timers.runUntil(summary, LIMIT_MS);
+    expect(view.isComplete).toBe(true);
+    expect(transport.dispatches[0]?.abortedAt).toBeLessThan(2_000);
+});
+
+test("the time of the route ends every request: not sent is 503, sent is 504", async () => {
+    const { timers, serve } = createForwarding({ script: () => [signedHead(60_000)] });
+    const sent = serve({ kind: "once", timeoutMs: 1_000 });
+    await timers.runUntil(sent.summary, 1_050);
+    expect(sent.view.status).toBe(504);
+    const waiting = createForwarding({ instances: [], script: () => [] });
+    const refused = waiting.serve({ kind: "once", timeoutMs: 1_000 });
+    await waiting.timers.runUntil(refused.summary, 1_050);
+    expect(refused.view.status).toBe(503);
+    expect(Number(refused.view.headers.get("retry-after"))).toBeGreaterThan(0);
+});
+
+test("a stream that outlasts its route is broken off", async () => {
+    const { timers, serve } = createForwarding({
+        script: () => [signedHead(), ...Array.from({ length: 100 }, (unused, index) => event(index + 1, 100))],
+    });
+    const { summary, view } = serve({ ...STREAM, timeoutMs: 3_000 });
+    await timers.runUntil(summary, 3_100);
+    expect(view).toMatchObject({ isComplete: false, isCut: true });
+});
+
+test("the endpoint is told at once when the caller leaves", async () => {
+    const { timers, transport, serve } = createForwarding({ script: () => [signedHead(60_000)] });
+    const { summary, lifetime } = serve(STREAM);
+    await timers.advance(500);
+    lifetime.end("caller-gone");
+    await timers.runUntil(summary, 100);
+    expect(transport.dispatches[0]?.abortedAt).toBe(500);
+});
+
+test("the endpoint's own failure of a request that runs once is passed on unchanged", async () => {
+    const { timers, serve } = createForwarding({ script: () => answer("no such order", 500) });
+    const { summary, view } = serve({ kind: "once" });
+    await timers.runUntil(summary, LIMIT_MS);
+    expect(view).toMatchObject({ status: 500, body: "no such order" });
+    expect(view.headers.get("x-signed")).toBe("1");
+});
+
+test("the deadline passed on is what is left", async () => {
+    const { timers, transport, serve } = createForwarding({
+        script: (instance, count) =>
+            count === 1 ? [{ kind: "fail", mayHaveRun: true, afterMs: 300 }] : answer("late"),
+    });
+    const { summary } = serve({ timeoutMs: 2_000, targetLatencyMs: 200 });
+    await timers.runUntil(summary, LIMIT_MS);
+    const deadlines = transport.dispatches.map(({ request: { headers } }) => headers[headers.indexOf("x-deadline") + 1]);
+    expect(deadlines).toEqual(["2000", "1700"]);
+});
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -7,12 +7,13 @@
 export default defineConfig({
     resolve: {
         alias: {
+            "@wigeonpulley/platform": resolvePath("platform/src/index.ts"),
             "@wigeonpulley/stand-ins": resolvePath("packages/stand-ins/src/index.ts"),
             wigeonpulley: resolvePath("packages/wigeonpulley/src/index.ts"),
         },
     },
     test: {
-        include: ["packages/*/test/**/*.test.ts"],
+        include: ["packages/*/test/**/*.test.ts", "platform/test/**/*.test.ts"],
         testTimeout: 60_000,
         hookTimeout: 60_000,
         maxWorkers: 3,
