Tell a reset that arrives with the last bytes from an ordinary end

Ruled out: undici's own handling of ECONNRESET (mended before), a late error event (none came). Shown failing first on real sockets. Change: a connection that was closed in order still knows its peer's address at its end, a reset one does not.

--- a/packages/wigeonpulley/src/forwarding/undici-transport.ts
+++ b/packages/wigeonpulley/src/forwarding/undici-transport.ts
@@ -83,6 +83,13 @@
             socket.once("error", failure => {
                 this.socketFailure = failure;
             });
+            socket.once("end", () => {
+                // A reset that arrives with the last bytes is reported as an ordinary end. Only a connection that was
+                // closed in order still knows its peer then.
+                if (socket.remoteAddress === undefined) {
+                    this.socketFailure = new Error("the connection was reset");
+                }
+            });
             // eslint-disable-next-line no-restricted-syntax -- the library's callback wants null
             callback(null, socket);
         });
--- a/packages/wigeonpulley/test/forwarding/undici-transport.test.ts
+++ b/packages/wigeonpulley/test/forwarding/undici-transport.test.ts
@@ -66,10 +66,17 @@
     expect(answer).toMatchObject({ body: "whole", failure: undefined });
 });
 
-test("an answer without a length whose connection is reset is a failure", async () => {
+test.each([
+    ["together with its last bytes", 0],
+    ["later", 50],
+])("an answer without a length whose connection is reset %s is a failure", async (name, delayMs) => {
     const endpoint = await start(socket => {
         socket.write("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf", () => {
-            setTimeout(() => socket.resetAndDestroy(), 50);
+            if (delayMs === 0) {
+                socket.resetAndDestroy();
+                return;
+            }
+            setTimeout(() => socket.resetAndDestroy(), delayMs);
         });
     });
     const answer = await readAnswer(createTransport().send(endpoint.instance, GET));
