--- a/bench/src/capacity/links.ts
+++ b/bench/src/capacity/links.ts
@@ -90,7 +90,10 @@
 const measureTickets = async (tickets: number, atOnce: number): Promise<Row> => {
     const server = PeerServer.create(new GrantingHandler(), PEER_KEY);
     const port = await server.listen({ host: "127.0.0.1", port: 0 });
-    const transport = ConnectPeerTransport.create("vm-1", PEER_KEY, { countsMembers: true, add: () => undefined });
+    const transport = ConnectPeerTransport.create("vm-1", PEER_KEY, {
+        countsMembers: true,
+        add: () => undefined,
+    });
     const outgoing = MessageQueue.create<GatewayMessage>();
     const abort = new AbortController();
     const peer = {
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -2,7 +2,7 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-    { ignores: ["**/dist/**", "**/gen/**", "**/node_modules/**"] },
+    { ignores: ["**/dist/**", "**/gen/**", "**/node_modules/**", "target/**"] },
     ...tseslint.configs.recommended,
     {
         plugins: { "@stylistic": stylistic },
--- a/packages/wigeonpulley/src/discovery/index.ts
+++ b/packages/wigeonpulley/src/discovery/index.ts
@@ -2,5 +2,5 @@
  * Discovery: which instances of endpoints exist and which of them may get new work.
  * Decides nothing about load, health or order.
  */
-export { type Instance, instanceSchema, isSameIncarnation } from "./instance.js";
 export { type DirectoryListener, type InstanceChange, InstanceDirectory } from "./instance-directory.js";
+export { type Instance, instanceSchema, isSameIncarnation } from "./instance.js";
--- a/packages/wigeonpulley/src/discovery/instance.ts
+++ b/packages/wigeonpulley/src/discovery/instance.ts
@@ -25,4 +25,5 @@
 
 /** True when both entries mean the same process at the same address. */
 export const isSameIncarnation = (left: Instance, right: Instance): boolean =>
-    left.id === right.id && left.bornMs === right.bornMs && left.host === right.host && left.port === right.port;
+    left.id === right.id && left.bornMs === right.bornMs && left.host === right.host
+    && left.port === right.port;
--- a/packages/wigeonpulley/src/forwarding/answer-writer.ts
+++ b/packages/wigeonpulley/src/forwarding/answer-writer.ts
@@ -9,7 +9,10 @@
 
 /** Answer of one request. */
 export class AnswerWriter {
-    private constructor(private readonly response: ServerResponse, private readonly isStopping: () => boolean) {}
+    private constructor(
+        private readonly response: ServerResponse,
+        private readonly isStopping: () => boolean,
+    ) {}
 
     /** Creates a writer for an answer that has not begun. */
     static create(response: ServerResponse, isStopping: () => boolean): AnswerWriter {
--- a/packages/wigeonpulley/src/forwarding/attempt.ts
+++ b/packages/wigeonpulley/src/forwarding/attempt.ts
@@ -86,8 +86,10 @@
 
     private send(): EndpointExchange {
         const { codec, transport, request, placement, relay } = this.options;
-        const headers = listForwardedHeaders(request.rawHeaders, name =>
-            codec.isReserved(name) || (relay.lastEventId !== undefined && name === "last-event-id"));
+        const headers = listForwardedHeaders(
+            request.rawHeaders,
+            name => codec.isReserved(name) || (relay.lastEventId !== undefined && name === "last-event-id"),
+        );
         headers.push(...codec.createDispatchHeaders({
             deadlineMs: Math.max(1, Math.floor(request.lifetime.leftMs)),
             instanceId: placement.instance.id,
@@ -193,7 +195,12 @@
         const hasBody = request.method !== "HEAD" && !BODILESS.has(head.status);
         const sendAnswer = (): void => writer.sendWhole(head, Buffer.concat(chunks), hasBody);
         if (head.status >= HTTP_SERVER_ERROR) {
-            return { kind: "failed", reason: `status ${head.status}`, status: head.status, passOn: sendAnswer };
+            return {
+                kind: "failed",
+                reason: `status ${head.status}`,
+                status: head.status,
+                passOn: sendAnswer,
+            };
         }
         sendAnswer();
         return { kind: "answered", status: head.status };
--- a/packages/wigeonpulley/src/forwarding/forwarder.ts
+++ b/packages/wigeonpulley/src/forwarding/forwarder.ts
@@ -12,7 +12,13 @@
 import type { EndpointTransport } from "./endpoint-transport.js";
 import type { HeaderCodec } from "./header-codec.js";
 import { type EndReason } from "./request-lifetime.js";
-import { computePatienceMs, computeRank, estimateEvents, isRepeatable, type RoutedRequest } from "./routed-request.js";
+import {
+    computePatienceMs,
+    computeRank,
+    estimateEvents,
+    isRepeatable,
+    type RoutedRequest,
+} from "./routed-request.js";
 import { StreamRelay } from "./stream-relay.js";
 
 /** What the forwarder is built from. */
@@ -45,6 +51,9 @@
 
 /** Share of the caller's patience for which a request may wait before it is told to come back. */
 const WAIT_SHARE = 0.45;
+/** Times the target latency for which a request may wait; later it holds a place that another one needs to be on time. */
+const WAIT_TARGETS = 1.4;
+const WAIT_SHORTEST_MS = 600;
 /** Sends that endpoints refused unread and that do not count as attempts; bounds the work for one request. */
 const MOST_REFUSED_SENDS = 2;
 
@@ -108,8 +117,13 @@
             expectedEvents: estimateEvents(request),
             leftMs: lifetime.leftMs,
             gapTargetMs: route.gapTargetMs,
+            arrivedAt: request.arrivedAt,
+            targetLatencyMs: route.targetLatencyMs,
             waitUntil: Math.max(request.arrivedAt, progress.attempts === 0 ? 0 : timers.now())
-                + patienceMs * WAIT_SHARE,
+                + Math.min(
+                    patienceMs * WAIT_SHARE,
+                    Math.max(WAIT_SHORTEST_MS, route.targetLatencyMs * WAIT_TARGETS),
+                ),
             excluded: progress.excluded,
         }, { subscribe: listener => lifetime.subscribe(listener) });
         progress.waitedMs ??= timers.now() - request.arrivedAt;
@@ -203,14 +217,21 @@
         return this.summarize(progress, status, error.name, progress.attempts > 0);
     }
 
-    private summarize(progress: Progress, status: number, outcome: string, mayHaveRun: boolean): ForwardSummary {
+    private summarize(
+        progress: Progress,
+        status: number,
+        outcome: string,
+        mayHaveRun: boolean,
+    ): ForwardSummary {
         return {
             status,
             outcome,
             instance: progress.instance,
             sends: progress.attempts + progress.refusedSends,
             waitedMs: Math.round(progress.waitedMs ?? 0),
-            firstMs: Math.round(progress.relay.firstAt === undefined ? -1 : progress.relay.firstAt - progress.arrivedAt),
+            firstMs: Math.round(
+                progress.relay.firstAt === undefined ? -1 : progress.relay.firstAt - progress.arrivedAt,
+            ),
             events: progress.relay.eventCount,
             mayHaveRun,
         };
--- a/packages/wigeonpulley/src/forwarding/front-server.ts
+++ b/packages/wigeonpulley/src/forwarding/front-server.ts
@@ -11,7 +11,14 @@
 import type { EventLogger } from "../logging/index.js";
 import type { MetricsRegistry } from "../metrics/index.js";
 import type { RandomSource } from "../random/index.js";
-import { type CallerLimits, type ConfigurationKeeper, pickTarget, type Route, type RouteTable, type Workspace } from "../routing/index.js";
+import {
+    type CallerLimits,
+    type ConfigurationKeeper,
+    pickTarget,
+    type Route,
+    type RouteTable,
+    type Workspace,
+} from "../routing/index.js";
 import type { TimerService } from "../time/index.js";
 import type { QuotaAllowance } from "./allowances.js";
 import { AnswerWriter } from "./answer-writer.js";
@@ -89,7 +96,10 @@
     listen(): Promise<void> {
         return new Promise((resolve, reject) => {
             this.server.once("error", reject);
-            this.server.listen({ port: this.options.port, host: this.options.host, backlog: 1_024 }, () => resolve());
+            this.server.listen(
+                { port: this.options.port, host: this.options.host, backlog: 1_024 },
+                () => resolve(),
+            );
         });
     }
 
@@ -179,7 +189,12 @@
         const refusal = admitted.isErr() ? admitted.error : body.isErr() ? body.error : undefined;
         if (refusal !== undefined || admitted.isErr() || body.isErr()) {
             const routeName = admitted.isOk() ? admitted.value.route.name : "";
-            this.refuse(writer, facts.value.attemptId, routeName, refusal ?? SchedulerError.create("Stopping", {}));
+            this.refuse(
+                writer,
+                facts.value.attemptId,
+                routeName,
+                refusal ?? SchedulerError.create("Stopping", {}),
+            );
             return;
         }
         const request = this.createRequest(message, facts.value, admitted.value, body.value, arrivedAt);
@@ -219,7 +234,10 @@
     }
 
     /** Checks the route and the key. A configuration that may be out of date proves nothing unknown. */
-    private async admit(message: IncomingMessage, facts: RequestFacts): Promise<Result<Admission, SchedulerError>> {
+    private async admit(
+        message: IncomingMessage,
+        facts: RequestFacts,
+    ): Promise<Result<Admission, SchedulerError>> {
         const first = this.match(message, facts);
         if (first.isOk() || (first.error.name !== "ConfigurationStale")) {
             return first;
--- a/packages/wigeonpulley/src/forwarding/hop-by-hop.ts
+++ b/packages/wigeonpulley/src/forwarding/hop-by-hop.ts
@@ -45,7 +45,9 @@
 };
 
 /** The headers of an answer that go back to the caller, as name and value by turns; without its length. */
-export const listAnswerHeaders = (headers: Readonly<Record<string, string | readonly string[] | undefined>>): string[] => {
+export const listAnswerHeaders = (
+    headers: Readonly<Record<string, string | readonly string[] | undefined>>,
+): string[] => {
     const nominated = new Set(
         [headers["connection"] ?? []].flat().flatMap(value => value.split(",")).map(name =>
             name.trim().toLowerCase()
--- a/packages/wigeonpulley/src/forwarding/index.ts
+++ b/packages/wigeonpulley/src/forwarding/index.ts
@@ -26,6 +26,12 @@
 } from "./header-codec.js";
 export { listAnswerHeaders, listForwardedHeaders } from "./hop-by-hop.js";
 export { type EndReason, RequestLifetime } from "./request-lifetime.js";
-export { computePatienceMs, computeRank, countQuotaTokens, isRepeatable, type RoutedRequest } from "./routed-request.js";
+export {
+    computePatienceMs,
+    computeRank,
+    countQuotaTokens,
+    isRepeatable,
+    type RoutedRequest,
+} from "./routed-request.js";
 export { StreamRelay } from "./stream-relay.js";
 export { type TransportOptions, UndiciTransport } from "./undici-transport.js";
--- a/packages/wigeonpulley/src/logging/event-catalogue.ts
+++ b/packages/wigeonpulley/src/logging/event-catalogue.ts
@@ -174,7 +174,11 @@
         ({ instance, service, address, state, version }) =>
             `instance ${instance} of ${service} at ${address} is ${state} with version ${version}`,
     ),
-    InstanceGone: defineEvent<{ instance: string; }>(505, "info", ({ instance }) => `instance ${instance} is gone`),
+    InstanceGone: defineEvent<{ instance: string; }>(
+        505,
+        "info",
+        ({ instance }) => `instance ${instance} is gone`,
+    ),
     InstanceDistrusted: defineEvent<
         { instance: string; reason: string; failureShare: number; pauseMs: number; }
     >(
--- a/packages/wigeonpulley/src/membership/membership-service.ts
+++ b/packages/wigeonpulley/src/membership/membership-service.ts
@@ -99,19 +99,19 @@
     async start(): Promise<void> {
         const { timers, heartbeatMs, vmListPollMs, vmList, self } = this.options;
         this.cancels.push(
-            timers.subscribe(heartbeatMs, () => this.callMembers()),
+            timers.subscribe(heartbeatMs, () => this.callMembers(CALLS_PER_ROUND)),
             timers.subscribe(vmListPollMs, () => void this.readVmList()),
         );
         await vmList.register(self);
         await this.readVmList();
-        this.callMembers();
+        this.callMembers(CALLS_PER_ROUND);
     }
 
     /** Tells everyone that this VM is leaving; it gets no groups from then on. */
     async announceLeaving(): Promise<void> {
         this.updateSelf({ leaving: true });
         this.notifyIfChanged();
-        this.callMembers();
+        this.callMembers(CALLS_PER_ROUND);
         await this.options.vmList.register({ ...this.options.self, state: "leaving" });
     }
 
@@ -210,11 +210,12 @@
         return pickByRendezvous(key, candidates, vm => vm.name) ?? this.options.self;
     }
 
-    private callMembers(): void {
+    /** Calls `count` random members, for example because this VM's load matters to them right now. */
+    callMembers(count: number): void {
         this.updateConfiguration();
         this.notifyIfChanged();
         const candidates = this.table.list().flatMap(record => readEntry(record) ?? []);
-        for (let count = 0; count < CALLS_PER_ROUND && candidates.length > 0; count += 1) {
+        for (let call = 0; call < count && candidates.length > 0; call += 1) {
             const [peer] = candidates.splice(this.options.random.pickInteger(candidates.length), 1);
             if (peer !== undefined) {
                 void this.callMember(peer);
--- a/packages/wigeonpulley/src/peers/connect-peer-transport.ts
+++ b/packages/wigeonpulley/src/peers/connect-peer-transport.ts
@@ -176,7 +176,9 @@
 
     /** Creates a server for a handler; calls without the shared key are refused. */
     static create(handler: MemberHandler, key: string): PeerServer {
-        return new PeerServer(createServer(connectNodeAdapter({ routes: createRoutes(handler, key), acceptCompression: [] })));
+        return new PeerServer(
+            createServer(connectNodeAdapter({ routes: createRoutes(handler, key), acceptCompression: [] })),
+        );
     }
 
     /** Begins to listen and returns the port in use. */
@@ -221,7 +223,10 @@
     });
 };
 
-const createSchedulerRoutes = (handler: PeerHandler, key: string): Partial<ServiceImpl<typeof PeerService>> => ({
+const createSchedulerRoutes = (
+    handler: PeerHandler,
+    key: string,
+): Partial<ServiceImpl<typeof PeerService>> => ({
     schedule: (incoming, context) => handler.schedule(readIdentity(context.requestHeader, key), incoming),
     fetchConfiguration: ({ known }, context) => {
         readIdentity(context.requestHeader, key);
--- a/packages/wigeonpulley/src/placement/index.ts
+++ b/packages/wigeonpulley/src/placement/index.ts
@@ -8,3 +8,5 @@
 export { NoPeerLoads, PeerLoads } from "./peer-loads.js";
 export { type Demand, Placement, type PlacementOptions, PlacementService } from "./placement-service.js";
 export { type Part, PrefixMemory } from "./prefix-memory.js";
+export { RankHeadroom } from "./rank-headroom.js";
+export { WaitingLine, type WaitingRequest } from "./waiting-line.js";
--- a/packages/wigeonpulley/src/placement/instance-health.ts
+++ b/packages/wigeonpulley/src/placement/instance-health.ts
@@ -107,7 +107,9 @@
         if (record.isUnreachable) {
             return true;
         }
-        const others = [...this.records].filter(([other, { service }]) => other !== id && service === record.service);
+        const others = [...this.records].filter(([other, { service }]) =>
+            other !== id && service === record.service
+        );
         const out = others.filter(([, { pausedUntil }]) => pausedUntil !== undefined).length;
         const shares = others.map(([, { failureShare }]) => failureShare).sort((left, right) => left - right);
         const usual = shares[Math.floor(shares.length / 2)] ?? 0;
--- a/packages/wigeonpulley/src/placement/placement-service.ts
+++ b/packages/wigeonpulley/src/placement/placement-service.ts
@@ -12,6 +12,8 @@
 import { InstancePace } from "./instance-pace.js";
 import type { PeerLoads } from "./peer-loads.js";
 import { type Part, PrefixMemory } from "./prefix-memory.js";
+import { RankHeadroom } from "./rank-headroom.js";
+import { WaitingLine, type WaitingRequest } from "./waiting-line.js";
 
 /** What a request needs. */
 export interface Demand {
@@ -28,8 +30,11 @@
     readonly leftMs: number;
     /** Longest pause between events that is on time, in milliseconds. */
     readonly gapTargetMs: number | undefined;
-    /** Monotonic time in milliseconds until which it may wait for an instance. */
+    /** Monotonic times in milliseconds: its arrival, and until when it may wait for an instance. */
+    readonly arrivedAt: number;
     readonly waitUntil: number;
+    /** Time from its arrival in which its answer is on time, in milliseconds. */
+    readonly targetLatencyMs: number;
     /** Instances that it must not get. */
     readonly excluded: ReadonlySet<string>;
 }
@@ -53,28 +58,37 @@
     readonly regions: Readonly<Record<string, string>>;
 }
 
-/** Requests sent to an instance beyond its slots, so that a freed slot is not idle for a round trip. */
-const ENGINE_OVERLAP = 1;
 /** Time added for an instance in another data centre of the region, in milliseconds; stands for the round trip and its price. */
 const OTHER_DATA_CENTRE_MS = 4;
 /** Time added for an instance in another region, in milliseconds; stands for the round trip and the price of the narrow link. */
 const OTHER_REGION_MS = 60;
 /** Weight of the time that a stream holds its place against the time to its first event. */
 const HOLDING_WEIGHT = 0.1;
+/** Part of the target latency in which a request has to start to be on time; the rest is for its first event. */
+const START_SHARE = 0.75;
 /** Interval at which waiting requests are looked at again without an event, in milliseconds. */
 const RECHECK_MS = 50;
 /** Time for which an instance that refused for being full gets nothing new, in milliseconds. */
 const FULL_PAUSE_MS = 150;
-/** Shortest and longest delay told to a refused caller, in milliseconds. */
-const RETRY_SHORTEST_MS = 400;
-const RETRY_SPREAD_MS = 1_200;
-
-interface Waiter {
+/** Share of an instance's slots in use from which places count as scarce. */
+const CONTENDED_SHARE = 0.7;
+/** Delay told to a refused caller: a part of the time that it has left, spread, and never less than this. */
+const RETRY_SHORTEST_MS = 300;
+const RETRY_LEAST_SHARE = 0.12;
+const RETRY_SPREAD_SHARE = 0.2;
+/** Time left of a caller that is not known, in milliseconds. */
+const USUAL_LEFT_MS = 4_000;
+
+interface Waiter extends WaitingRequest {
     readonly demand: Demand;
-    readonly arrivedAt: number;
     readonly settle: (outcome: Result<Placement, SchedulerError>) => void;
 }
 
+interface ServiceQueue {
+    readonly line: WaitingLine<Waiter>;
+    readonly headroom: RankHeadroom;
+}
+
 interface Occupancy {
     inFlight: number;
     pendingTokens: number;
@@ -148,7 +162,7 @@
 /** Queues and places of one VM. */
 export class PlacementService {
     readonly health: InstanceHealth;
-    private readonly queues = new Map<string, Waiter[]>();
+    private readonly queues = new Map<string, ServiceQueue>();
     private readonly occupancies = new Map<string, Occupancy>();
     private readonly paces = new Map<string, InstancePace>();
     private readonly prefixes = PrefixMemory.create();
@@ -166,26 +180,32 @@
 
     /** Waits for an instance. Fails with NoEndpoint or Overloaded; the request has not run then. */
     acquire(demand: Demand, control: WaitControl): Promise<Result<Placement, SchedulerError>> {
-        const queue = this.findQueue(demand.service);
+        const { timers } = this.options;
+        const { line, headroom } = this.findQueue(demand.service);
+        headroom.note(demand.rank, timers.now());
         return new Promise(resolve => {
-            const { timers } = this.options;
             let unsubscribe = (): void => undefined;
             let cancelTimeout = (): void => undefined;
             const waiter: Waiter = {
                 demand,
-                arrivedAt: timers.now(),
+                rank: demand.rank,
+                arrivedAt: demand.arrivedAt,
+                onTimeUntil: demand.arrivedAt + demand.targetLatencyMs * START_SHARE,
                 settle: outcome => {
                     unsubscribe();
                     cancelTimeout();
                     resolve(outcome);
                 },
             };
-            insertByRank(queue, waiter);
+            line.add(waiter);
             this.pump(demand.service);
-            if (queue.includes(waiter)) {
-                cancelTimeout = timers.schedule(demand.waitUntil - timers.now(), () => this.refuse(queue, waiter));
+            if (line.has(waiter)) {
+                cancelTimeout = timers.schedule(
+                    demand.waitUntil - timers.now(),
+                    () => this.refuse(line, waiter),
+                );
                 unsubscribe = control.subscribe(() => {
-                    removeWaiter(queue, waiter);
+                    line.remove(waiter);
                     waiter.settle(Err(SchedulerError.create("RequestCancelled", {})));
                 });
             }
@@ -197,6 +217,16 @@
         this.queues.forEach((queue, service) => this.pump(service));
     }
 
+    /** True while places are so scarce that other VMs have to know of this VM's load soon. */
+    isContended(): boolean {
+        const { directory, peers } = this.options;
+        return [...this.queues.values()].some(({ line }) => line.length > 0)
+            || directory.list().some(({ id, slots }) =>
+                this.countInFlight(id) > 0
+                && this.countInFlight(id) + peers.countInFlight(id, slots) >= slots * CONTENDED_SHARE
+            );
+    }
+
     /** Own requests at an instance. */
     countInFlight(instance: string): number {
         return this.occupancies.get(instance)?.inFlight ?? 0;
@@ -209,11 +239,9 @@
 
     /** Waiting requests by service and rank. */
     listWaiting(): readonly { readonly service: string; readonly rank: number; readonly count: number; }[] {
-        return [...this.queues].flatMap(([service, queue]) => {
-            const counts = new Map<number, number>();
-            queue.forEach(({ demand: { rank } }) => counts.set(rank, (counts.get(rank) ?? 0) + 1));
-            return [...counts].map(([rank, count]) => ({ service, rank, count }));
-        });
+        return [...this.queues].flatMap(([service, { line }]) =>
+            [...line.countByRank()].map(([rank, count]) => ({ service, rank, count }))
+        );
     }
 
     /** Used by placements only. */
@@ -257,31 +285,28 @@
     }
 
     /** Delay after which a refused caller should come back, spread in time, in milliseconds. */
-    pickRetryAfterMs(): number {
-        return RETRY_SHORTEST_MS + this.options.random.pickFraction() * RETRY_SPREAD_MS;
+    pickRetryAfterMs(leftMs = USUAL_LEFT_MS): number {
+        const share = RETRY_LEAST_SHARE + RETRY_SPREAD_SHARE * this.options.random.pickFraction();
+        return Math.max(RETRY_SHORTEST_MS, leftMs * share);
     }
 
     private pump(service: string): void {
-        const queue = this.findQueue(service);
-        const passedOver: Waiter[] = [];
-        for (let waiter = queue.shift(); waiter !== undefined; waiter = queue.shift()) {
-            const placement = this.place(waiter.demand);
-            if (placement === undefined) {
-                passedOver.push(waiter);
-                if (waiter.demand.excluded.size === 0) {
-                    break;
-                }
-            }
-            else {
+        const { line } = this.findQueue(service);
+        for (const waiter of line.listInOrder(this.options.timers.now())) {
+            const placement = this.place(waiter.demand, line.length);
+            if (placement !== undefined) {
+                line.remove(waiter);
                 waiter.settle(Ok(placement));
             }
+            else if (waiter.demand.excluded.size === 0) {
+                break;
+            }
         }
-        queue.unshift(...passedOver);
-        this.planRecheck(queue);
+        this.planRecheck(line);
     }
 
-    private planRecheck(queue: readonly Waiter[]): void {
-        if (queue.length > 0 && !this.isRecheckPlanned) {
+    private planRecheck(line: WaitingLine<Waiter>): void {
+        if (line.length > 0 && !this.isRecheckPlanned) {
             this.isRecheckPlanned = true;
             this.options.timers.schedule(RECHECK_MS, () => {
                 this.isRecheckPlanned = false;
@@ -290,19 +315,37 @@
         }
     }
 
-    private place(demand: Demand): Placement | undefined {
-        let best: { readonly instance: Instance; readonly cost: number; readonly unread: number; } | undefined;
+    private place(demand: Demand, waiting: number): Placement | undefined {
+        let best:
+            | { readonly instance: Instance; readonly cost: number; readonly unread: number; }
+            | undefined;
+        let free = 0;
         for (const instance of this.options.directory.list()) {
-            if (!this.isCandidate(instance, demand) || this.countFree(instance) <= 0) {
+            const freeHere = this.isCandidate(instance, demand) ? this.countFree(instance, demand) : 0;
+            if (freeHere <= 0) {
                 continue;
             }
+            free += freeHere;
             const unread = this.prefixes.countUnread(instance.id, demand.prompt, demand.promptTokens);
             const cost = this.estimateCost(instance, demand, unread);
             if (best === undefined || cost < best.cost) {
                 best = { instance, cost, unread };
             }
         }
-        return best === undefined ? undefined : this.occupy(best.instance, demand, best.unread);
+        return best === undefined || !this.isOwnTurn(demand, free, waiting)
+            ? undefined
+            : this.occupy(best.instance, demand, best.unread);
+    }
+
+    /** Leaves scarce places to the other VMs' requests of better ranks, and shares the rest with those of the same rank. */
+    private isOwnTurn({ service, rank }: Demand, free: number, waiting: number): boolean {
+        const { peers, random } = this.options;
+        const better = peers.countWaiting(service, rank - 1);
+        if (better > 0 && free <= better) {
+            return false;
+        }
+        const others = peers.countWaiting(service, rank) - better;
+        return others === 0 || free > others || random.pickFraction() * (waiting + others) < waiting;
     }
 
     private isCandidate(instance: Instance, demand: Demand): boolean {
@@ -312,14 +355,15 @@
             && this.health.canUse(instance.id);
     }
 
-    private countFree(instance: Instance): number {
+    private countFree(instance: Instance, { service, rank }: Demand): number {
         const { slots, id } = instance;
+        const now = this.options.timers.now();
         const occupancy = this.occupancies.get(id);
-        if (occupancy !== undefined && occupancy.fullUntil > this.options.timers.now()) {
+        if (occupancy !== undefined && occupancy.fullUntil > now) {
             return 0;
         }
-        const overlap = ENGINE_OVERLAP;
-        return slots + overlap - (occupancy?.inFlight ?? 0) - this.options.peers.countInFlight(id, slots);
+        const limit = this.findQueue(service).headroom.computeLimit(rank, slots, now);
+        return limit - (occupancy?.inFlight ?? 0) - this.options.peers.countInFlight(id, slots);
     }
 
     private estimateCost(instance: Instance, demand: Demand, unread: number): number {
@@ -352,12 +396,14 @@
         return Placement.create(instance, unread, timers.now(), backlog, this);
     }
 
-    private refuse(queue: Waiter[], waiter: Waiter): void {
-        removeWaiter(queue, waiter);
+    private refuse(line: WaitingLine<Waiter>, waiter: Waiter): void {
+        line.remove(waiter);
         const { directory } = this.options;
         const { service, rank, excluded } = waiter.demand;
-        const hasInstance = directory.list().some(instance => instance.service === service && !excluded.has(instance.id));
-        const retryAfterMs = this.pickRetryAfterMs();
+        const hasInstance = directory.list().some(instance =>
+            instance.service === service && !excluded.has(instance.id)
+        );
+        const retryAfterMs = this.pickRetryAfterMs(waiter.demand.leftMs);
         waiter.settle(Err(
             hasInstance
                 ? SchedulerError.create("Overloaded", { tier: String(rank) }, { retryAfterMs })
@@ -378,8 +424,9 @@
         this.pumpAll();
     }
 
-    private findQueue(service: string): Waiter[] {
-        const queue = this.queues.get(service) ?? [];
+    private findQueue(service: string): ServiceQueue {
+        const queue = this.queues.get(service)
+            ?? { line: WaitingLine.create<Waiter>(), headroom: RankHeadroom.create() };
         this.queues.set(service, queue);
         return queue;
     }
@@ -409,16 +456,3 @@
     const slowMs = Math.max(0, gapMs - (demand.gapTargetMs ?? gapMs)) * demand.expectedEvents;
     return firstMs + durationMs * HOLDING_WEIGHT + lateMs + slowMs;
 };
-
-/** Keeps the queue in order of rank, then of arrival. */
-const insertByRank = (queue: Waiter[], waiter: Waiter): void => {
-    const index = queue.findIndex(other => other.demand.rank > waiter.demand.rank);
-    queue.splice(index === -1 ? queue.length : index, 0, waiter);
-};
-
-const removeWaiter = (queue: Waiter[], waiter: Waiter): void => {
-    const index = queue.indexOf(waiter);
-    if (index !== -1) {
-        queue.splice(index, 1);
-    }
-};
--- /dev/null
+++ b/packages/wigeonpulley/src/placement/waiting-line.ts
@@ -0,0 +1,68 @@
+/**
+ * Order of the requests that wait for one service: strictly by rank; within a rank those that can still be on time go
+ * first; then by arrival. A request that can't be on time any more loses nothing by waiting behind one that can.
+ */
+
+/** One waiting request. */
+export interface WaitingRequest {
+    /** 0 is the most important. */
+    readonly rank: number;
+    /** Monotonic time of its arrival, in milliseconds. */
+    readonly arrivedAt: number;
+    /** Monotonic time until which it may start and still be on time, in milliseconds. */
+    readonly onTimeUntil: number;
+}
+
+/** Requests of one service that wait on this VM. */
+export class WaitingLine<Request extends WaitingRequest> {
+    /** In order of rank, then of arrival. */
+    private readonly requests: Request[] = [];
+
+    private constructor() {}
+
+    /** Creates an empty line. */
+    static create<Request extends WaitingRequest>(): WaitingLine<Request> {
+        return new WaitingLine();
+    }
+
+    /** Requests that wait. */
+    get length(): number {
+        return this.requests.length;
+    }
+
+    /** Adds a request. */
+    add(request: Request): void {
+        const index = this.requests.findIndex(({ rank, arrivedAt }) =>
+            rank > request.rank || (rank === request.rank && arrivedAt > request.arrivedAt)
+        );
+        this.requests.splice(index === -1 ? this.requests.length : index, 0, request);
+    }
+
+    /** True while the request waits. */
+    has(request: Request): boolean {
+        return this.requests.includes(request);
+    }
+
+    /** Removes a request if it waits. */
+    remove(request: Request): void {
+        const index = this.requests.indexOf(request);
+        if (index !== -1) {
+            this.requests.splice(index, 1);
+        }
+    }
+
+    /** The requests in the order in which they go, at a monotonic time in milliseconds. */
+    listInOrder(now: number): readonly Request[] {
+        const isLate = (request: Request): number => request.onTimeUntil < now ? 1 : 0;
+        return this.requests.toSorted((left, right) =>
+            left.rank - right.rank || isLate(left) - isLate(right)
+        );
+    }
+
+    /** How many wait, by rank. */
+    countByRank(): ReadonlyMap<number, number> {
+        const counts = new Map<number, number>();
+        this.requests.forEach(({ rank }) => counts.set(rank, (counts.get(rank) ?? 0) + 1));
+        return counts;
+    }
+}
--- a/packages/wigeonpulley/src/quotas/quota-ledger.ts
+++ b/packages/wigeonpulley/src/quotas/quota-ledger.ts
@@ -1,18 +1,19 @@
 /**
- * Quotas of workspaces over all VMs. Each VM keeps a bucket that stands for the whole quota: it fills at the quota's
- * rate, and both its own use and what the other VMs report are taken out of it. While the demand of all VMs exceeds the
- * rate, a VM uses between two reports only its share of what is left, by demand. A VM that was not heard from lately is
- * assumed to use an equal share of the rate, so that VMs which are cut off from each other stay within the quota together.
+ * Quotas of workspaces over all VMs. Each VM has an equal share of a quota's rate. A VM that needs less tells the others
+ * how much it keeps, and those that need more divide the rest by their demand, for as long as what they were told is
+ * fresh. So the sum stays within the quota while VMs are cut off, frozen or started anew: a share that is not confirmed
+ * falls back to the VM that it belongs to. A share is a token bucket; what a VM takes in error for a moment is covered by
+ * the slack of the bound.
  */
 import { QuotaAllowance } from "../forwarding/index.js";
 import type { Quota } from "../routing/index.js";
 import type { TimerService } from "../time/index.js";
 
-/** What another VM tells of its use of one workspace's quota. */
+/** What a VM tells the others of one workspace's quota. */
 export interface WorkspaceUse {
     readonly workspace: string;
-    /** Units taken since the VM started. */
-    readonly taken: number;
+    /** Rate that the VM keeps for itself at the most, in units a second. */
+    readonly keptPerS: number;
     /** Units asked for a second, lately. */
     readonly demandPerS: number;
 }
@@ -20,48 +21,43 @@
 /** What the ledger is built from. */
 export interface QuotaLedgerOptions {
     readonly timers: TimerService;
-    /** VMs that may use quotas and whose use can't be known from reports: all that ran lately, this one included. */
+    /** VMs that may use quotas, this one included. */
     readonly countVms: () => number;
-    /** Units by which a workspace may exceed its quota for a moment. */
-    readonly readSlack: () => number;
+    /** By how much a workspace may exceed its quota in a window, over all VMs: units, a share, and the window. */
+    readonly readTolerance: () => {
+        readonly slack: number;
+        readonly overrun: number;
+        readonly windowMs: number;
+    };
 }
 
-/** Time after which a silent VM is assumed to use an equal share, in milliseconds; a few intervals between reports. */
-const SILENT_MS = 1_500;
+/** Age up to which another VM's report lends its unused rate, in milliseconds; a few intervals between reports. */
+const LEND_MS = 1_200;
 /** Time constant of the demand, in milliseconds. */
 const DEMAND_WINDOW_MS = 2_000;
-/** Smallest share of what is left that a VM may use at once, as a part of an equal share. */
-const LEAST_SHARE = 0.5;
-/** Window in which a share of what is left may be used, in milliseconds; the interval between reports. */
-const SHARE_WINDOW_MS = 500;
-/** Part of the slack that a bucket may be overdrawn by, so that one large request is not refused near the limit. */
-const OVERDRAFT_SHARE = 0.3;
-/** Part of the rate up to which the demand of all VMs needs no division. */
-const UNCONTENDED_SHARE = 0.8;
-/** Time after which a silent VM is no longer assumed to use its share, in milliseconds; longer than most cuts. */
-const FORGET_MS = 20_000;
+/** Demand is known only roughly, so a VM keeps this much more than it needs. */
+const KEEP_FACTOR = 1.5;
+/** Part of its equal share that a VM keeps without any demand, so that a first request is not refused. */
+const KEEP_LEAST = 0.25;
+/**
+ * Part of the tolerance that all buckets together may be overdrawn by. Requests are large against a VM's share, and one
+ * that is let through is paid back; the rest covers what VMs do not know of each other.
+ */
+const OVERDRAFT_SHARE = 0.55;
 const MS_PER_S = 1_000;
 
 interface PeerUse {
-    incarnation: bigint;
-    taken: number;
-    demandPerS: number;
-    heardAt: number;
-    /** Units already taken out of the bucket on assumption since the peer fell silent. */
-    assumed: number;
+    readonly keptPerS: number;
+    readonly demandPerS: number;
+    readonly heardAt: number;
 }
 
 interface Account {
     quota: Quota;
     level: number;
     filledAt: number;
-    taken: number;
     demandPerS: number;
     demandAt: number;
-    /** Units taken in the present share window, and its end. */
-    windowTaken: number;
-    windowEndsAt: number;
-    windowAllowance: number;
     readonly peers: Map<string, PeerUse>;
 }
 
@@ -80,69 +76,45 @@
 
     override tryTake(workspace: string, quota: Quota, units: number): boolean {
         const account = this.findAccount(workspace, quota);
-        this.fill(account);
         this.noteDemand(account, units);
-        this.openWindow(account);
-        const isSpent = account.level <= -OVERDRAFT_SHARE * this.options.readSlack();
-        if (isSpent || (this.isContended(account) && account.windowTaken >= account.windowAllowance)) {
+        this.fill(account);
+        if (account.level + this.computeOverdraft(account) <= 0) {
             return false;
         }
         account.level -= units;
-        account.windowTaken += units;
-        account.taken += units;
         return true;
     }
 
     override giveBack(workspace: string, units: number): void {
         const account = this.accounts.get(workspace);
         if (account !== undefined) {
-            account.level = Math.min(account.quota.burst, account.level + units);
-            account.taken -= units;
-            account.windowTaken -= units;
+            account.level += units;
         }
     }
 
     override estimateWaitMs(workspace: string, quota: Quota, units: number): number {
         const account = this.findAccount(workspace, quota);
-        const missing = Math.max(0, units - Math.max(0, account.level));
-        return Math.max(SHARE_WINDOW_MS, missing / quota.ratePerS * MS_PER_S);
+        const missing = Math.min(units, Math.max(0, -account.level));
+        return missing / this.computeRate(account) * MS_PER_S;
     }
 
     /** What this VM tells the others. */
     listUse(): readonly WorkspaceUse[] {
         return [...this.accounts].map(([workspace, account]) => {
             this.decayDemand(account);
-            return { workspace, taken: account.taken, demandPerS: account.demandPerS };
+            return { workspace, keptPerS: this.computeKept(account), demandPerS: account.demandPerS };
         });
     }
 
-    /** Takes another VM's use over. */
-    applyUse(vm: string, incarnation: bigint, uses: readonly WorkspaceUse[]): void {
-        const now = this.options.timers.now();
-        for (const { workspace, taken, demandPerS } of uses) {
-            const account = this.accounts.get(workspace);
-            if (account === undefined) {
-                continue;
-            }
-            this.fill(account);
-            const peer = account.peers.get(vm);
-            if (peer === undefined || peer.incarnation !== incarnation) {
-                account.peers.set(vm, { incarnation, taken, demandPerS, heardAt: now, assumed: 0 });
-                continue;
-            }
-            account.level -= Math.max(0, taken - peer.taken - peer.assumed);
-            Object.assign(peer, { taken: Math.max(peer.taken, taken), demandPerS, heardAt: now, assumed: 0 });
-        }
-    }
-
-    /** Forgets VMs that are gone for good. */
-    retainVms(names: ReadonlySet<string>): void {
-        for (const account of this.accounts.values()) {
-            for (const name of account.peers.keys()) {
-                if (!names.has(name)) {
-                    account.peers.delete(name);
-                }
-            }
+    /** Takes another VM's report over; a workspace that it does not name is one that it has not used. */
+    applyUse(vm: string, uses: readonly WorkspaceUse[]): void {
+        const heardAt = this.options.timers.now();
+        const useByWorkspace = new Map(uses.map(use => [use.workspace, use]));
+        for (const [workspace, account] of this.accounts) {
+            const keptUnused = KEEP_LEAST * this.computeEqualRate(account);
+            const { keptPerS, demandPerS } = useByWorkspace.get(workspace)
+                ?? { keptPerS: keptUnused, demandPerS: 0 };
+            account.peers.set(vm, { keptPerS, demandPerS, heardAt });
         }
     }
 
@@ -155,15 +127,10 @@
         const now = this.options.timers.now();
         const account: Account = {
             quota,
-            // Others may have used the burst already.
-            level: quota.burst / Math.max(1, this.options.countVms()),
+            level: quota.burst / this.countVms(),
             filledAt: now,
-            taken: 0,
             demandPerS: 0,
             demandAt: now,
-            windowTaken: 0,
-            windowEndsAt: now,
-            windowAllowance: 0,
             peers: new Map(),
         };
         this.accounts.set(workspace, account);
@@ -172,43 +139,52 @@
 
     private fill(account: Account): void {
         const now = this.options.timers.now();
-        const { ratePerS, burst } = account.quota;
-        const elapsedMs = now - account.filledAt;
+        const rate = this.computeRate(account);
+        const filled = account.level + rate * (now - account.filledAt) / MS_PER_S;
+        account.level = Math.min(this.computeBurst(account), filled);
         account.filledAt = now;
-        account.level += ratePerS * elapsedMs / MS_PER_S;
-        const equalRate = ratePerS / Math.max(1, this.options.countVms());
-        for (const peer of account.peers.values()) {
-            const silentMs = now - peer.heardAt;
-            if (silentMs > SILENT_MS && silentMs < FORGET_MS) {
-                const units = equalRate * Math.min(elapsedMs, silentMs - SILENT_MS) / MS_PER_S;
-                peer.assumed += units;
-                account.level -= units;
-            }
-        }
-        account.level = Math.min(burst, account.level);
     }
 
-    private openWindow(account: Account): void {
-        const now = this.options.timers.now();
-        if (now < account.windowEndsAt) {
-            return;
-        }
-        account.windowEndsAt = now + SHARE_WINDOW_MS;
-        // What one large request took beyond the share is paid back in the windows that follow.
-        account.windowTaken = Math.max(0, account.windowTaken - account.windowAllowance);
-        const coming = account.quota.ratePerS * SHARE_WINDOW_MS / MS_PER_S;
-        account.windowAllowance = (Math.max(0, account.level) + coming) * this.computeShare(account);
+    private countVms(): number {
+        return Math.max(1, this.options.countVms());
+    }
+
+    private computeEqualRate(account: Account): number {
+        return account.quota.ratePerS / this.countVms();
+    }
+
+    /** The part of the burst that goes with this VM's part of the rate. */
+    private computeBurst(account: Account): number {
+        return account.quota.burst * this.computeRate(account) / account.quota.ratePerS;
     }
 
-    /** This VM's share of what is left: by demand, but never far below an equal one. */
-    private computeShare(account: Account): number {
-        const equal = 1 / Math.max(1, this.options.countVms());
-        const all = sumDemand(account);
-        return Math.max(LEAST_SHARE * equal, all === 0 ? 1 : account.demandPerS / all);
+    /** Units by which this VM's bucket may be overdrawn. */
+    private computeOverdraft({ quota }: Account): number {
+        const { slack, overrun, windowMs } = this.options.readTolerance();
+        return OVERDRAFT_SHARE * (slack + overrun * quota.ratePerS * windowMs / MS_PER_S) / this.countVms();
     }
 
-    private isContended(account: Account): boolean {
-        return sumDemand(account) > UNCONTENDED_SHARE * account.quota.ratePerS;
+    /** What this VM keeps of its own equal share. */
+    private computeKept(account: Account): number {
+        const equal = this.computeEqualRate(account);
+        return Math.min(equal, Math.max(KEEP_LEAST * equal, KEEP_FACTOR * account.demandPerS));
+    }
+
+    /** The rate that this VM may use now: what it keeps, and its part of what the others lend. */
+    private computeRate(account: Account): number {
+        const equal = this.computeEqualRate(account);
+        const oldest = this.options.timers.now() - LEND_MS;
+        const fresh = [...account.peers.values()].filter(({ heardAt }) => heardAt >= oldest);
+        const wanted = fresh.reduce(
+            (sum, { demandPerS }) => sum + Math.max(0, KEEP_FACTOR * demandPerS - equal),
+            0,
+        );
+        if (wanted > 0 && this.computeKept(account) < equal) {
+            return this.computeKept(account);
+        }
+        const lent = fresh.reduce((sum, { keptPerS }) => sum + Math.max(0, equal - keptPerS), 0);
+        const own = Math.max(0, KEEP_FACTOR * account.demandPerS - equal);
+        return equal + (own === 0 ? 0 : lent * own / (own + wanted));
     }
 
     private noteDemand(account: Account, units: number): void {
@@ -222,7 +198,3 @@
         account.demandAt = now;
     }
 }
-
-/** Demand of all VMs, in units a second. */
-const sumDemand = (account: Account): number =>
-    [...account.peers.values()].reduce((sum, { demandPerS }) => sum + demandPerS, account.demandPerS);
--- a/packages/wigeonpulley/src/quotas/repeat-budget.ts
+++ b/packages/wigeonpulley/src/quotas/repeat-budget.ts
@@ -94,6 +94,8 @@
 
     private findSlice(service: string): Slice {
         const { timers, readLimits } = this.options;
-        return this.findCounts(service).findSlice(Math.floor(timers.now() / (readLimits().windowMs / SLICES)));
+        return this.findCounts(service).findSlice(
+            Math.floor(timers.now() / (readLimits().windowMs / SLICES)),
+        );
     }
 }
--- a/packages/wigeonpulley/src/routed-vm/report-service.ts
+++ b/packages/wigeonpulley/src/routed-vm/report-service.ts
@@ -42,7 +42,7 @@
     override applyReports(received: readonly CarriedReport[]): void {
         const { reports, quotas, placement } = this.options;
         const fresh = received.flatMap(carried => reports.apply(carried) ?? []);
-        fresh.forEach(report => quotas.applyUse(report.vm, report.incarnation, listQuotaUse(report)));
+        fresh.forEach(report => quotas.applyUse(report.vm, listQuotaUse(report)));
         if (fresh.length > 0) {
             placement.pumpAll();
         }
@@ -64,7 +64,7 @@
             queueRanks: queues.map(({ rank }) => rank),
             queueWaiting: queues.map(({ count }) => count),
             workspaces: uses.map(({ workspace }) => workspace),
-            workspaceTaken: uses.map(({ taken }) => BigInt(Math.max(0, Math.round(taken)))),
+            workspaceKeptPerS: uses.map(({ keptPerS }) => Math.round(keptPerS)),
             workspaceDemandPerS: uses.map(({ demandPerS }) => Math.round(demandPerS)),
         });
     }
@@ -73,6 +73,6 @@
 const listQuotaUse = (report: LoadReport): readonly WorkspaceUse[] =>
     report.workspaces.map((workspace, index) => ({
         workspace,
-        taken: Number(report.workspaceTaken[index] ?? 0n),
+        keptPerS: report.workspaceKeptPerS[index] ?? 0,
         demandPerS: report.workspaceDemandPerS[index] ?? 0,
     }));
--- a/packages/wigeonpulley/src/routed-vm/routed-settings.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-settings.ts
@@ -10,20 +10,36 @@
 
 /** Bounds that the operators of the platform ask for. */
 const boundsSchema = z.object({
-    contactMs: milliseconds.default(4_000).describe("Time without disruption after which bounds hold, in milliseconds."),
-    drainMs: milliseconds.default(2_500).describe("Time in which a leaving endpoint's new work stops, in milliseconds."),
+    contactMs: milliseconds.default(4_000).describe(
+        "Time without disruption after which bounds hold, in milliseconds.",
+    ),
+    drainMs: milliseconds.default(2_500).describe(
+        "Time in which a leaving endpoint's new work stops, in milliseconds.",
+    ),
     graceS: z.number().positive().default(8).describe("Time from SIGTERM to SIGKILL, in seconds."),
-    applyMs: milliseconds.default(2_500).describe("Time in which a configuration is in force, in milliseconds."),
-    keyRevokeMs: milliseconds.default(5_000).describe("Time in which a key that was taken away is dead, in milliseconds."),
-    repeatRatio: z.number().min(0).default(0.2).describe("Repeated sends allowed for each request of a service."),
+    applyMs: milliseconds.default(2_500).describe(
+        "Time in which a configuration is in force, in milliseconds.",
+    ),
+    keyRevokeMs: milliseconds.default(5_000).describe(
+        "Time in which a key that was taken away is dead, in milliseconds.",
+    ),
+    repeatRatio: z.number().min(0).default(0.2).describe(
+        "Repeated sends allowed for each request of a service.",
+    ),
     repeatWindowS: z.number().positive().default(10).describe("Window of the repeat budget, in seconds."),
     repeatExtra: z.number().min(0).default(50).describe("Repeated sends allowed besides, over all VMs."),
     quotaWindowS: z.number().positive().default(8).describe("Window of quotas, in seconds."),
-    quotaOverrun: z.number().min(0).default(0.1).describe("Share by which a quota may be exceeded in a window."),
+    quotaOverrun: z.number().min(0).default(0.1).describe(
+        "Share by which a quota may be exceeded in a window.",
+    ),
     quotaSlack: z.number().min(0).default(0).describe("Units by which a quota may be exceeded in a window."),
-    exposureShare: z.number().min(0).default(0.1).describe("Share of a service's requests that a new version gets."),
+    exposureShare: z.number().min(0).default(0.1).describe(
+        "Share of a service's requests that a new version gets.",
+    ),
     exposureSlack: z.number().min(0).default(0).describe("Requests that a new version may get besides."),
-    rollbackMs: milliseconds.default(5_000).describe("Time in which a bad version gets nothing, in milliseconds."),
+    rollbackMs: milliseconds.default(5_000).describe(
+        "Time in which a bad version gets nothing, in milliseconds.",
+    ),
 });
 
 /** Settings of one VM. */
@@ -42,9 +58,13 @@
         address: addressSchema.describe("Address of the platform's store."),
     }).describe("The platform's store."),
     memoryMb: z.number().positive().default(256).describe("Memory that the process may use, in megabytes."),
-    mostDescriptors: z.number().int().positive().default(1_024).describe("File descriptors that the process may use."),
+    mostDescriptors: z.number().int().positive().default(1_024).describe(
+        "File descriptors that the process may use.",
+    ),
     bounds: boundsSchema.prefault({}).describe("Bounds that the operators of the platform ask for."),
-    logLevel: z.enum(["error", "warn", "info", "debug"]).default("info").describe("Lowest level that is logged."),
+    logLevel: z.enum(["error", "warn", "info", "debug"]).default("info").describe(
+        "Lowest level that is logged.",
+    ),
 });
 
 /** Settings with defaults filled in. */
--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -1,18 +1,19 @@
 /** One VM that serves routed traffic: configuration, endpoints, placement, quotas and forwarding put together. */
 import { type Instance, InstanceDirectory } from "../discovery/index.js";
-import { EndpointTransport, Forwarder, FrontServer } from "../forwarding/index.js";
+import type { EndpointTransport } from "../forwarding/index.js";
+import { Forwarder, FrontServer } from "../forwarding/index.js";
 import type { MemberDigest } from "../gen/wigeonpulley/peer/v1/peer_pb.js";
 import type { EventLogger } from "../logging/index.js";
 import { MembershipService } from "../membership/index.js";
 import type { MetricsRegistry } from "../metrics/index.js";
 import { MemberHandler, type MemberTransport } from "../peers/index.js";
-import type { VmEntry } from "../platform/index.js";
 import { LoadReports, PlacementService } from "../placement/index.js";
+import type { VmEntry } from "../platform/index.js";
 import { QuotaLedger, RepeatBudget } from "../quotas/index.js";
 import type { RandomSource } from "../random/index.js";
 import { ConfigurationKeeper } from "../routing/index.js";
 import { type KeyedRecord, StoreVmList, TopicFollower } from "../store/index.js";
-import type { TimerService } from "../time/index.js";
+import type { CancelTimer, TimerService } from "../time/index.js";
 import type { PlatformAdapter } from "./platform-adapter.js";
 import { ReportService } from "./report-service.js";
 import type { Bounds, RoutedSettings } from "./routed-settings.js";
@@ -39,6 +40,9 @@
 const UNKNOWN_AGE_SHARE = 0.85;
 /** Interval of calls between VMs, in milliseconds. */
 const HEARTBEAT_MS = 500;
+/** Interval and number of the calls while places are scarce; a place of an engine is held for about a second. */
+const CONTENDED_HEARTBEAT_MS = 100;
+const CONTENDED_CALLS = 3;
 const PEER_TIMEOUT_MS = 2_000;
 const VM_LIST_POLL_MS = 4_000;
 /** Time for the platform to notice that a VM is not ready: two checks of one a second, in milliseconds. */
@@ -62,6 +66,7 @@
     private readonly reports: LoadReports;
     private readonly operatorRecords: TopicFollower;
     private readonly instanceRecords: TopicFollower;
+    private cancelContendedCalls: CancelTimer = () => undefined;
     private isStopping = false;
     private bounds: Bounds;
 
@@ -85,7 +90,11 @@
         this.quotas = QuotaLedger.create({
             timers,
             countVms: () => this.membership.listMembers().length,
-            readSlack: () => this.bounds.quotaSlack,
+            readTolerance: () => ({
+                slack: this.bounds.quotaSlack,
+                overrun: this.bounds.quotaOverrun,
+                windowMs: this.bounds.quotaWindowS * MS_PER_S,
+            }),
         });
         this.membership = this.createMembership();
         this.operatorRecords = this.followOperator();
@@ -104,6 +113,11 @@
         this.instanceRecords.start();
         await this.front.listen();
         await this.membership.start();
+        this.cancelContendedCalls = this.options.timers.subscribe(CONTENDED_HEARTBEAT_MS, () => {
+            if (this.placement.isContended()) {
+                this.membership.callMembers(CONTENDED_CALLS);
+            }
+        });
     }
 
     /** Takes new settings over. Addresses and places stay as they were until a restart. */
@@ -148,6 +162,7 @@
         this.operatorRecords.stop();
         this.instanceRecords.stop();
         this.membership.stop();
+        this.cancelContendedCalls();
     }
 
     override exchange(digest: MemberDigest): MemberDigest {
@@ -224,7 +239,8 @@
 
     private followOperator(): TopicFollower {
         const { timers, random, logger, adapter } = this.options;
-        const apply = (records: readonly KeyedRecord[]): void => records.forEach(record => this.applyOperator(record));
+        const apply = (records: readonly KeyedRecord[]): void =>
+            records.forEach(record => this.applyOperator(record));
         return TopicFollower.create({
             store: adapter.store,
             topic: "operator",
@@ -255,7 +271,9 @@
 
     private followInstances(): TopicFollower {
         const { timers, random, logger, adapter } = this.options;
-        const readAll = (records: readonly KeyedRecord[]): readonly { id: string; instance: Instance | undefined; }[] =>
+        const readAll = (
+            records: readonly KeyedRecord[],
+        ): readonly { id: string; instance: Instance | undefined; }[] =>
             records.map(record => ({ id: record.key, instance: this.readInstance(record) }));
         return TopicFollower.create({
             store: adapter.store,
--- a/packages/wigeonpulley/src/routing/configuration-keeper.ts
+++ b/packages/wigeonpulley/src/routing/configuration-keeper.ts
@@ -3,7 +3,8 @@
  * The age counts from the sending of the read that confirmed it, since the answer may have waited on the way.
  */
 import type { EventLogger } from "../logging/index.js";
-import { AgeStamp, type TimerService } from "../time/index.js";
+import type { AgeStamp } from "../time/index.js";
+import { type TimerService } from "../time/index.js";
 import { RouteTable } from "./route-table.js";
 import type { RoutingConfiguration } from "./routing-configuration.js";
 
--- a/packages/wigeonpulley/src/routing/routing-configuration.ts
+++ b/packages/wigeonpulley/src/routing/routing-configuration.ts
@@ -24,7 +24,9 @@
         "Longest pause between events that is on time, in milliseconds.",
     ),
     rank: z.number().int().min(0).default(0).describe("Tier of the requests; 0 is the most important."),
-    maxAttempts: z.number().int().positive().default(1).describe("Most endpoints that one request is sent to."),
+    maxAttempts: z.number().int().positive().default(1).describe(
+        "Most endpoints that one request is sent to.",
+    ),
     isPublic: z.boolean().default(false).describe("True when requests need no key."),
     hasAffinity: z.boolean().default(false).describe("True when requests share prompt parts."),
     isResumable: z.boolean().default(false).describe("True when a stream may go on at another endpoint."),
--- a/packages/wigeonpulley/src/store/keyed-store.ts
+++ b/packages/wigeonpulley/src/store/keyed-store.ts
@@ -33,7 +33,11 @@
      * Records from an offset on; waits up to `waitMs` milliseconds for one.
      * Fails with StoreUnavailable, or with StoreHistoryLost when the offset is no longer held.
      */
-    abstract readFrom(topic: Topic, offset: number, waitMs: number): Promise<Result<RecordBatch, SchedulerError>>;
+    abstract readFrom(
+        topic: Topic,
+        offset: number,
+        waitMs: number,
+    ): Promise<Result<RecordBatch, SchedulerError>>;
 
     /**
      * Stores a record; without a value the key is dropped. With `expectedEnd` it is stored only if the topic ends there.
--- a/packages/wigeonpulley/src/store/topic-follower.ts
+++ b/packages/wigeonpulley/src/store/topic-follower.ts
@@ -118,7 +118,9 @@
         this.nextOffset = Math.max(known, batch.nextOffset);
     }
 
-    private noteFailure(batch: Result<RecordBatch, SchedulerError> & { readonly error: SchedulerError; }): void {
+    private noteFailure(
+        batch: Result<RecordBatch, SchedulerError> & { readonly error: SchedulerError; },
+    ): void {
         if (batch.error.name === "StoreHistoryLost") {
             this.nextOffset = undefined;
             return;
@@ -126,7 +128,10 @@
         this.failures += 1;
         if (this.lostSince === undefined) {
             this.lostSince = AgeStamp.create(this.options.timers);
-            this.options.logger.write("StoreLost", { topic: this.options.topic, reason: batch.error.message });
+            this.options.logger.write("StoreLost", {
+                topic: this.options.topic,
+                reason: batch.error.message,
+            });
             this.options.listener.noteLost();
         }
     }
--- a/packages/wigeonpulley/test/discovery/instance-directory.test.ts
+++ b/packages/wigeonpulley/test/discovery/instance-directory.test.ts
@@ -2,7 +2,10 @@
 import { EventLogger, InstanceDirectory, MemorySink, VirtualTimerService } from "wigeonpulley";
 import { createInstance } from "../fixtures/raw-endpoint.js";
 
-const createDirectory = (): { readonly directory: InstanceDirectory; readonly timers: VirtualTimerService; } => {
+const createDirectory = (): {
+    readonly directory: InstanceDirectory;
+    readonly timers: VirtualTimerService;
+} => {
     const timers = VirtualTimerService.create();
     return { directory: InstanceDirectory.create(timers, EventLogger.create(MemorySink.create())), timers };
 };
--- a/packages/wigeonpulley/test/forwarding/forwarder.test.ts
+++ b/packages/wigeonpulley/test/forwarding/forwarder.test.ts
@@ -1,13 +1,23 @@
 import { expect, test } from "vitest";
 import { answer, createForwarding, event, signedHead } from "../fixtures/forwarding-fixture.js";
 
-const STREAM = { kind: "stream", isResumable: true, targetLatencyMs: 800, gapTargetMs: 300, timeoutMs: 15_000 } as const;
+const STREAM = {
+    kind: "stream",
+    isResumable: true,
+    targetLatencyMs: 800,
+    gapTargetMs: 300,
+    timeoutMs: 15_000,
+} as const;
 const LIMIT_MS = 30_000;
 
 test("an answer goes back unchanged, and the request goes on without the caller's key", async () => {
     const { timers, transport, serve } = createForwarding({ script: () => answer("in stock") });
     const { summary, view } = serve({});
-    expect(await timers.runUntil(summary, LIMIT_MS)).toMatchObject({ status: 200, outcome: "answered", sends: 1 });
+    expect(await timers.runUntil(summary, LIMIT_MS)).toMatchObject({
+        status: 200,
+        outcome: "answered",
+        sends: 1,
+    });
     expect(view).toMatchObject({ status: 200, body: "in stock", isComplete: true });
     expect(view.headers.get("x-signed")).toBe("1");
     expect(transport.dispatches[0]?.request.headers).toEqual(
@@ -154,7 +164,10 @@
 
 test("a stream that outlasts its route is broken off", async () => {
     const { timers, serve } = createForwarding({
-        script: () => [signedHead(), ...Array.from({ length: 100 }, (unused, index) => event(index + 1, 100))],
+        script: () => [
+            signedHead(),
+            ...Array.from({ length: 100 }, (unused, index) => event(index + 1, 100)),
+        ],
     });
     const { summary, view } = serve({ ...STREAM, timeoutMs: 3_000 });
     await timers.runUntil(summary, 3_100);
@@ -185,6 +198,8 @@
     });
     const { summary } = serve({ timeoutMs: 2_000, targetLatencyMs: 200 });
     await timers.runUntil(summary, LIMIT_MS);
-    const deadlines = transport.dispatches.map(({ request: { headers } }) => headers[headers.indexOf("x-deadline") + 1]);
+    const deadlines = transport.dispatches.map(({ request: { headers } }) =>
+        headers[headers.indexOf("x-deadline") + 1]
+    );
     expect(deadlines).toEqual(["2000", "1700"]);
 });
--- a/packages/wigeonpulley/test/routing/route-table.test.ts
+++ b/packages/wigeonpulley/test/routing/route-table.test.ts
@@ -23,7 +23,10 @@
 
 test("keys belong to one workspace, and public routes need none", () => {
     const table = RouteTable.create(createRoutingConfiguration({
-        routes: [createRouteInput(), createRouteInput({ name: "open", pathPrefix: "/open/", isPublic: true })],
+        routes: [
+            createRouteInput(),
+            createRouteInput({ name: "open", pathPrefix: "/open/", isPublic: true }),
+        ],
         workspaces: [{ name: "lushoto", keys: ["key-1", "key-2"] }, { name: "arusha", keys: ["key-3"] }],
     }));
     expect(Option.toUndefined(table.findWorkspace("key-2"))?.name).toBe("lushoto");
--- a/packages/wigeonpulley/test/store/topic-follower.test.ts
+++ b/packages/wigeonpulley/test/store/topic-follower.test.ts
@@ -19,7 +19,9 @@
         listener: {
             applyList: records => seen.push(`list ${records.map(({ key }) => key).join(",")}`),
             applyChanges: records =>
-                records.forEach(({ key, value }) => seen.push(value === undefined ? `drop ${key}` : `put ${key}`)),
+                records.forEach(({ key, value }) =>
+                    seen.push(value === undefined ? `drop ${key}` : `put ${key}`)
+                ),
             confirm: () => {
                 confirms += 1;
             },
