--- a/packages/stand-ins/src/demo/processes.ts
+++ b/packages/stand-ins/src/demo/processes.ts
@@ -47,11 +47,11 @@
     onLine: (line: LogLine) => void,
 ): Promise<StartedProcess> => {
     const child = spawn(process.execPath, [cliPath, "serve", "--settings", settingsPath], {
-        stdio: ["ignore", "inherit", "pipe"],
+        stdio: ["ignore", "pipe", "inherit"],
     });
     await new Promise<void>((resolve, reject) => {
         child.once("exit", code => reject(new Error(`the VM exited with code ${code}`)));
-        createInterface(child.stderr).on("line", text => {
+        createInterface(child.stdout).on("line", text => {
             if (!text.startsWith('{"time"')) {
                 process.stderr.write(`${text}\n`);
                 return;
--- a/packages/wigeonpulley/src/logging/event-logger.ts
+++ b/packages/wigeonpulley/src/logging/event-logger.ts
@@ -8,6 +8,7 @@
     type EventLevel,
     type EventName,
 } from "./event-catalogue.js";
+import { LineWriter, openStandardOutput } from "./line-writer.js";
 
 /** Levels of consola. */
 const CONSOLA_LEVELS: Record<EventLevel, number> = { error: 0, warn: 1, info: 3, debug: 4 };
@@ -25,22 +26,37 @@
 export abstract class EventSink {
     /** Writes one event. */
     abstract write(event: LoggedEvent): void;
+
+    /** Resolves when everything written has reached the reader. */
+    close(): Promise<void> {
+        return Promise.resolve();
+    }
 }
 
-/** Sends events to standard error as JSON. */
+/** Sends events to standard output as JSON. */
 export class ConsolaSink extends EventSink {
     private readonly consola: ConsolaInstance;
+    private readonly writer: LineWriter;
 
     private constructor(level: EventLevel, vm: string) {
         super();
+        const formatLine = (date: Date, name: string, fields: object): string =>
+            JSON.stringify({ time: date.toISOString(), vm, name, ...fields });
+        this.writer = LineWriter.create(openStandardOutput(), count => {
+            const { number, level: dropLevel, message } = eventCatalogue.LinesDropped;
+            const fields = {
+                event: number,
+                level: dropLevel,
+                message: message({ count }),
+                details: { count },
+            };
+            return formatLine(new Date(), "LinesDropped", fields);
+        });
         this.consola = createConsola({
             level: CONSOLA_LEVELS[level],
             reporters: [{
-                log: ({ date, args: [name, fields] }) => {
-                    process.stderr.write(
-                        `${JSON.stringify({ time: date.toISOString(), vm, name, ...fields })}\n`,
-                    );
-                },
+                log: ({ date, args: [name, fields] }) =>
+                    this.writer.write(formatLine(date, String(name), fields as object)),
             }],
         });
     }
@@ -55,6 +71,10 @@
         // Two arguments: consola would take a single object with a `message` apart.
         this.consola[level](name, { event: number, level, message, details });
     }
+
+    override close(): Promise<void> {
+        return this.writer.close();
+    }
 }
 
 /** Keeps events in memory; for tests. */
@@ -88,6 +108,11 @@
         this.sink.write({ number, name, level, message: entry.message(details), details });
     }
 
+    /** Resolves when everything written has reached the reader. */
+    close(): Promise<void> {
+        return this.sink.close();
+    }
+
     /** Writes a failure. */
     writeError(error: SchedulerError): void {
         this.write("Failure", { error: error.name, message: error.message });
--- a/packages/wigeonpulley/src/logging/index.ts
+++ b/packages/wigeonpulley/src/logging/index.ts
@@ -7,3 +7,4 @@
     type EventName,
 } from "./event-catalogue.js";
 export { ConsolaSink, EventLogger, EventSink, type LoggedEvent, MemorySink } from "./event-logger.js";
+export { LineWriter } from "./line-writer.js";
--- a/packages/wigeonpulley/src/routed-vm/daemon.ts
+++ b/packages/wigeonpulley/src/routed-vm/daemon.ts
@@ -1,17 +1,15 @@
 /** Runs one VM for routed traffic as a process: listens, joins, and shuts down gracefully. */
-import { createServer, type Server } from "node:http";
 import { UndiciTransport } from "../forwarding/index.js";
 import { ConsolaSink, EventLogger } from "../logging/index.js";
 import { MetricsRegistry } from "../metrics/index.js";
 import { ConnectPeerTransport, PeerServer } from "../peers/index.js";
 import { SystemRandom } from "../random/index.js";
 import { SystemTimerService, type TimerService } from "../time/index.js";
+import { OperatorServer } from "./operator-server.js";
 import type { PlatformAdapter } from "./platform-adapter.js";
 import type { RoutedSettings } from "./routed-settings.js";
 import { RoutedVm } from "./routed-vm.js";
 
-const HTTP_OK = 200;
-const HTTP_UNAVAILABLE = 503;
 /** Time for a connection to an endpoint, in milliseconds; several round trips between regions. */
 const CONNECT_MS = 400;
 /** Idle time up to which a connection is used again, in milliseconds. */
@@ -61,7 +59,21 @@
             add: (kind, bytes) => metrics.countControlBytes(kind, bytes),
         }),
     });
-    const readyServer = await listenForChecks(settings.listen.ready, vm);
+    const stop = createStop(vm);
+    const operatorServer = OperatorServer.create({
+        isReady: () => vm.isReady(),
+        readStatus: () => vm.readStatus(),
+        drain: () => void stop(),
+        metrics,
+        operatorKeyHash: settings.operatorKeyHash,
+    });
+    await operatorServer.listenForChecks(settings.listen.ready);
+    if (settings.listen.metrics !== undefined) {
+        await operatorServer.listenForMetrics(settings.listen.metrics);
+    }
+    if (settings.listen.operators !== undefined) {
+        await operatorServer.listenForOperators(settings.listen.operators);
+    }
     const peerServer = PeerServer.create(vm, peerKey);
     const [peerHost = "", peerPort = "0"] = settings.listen.peers.split(":");
     await peerServer.listen({ host: peerHost, port: Number(peerPort) });
@@ -78,23 +90,20 @@
             logger.write("SettingsReloaded", { vm: changed.name });
         },
         stop: async () => {
-            await vm.stop();
+            await stop();
             transport.close();
-            readyServer.close();
+            operatorServer.close();
             await peerServer.close();
+            await logger.close();
         },
     };
 };
 
-/** Answers the balancer's checks. */
-const listenForChecks = (address: string, vm: RoutedVm): Promise<Server> => {
-    const [host = "", port = "0"] = address.split(":");
-    const server = createServer((request, response) => {
-        response.writeHead(vm.isReady() ? HTTP_OK : HTTP_UNAVAILABLE, { "content-length": 0 });
-        response.end();
-    });
-    return new Promise((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(Number(port), host, () => resolve(server));
-    });
+/** A shutdown that begins with the first call; every call resolves with its end. */
+const createStop = (vm: RoutedVm): () => Promise<boolean> => {
+    let stopping: Promise<boolean> | undefined;
+    return () => {
+        stopping ??= vm.stop();
+        return stopping;
+    };
 };
--- a/packages/wigeonpulley/src/routed-vm/index.ts
+++ b/packages/wigeonpulley/src/routed-vm/index.ts
@@ -3,6 +3,7 @@
  * and how it shuts down.
  */
 export { type RoutedDaemonOptions, type RunningRoutedDaemon, startRoutedDaemon } from "./daemon.js";
+export { OperatorServer, type OperatorServerOptions } from "./operator-server.js";
 export { type OperatorRecord, PlatformAdapter } from "./platform-adapter.js";
 export { ReportService } from "./report-service.js";
 export { type Bounds, type RoutedSettings, routedSettingsSchema } from "./routed-settings.js";
--- /dev/null
+++ b/packages/wigeonpulley/src/routed-vm/operator-server.ts
@@ -0,0 +1,119 @@
+/** The addresses for the balancer's checks and for operators: readiness, status, metrics and the graceful shutdown. */
+import { timingSafeEqual } from "node:crypto";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { hashKey } from "../config/index.js";
+import type { MetricsRegistry } from "../metrics/index.js";
+
+const HTTP_OK = 200;
+const HTTP_ACCEPTED = 202;
+const HTTP_FORBIDDEN = 403;
+const HTTP_NOT_FOUND = 404;
+const HTTP_UNAVAILABLE = 503;
+const BEARER = /^bearer +(\S+) *$/i;
+
+/** What the server is built from. */
+export interface OperatorServerOptions {
+    readonly isReady: () => boolean;
+    readonly readStatus: () => unknown;
+    readonly drain: () => void;
+    readonly metrics: MetricsRegistry;
+    /** SHA-256 of the operators' key in hexadecimal; without it only readiness and metrics are answered. */
+    readonly operatorKeyHash: string | undefined;
+}
+
+/** Server for checks and operators; it may listen on several addresses. */
+export class OperatorServer {
+    private readonly servers: Server[] = [];
+
+    private constructor(private readonly options: OperatorServerOptions) {}
+
+    /** Creates a server that does not listen yet. */
+    static create(options: OperatorServerOptions): OperatorServer {
+        return new OperatorServer(options);
+    }
+
+    /** Answers the balancer's checks on an address: every path tells whether the VM is ready. */
+    listenForChecks(address: string): Promise<void> {
+        return this.listen(address, (request, response) => this.answerReady(response));
+    }
+
+    /** Answers every path with the metrics on an address. */
+    listenForMetrics(address: string): Promise<void> {
+        return this.listen(address, (request, response) => void this.answerMetrics(response));
+    }
+
+    /** Answers operators on an address. */
+    listenForOperators(address: string): Promise<void> {
+        return this.listen(address, (request, response) => void this.answerOperator(request, response));
+    }
+
+    /** Ends all connections. */
+    close(): void {
+        this.servers.forEach(server => {
+            server.close();
+            server.closeAllConnections();
+        });
+    }
+
+    private listen(
+        address: string,
+        answer: (request: IncomingMessage, response: ServerResponse) => void,
+    ): Promise<void> {
+        const [host = "", port = "0"] = address.split(":");
+        const server = createServer(answer);
+        this.servers.push(server);
+        return new Promise((resolve, reject) => {
+            server.once("error", reject);
+            server.listen(Number(port), host, () => resolve());
+        });
+    }
+
+    private answerReady(response: ServerResponse): void {
+        response.writeHead(this.options.isReady() ? HTTP_OK : HTTP_UNAVAILABLE, { "content-length": 0 });
+        response.end();
+    }
+
+    private async answerOperator(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const { readStatus, drain } = this.options;
+        switch (`${request.method ?? ""} ${request.url ?? ""}`) {
+            case "GET /health/live":
+                return sendJson(response, HTTP_OK, { status: "live" });
+            case "GET /health/ready":
+                return this.answerReady(response);
+            case "GET /metrics":
+                return this.answerMetrics(response);
+            case "GET /operator/status":
+                return this.isOperator(request)
+                    ? sendJson(response, HTTP_OK, readStatus())
+                    : sendJson(response, HTTP_FORBIDDEN, { error: "NotPermitted" });
+            case "POST /operator/drain":
+                if (!this.isOperator(request)) {
+                    return sendJson(response, HTTP_FORBIDDEN, { error: "NotPermitted" });
+                }
+                drain();
+                return sendJson(response, HTTP_ACCEPTED, { status: "draining" });
+            default:
+                return sendJson(response, HTTP_NOT_FOUND, { error: "NoRoute" });
+        }
+    }
+
+    private async answerMetrics(response: ServerResponse): Promise<void> {
+        const { metrics } = this.options;
+        sendText(response, HTTP_OK, metrics.contentType, await metrics.readText());
+    }
+
+    private isOperator(request: IncomingMessage): boolean {
+        const { operatorKeyHash } = this.options;
+        const presented = hashKey(request.headers.authorization?.match(BEARER)?.[1] ?? "");
+        return operatorKeyHash !== undefined
+            && timingSafeEqual(Buffer.from(presented), Buffer.from(operatorKeyHash));
+    }
+}
+
+const sendText = (response: ServerResponse, status: number, contentType: string, text: string): void => {
+    response.writeHead(status, { "content-type": contentType, "content-length": Buffer.byteLength(text) });
+    response.end(text);
+};
+
+const sendJson = (response: ServerResponse, status: number, document: unknown): void =>
+    sendText(response, status, "application/json", JSON.stringify(document));
--- a/packages/wigeonpulley/src/routed-vm/routed-settings.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-settings.ts
@@ -51,12 +51,17 @@
     listen: z.object({
         callers: addressSchema.describe("Address for callers."),
         ready: addressSchema.describe("Address of the readiness check."),
-        operators: optionalAddressSchema.describe("Address for operators and metrics."),
+        operators: optionalAddressSchema.describe("Address for operators."),
+        metrics: optionalAddressSchema.describe("Address that answers with the metrics."),
         peers: addressSchema.describe("Address for the other VMs."),
     }).describe("Addresses to listen on."),
     store: z.object({
         address: addressSchema.describe("Address of the platform's store."),
     }).describe("The platform's store."),
+    operatorKeyHash: z.string().regex(/^[0-9a-f]{64}$/, "expected a SHA-256 digest in hexadecimal").optional()
+        .describe(
+            "SHA-256 of the operators' key, in hexadecimal; without it there is no status and no drain.",
+        ),
     memoryMb: z.number().positive().default(256).describe("Memory that the process may use, in megabytes."),
     mostDescriptors: z.number().int().positive().default(1_024).describe(
         "File descriptors that the process may use.",
--- a/packages/wigeonpulley/src/vm/daemon.ts
+++ b/packages/wigeonpulley/src/vm/daemon.ts
@@ -71,6 +71,7 @@
             await Promise.race([httpServer.close(), SystemTimerService.create().sleep(FLUSH_LIMIT_MS)]);
         }
         await peerServer.close();
+        await logger.close();
         return isGraceful;
     });
     return { vm, stop: stopping.stop, stopped };
