Keep lower ranks from starving behind the middle ones

Change: the best rank still goes first; below it a rank that was served markedly less often goes first until it has caught up. The sums over reports are kept until a report comes; calls while places are scarce are 2 in 150 ms instead of 3 in 100.

--- a/packages/wigeonpulley/src/placement/load-reports.ts
+++ b/packages/wigeonpulley/src/placement/load-reports.ts
@@ -32,6 +32,10 @@
 /** Newest report of each VM. */
 export class LoadReports extends PeerLoads {
     private readonly heard = new Map<string, HeardReport>();
+    /** Sums over all fresh reports; made anew when a report comes or has expired. */
+    private totals:
+        | { readonly until: number; readonly byInstance: ReadonlyMap<string, InstanceLoad>; }
+        | undefined;
 
     private constructor(private readonly self: string, private readonly timers: TimerService) {
         super();
@@ -51,6 +55,7 @@
         if (report.vm === this.self || isOld) {
             return undefined;
         }
+        this.totals = undefined;
         this.heard.set(report.vm, {
             report,
             encoded: carried.report,
@@ -83,11 +88,11 @@
     }
 
     override countInFlight(instance: string): number {
-        return this.sum(({ loadByInstance }) => loadByInstance.get(instance)?.inFlight ?? 0);
+        return this.readTotals().get(instance)?.inFlight ?? 0;
     }
 
     override countPendingTokens(instance: string): number {
-        return this.sum(({ loadByInstance }) => loadByInstance.get(instance)?.pendingTokens ?? 0);
+        return this.readTotals().get(instance)?.pendingTokens ?? 0;
     }
 
     override countWaiting(service: string, rank: number): number {
@@ -102,6 +107,25 @@
         );
     }
 
+    private readTotals(): ReadonlyMap<string, InstanceLoad> {
+        const now = this.timers.now();
+        if (this.totals === undefined || now >= this.totals.until) {
+            const byInstance = new Map<string, InstanceLoad>();
+            for (const { loadByInstance } of this.listFresh()) {
+                for (const [instance, load] of loadByInstance) {
+                    const total = byInstance.get(instance) ?? { inFlight: 0, pendingTokens: 0 };
+                    byInstance.set(instance, {
+                        inFlight: total.inFlight + load.inFlight,
+                        pendingTokens: total.pendingTokens + load.pendingTokens,
+                    });
+                }
+            }
+            const oldest = Math.min(...[...this.heard.values()].map(({ madeAt }) => madeAt));
+            this.totals = { until: oldest + EXPIRY_MS, byInstance };
+        }
+        return this.totals.byInstance;
+    }
+
     private sum(read: (heard: HeardReport) => number): number {
         return this.listFresh().reduce((total, heard) => total + read(heard), 0);
     }
--- a/packages/wigeonpulley/src/placement/placement-service.ts
+++ b/packages/wigeonpulley/src/placement/placement-service.ts
@@ -12,6 +12,7 @@
 import { InstancePace } from "./instance-pace.js";
 import type { PeerLoads } from "./peer-loads.js";
 import { type Part, PrefixMemory } from "./prefix-memory.js";
+import { RankBalance } from "./rank-balance.js";
 import { RankHeadroom } from "./rank-headroom.js";
 import { WaitingLine, type WaitingRequest } from "./waiting-line.js";
 
@@ -87,6 +88,7 @@
 interface ServiceQueue {
     readonly line: WaitingLine<Waiter>;
     readonly headroom: RankHeadroom;
+    readonly balance: RankBalance;
 }
 
 interface Occupancy {
@@ -291,11 +293,14 @@
     }
 
     private pump(service: string): void {
-        const { line } = this.findQueue(service);
-        for (const waiter of line.listInOrder(this.options.timers.now())) {
-            const placement = this.place(waiter.demand, line.length);
+        const { line, balance } = this.findQueue(service);
+        const now = this.options.timers.now();
+        for (const waiter of line.listInOrder(now, rank => balance.findEffectiveRank(rank, now))) {
+            const effectiveRank = balance.findEffectiveRank(waiter.rank, now);
+            const placement = this.place(waiter.demand, effectiveRank, line.length);
             if (placement !== undefined) {
                 line.remove(waiter);
+                balance.note(waiter.rank, true, now);
                 waiter.settle(Ok(placement));
             }
             else if (waiter.demand.excluded.size === 0) {
@@ -315,13 +320,15 @@
         }
     }
 
-    private place(demand: Demand, waiting: number): Placement | undefined {
+    private place(demand: Demand, effectiveRank: number, waiting: number): Placement | undefined {
         let best:
             | { readonly instance: Instance; readonly cost: number; readonly unread: number; }
             | undefined;
         let free = 0;
         for (const instance of this.options.directory.list()) {
-            const freeHere = this.isCandidate(instance, demand) ? this.countFree(instance, demand) : 0;
+            const freeHere = this.isCandidate(instance, demand)
+                ? this.countFree(instance, demand.service, effectiveRank)
+                : 0;
             if (freeHere <= 0) {
                 continue;
             }
@@ -332,19 +339,19 @@
                 best = { instance, cost, unread };
             }
         }
-        return best === undefined || !this.isOwnTurn(demand, free, waiting)
+        return best === undefined || !this.isOwnTurn(demand.service, effectiveRank, free, waiting)
             ? undefined
             : this.occupy(best.instance, demand, best.unread);
     }
 
     /** Leaves scarce places to the other VMs' requests of better ranks, and shares the rest with those of the same rank. */
-    private isOwnTurn({ service, rank }: Demand, free: number, waiting: number): boolean {
+    private isOwnTurn(service: string, rank: number, free: number, waiting: number): boolean {
         const { peers, random } = this.options;
-        const better = peers.countWaiting(service, rank - 1);
+        const better = peers.countWaiting(service, Math.ceil(rank) - 1);
         if (better > 0 && free <= better) {
             return false;
         }
-        const others = peers.countWaiting(service, rank) - better;
+        const others = peers.countWaiting(service, Math.ceil(rank)) - better;
         return others === 0 || free > others || random.pickFraction() * (waiting + others) < waiting;
     }
 
@@ -355,7 +362,7 @@
             && this.health.canUse(instance.id);
     }
 
-    private countFree(instance: Instance, { service, rank }: Demand): number {
+    private countFree(instance: Instance, service: string, rank: number): number {
         const { slots, id } = instance;
         const now = this.options.timers.now();
         const occupancy = this.occupancies.get(id);
@@ -398,8 +405,9 @@
 
     private refuse(line: WaitingLine<Waiter>, waiter: Waiter): void {
         line.remove(waiter);
-        const { directory } = this.options;
+        const { directory, timers } = this.options;
         const { service, rank, excluded } = waiter.demand;
+        this.findQueue(service).balance.note(rank, false, timers.now());
         const hasInstance = directory.list().some(instance =>
             instance.service === service && !excluded.has(instance.id)
         );
@@ -426,7 +434,11 @@
 
     private findQueue(service: string): ServiceQueue {
         const queue = this.queues.get(service)
-            ?? { line: WaitingLine.create<Waiter>(), headroom: RankHeadroom.create() };
+            ?? {
+                line: WaitingLine.create<Waiter>(),
+                headroom: RankHeadroom.create(),
+                balance: RankBalance.create(),
+            };
         this.queues.set(service, queue);
         return queue;
     }
--- a/packages/wigeonpulley/src/placement/waiting-line.ts
+++ b/packages/wigeonpulley/src/placement/waiting-line.ts
@@ -51,11 +51,19 @@
         }
     }
 
-    /** The requests in the order in which they go, at a monotonic time in milliseconds. */
-    listInOrder(now: number): readonly Request[] {
+    /**
+     * The requests in the order in which they go, at a monotonic time in milliseconds. `findEffectiveRank` may let a rank
+     * go before others.
+     */
+    listInOrder(now: number, findEffectiveRank: (rank: number) => number = rank => rank): readonly Request[] {
+        const effective = new Map([...new Set(this.requests.map(({ rank }) => rank))].map(rank => [
+            rank,
+            findEffectiveRank(rank),
+        ]));
+        const readRank = ({ rank }: Request): number => effective.get(rank) ?? rank;
         const isLate = (request: Request): number => request.onTimeUntil < now ? 1 : 0;
         return this.requests.toSorted((left, right) =>
-            left.rank - right.rank || isLate(left) - isLate(right)
+            readRank(left) - readRank(right) || isLate(left) - isLate(right)
         );
     }
 
--- a/packages/wigeonpulley/src/routed-vm/daemon.ts
+++ b/packages/wigeonpulley/src/routed-vm/daemon.ts
@@ -60,20 +60,7 @@
         }),
     });
     const stop = createStop(vm);
-    const operatorServer = OperatorServer.create({
-        isReady: () => vm.isReady(),
-        readStatus: () => vm.readStatus(),
-        drain: () => void stop(),
-        metrics,
-        operatorKeyHash: settings.operatorKeyHash,
-    });
-    await operatorServer.listenForChecks(settings.listen.ready);
-    if (settings.listen.metrics !== undefined) {
-        await operatorServer.listenForMetrics(settings.listen.metrics);
-    }
-    if (settings.listen.operators !== undefined) {
-        await operatorServer.listenForOperators(settings.listen.operators);
-    }
+    const operatorServer = await startOperatorServer(vm, settings, metrics, stop);
     const peerServer = PeerServer.create(vm, peerKey);
     const [peerHost = "", peerPort = "0"] = settings.listen.peers.split(":");
     await peerServer.listen({ host: peerHost, port: Number(peerPort) });
@@ -99,6 +86,29 @@
     };
 };
 
+const startOperatorServer = async (
+    vm: RoutedVm,
+    { listen, operatorKeyHash }: RoutedSettings,
+    metrics: MetricsRegistry,
+    stop: () => Promise<boolean>,
+): Promise<OperatorServer> => {
+    const server = OperatorServer.create({
+        isReady: () => vm.isReady(),
+        readStatus: () => vm.readStatus(),
+        drain: () => void stop(),
+        metrics,
+        operatorKeyHash,
+    });
+    await server.listenForChecks(listen.ready);
+    if (listen.metrics !== undefined) {
+        await server.listenForMetrics(listen.metrics);
+    }
+    if (listen.operators !== undefined) {
+        await server.listenForOperators(listen.operators);
+    }
+    return server;
+};
+
 /** A shutdown that begins with the first call; every call resolves with its end. */
 const createStop = (vm: RoutedVm): () => Promise<boolean> => {
     let stopping: Promise<boolean> | undefined;
--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -41,8 +41,8 @@
 /** Interval of calls between VMs, in milliseconds. */
 const HEARTBEAT_MS = 500;
 /** Interval and number of the calls while places are scarce; a place of an engine is held for about a second. */
-const CONTENDED_HEARTBEAT_MS = 100;
-const CONTENDED_CALLS = 3;
+const CONTENDED_HEARTBEAT_MS = 150;
+const CONTENDED_CALLS = 2;
 const PEER_TIMEOUT_MS = 2_000;
 const VM_LIST_POLL_MS = 4_000;
 /** Time for the platform to notice that a VM is not ready: two checks of one a second, in milliseconds. */
--- a/packages/wigeonpulley/test/placement/waiting-line.test.ts
+++ b/packages/wigeonpulley/test/placement/waiting-line.test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from "vitest";
-import { RankHeadroom, WaitingLine, type WaitingRequest } from "wigeonpulley";
+import { RankBalance, RankHeadroom, WaitingLine, type WaitingRequest } from "wigeonpulley";
 
 interface Named extends WaitingRequest {
     readonly name: string;
@@ -70,3 +70,35 @@
     [0, 1, 2, 3].forEach(rank => headroom.note(rank, 0));
     expect(headroom.computeLimit(3, 1, 0)).toBe(1);
 });
+
+test("lasting overload: a starved rank goes before a better one until it has caught up, never before the best", () => {
+    const balance = RankBalance.create();
+    for (let count = 0; count < 10; count += 1) {
+        balance.note(0, true, 0);
+        balance.note(1, count % 2 === 0, 0);
+        balance.note(2, false, 0);
+    }
+    const order = [0, 1, 2].toSorted((left, right) =>
+        balance.findEffectiveRank(left, 10) - balance.findEffectiveRank(right, 10)
+    );
+    expect(order).toEqual([0, 2, 1]);
+    for (let count = 0; count < 12; count += 1) {
+        balance.note(2, true, 20);
+    }
+    expect(balance.findEffectiveRank(2, 20)).toBe(2);
+});
+
+test("without refusals every rank keeps its own place", () => {
+    const balance = RankBalance.create();
+    [0, 1, 2].forEach(rank => Array.from({ length: 20 }).forEach(() => balance.note(rank, true, 0)));
+    expect([0, 1, 2].map(rank => balance.findEffectiveRank(rank, 0))).toEqual([0, 1, 2]);
+});
+
+test("two ranks: the lower one never goes before the best", () => {
+    const balance = RankBalance.create();
+    Array.from({ length: 20 }).forEach(() => {
+        balance.note(0, true, 0);
+        balance.note(1, false, 0);
+    });
+    expect(balance.findEffectiveRank(1, 0)).toBe(1);
+});
