Balance ranks within one workspace's rank, and keep one place in twelve free for all better ranks together

Quotas: a workspace at half of its quota was refused (level -32,251 with a fill of 28,076 a second): a VM's bucket goes up and down more than the whole. Each refusal for a quota logs what it rested on.

--- a/packages/wigeonpulley/src/forwarding/allowances.ts
+++ b/packages/wigeonpulley/src/forwarding/allowances.ts
@@ -9,6 +9,9 @@
     /** Gives units back that were not used. */
     abstract giveBack(workspace: string, units: number): void;
 
+    /** What the last decision on a workspace rested on: its bucket in units, and this VM's rate in units a second. */
+    abstract explain(workspace: string): { readonly level: number; readonly ratePerS: number; };
+
     /** Time until the quota allows a request again, in milliseconds. */
     abstract estimateWaitMs(workspace: string, quota: Quota, units: number): number;
 }
--- a/packages/wigeonpulley/src/forwarding/front-server.ts
+++ b/packages/wigeonpulley/src/forwarding/front-server.ts
@@ -213,10 +213,17 @@
     }
 
     private async forward(request: RoutedRequest, writer: AnswerWriter): Promise<void> {
-        const { quotas, forwarder } = this.options;
+        const { quotas, forwarder, logger } = this.options;
         const { workspace } = request;
         const units = countQuotaTokens(request);
         if (workspace?.quota !== undefined && !quotas.tryTake(workspace.name, workspace.quota, units)) {
+            logger.write("QuotaRefused", {
+                id: request.facts.attemptId,
+                workspace: workspace.name,
+                units,
+                quotaPerS: workspace.quota.ratePerS,
+                ...quotas.explain(workspace.name),
+            });
             const retryAfterMs = quotas.estimateWaitMs(workspace.name, workspace.quota, units);
             this.refuse(
                 writer,
--- a/packages/wigeonpulley/src/forwarding/routed-request.ts
+++ b/packages/wigeonpulley/src/forwarding/routed-request.ts
@@ -1,4 +1,5 @@
 /** One request of a caller, matched to its route. */
+import { joinRanks } from "../placement/index.js";
 import type { Route, Workspace } from "../routing/index.js";
 import type { RequestFacts } from "./header-codec.js";
 import type { RequestLifetime } from "./request-lifetime.js";
@@ -27,8 +28,6 @@
 const PATIENCE_SHORTEST_MS = 2_000;
 const PATIENCE_TARGETS = 4;
 const PATIENCE_GAPS = 8;
-/** Ranks of routes lie below this, so that a workspace's rank goes first. */
-const RANK_STEP = 1_000;
 
 /** Silence after which the caller of a stream gives up, in milliseconds; the whole time for other requests. */
 export const computePatienceMs = ({ route, lifetime }: RoutedRequest): number =>
@@ -42,7 +41,7 @@
 
 /** One number for the order of ranks: the workspace's goes before the route's. */
 export const computeRank = (route: Route, workspace: Workspace | undefined): number =>
-    (workspace?.rank ?? 0) * RANK_STEP + route.rank;
+    joinRanks(workspace?.rank ?? 0, route.rank);
 
 /** True when a second run does no harm. */
 export const isRepeatable = (route: Route): boolean =>
--- a/packages/wigeonpulley/src/logging/event-catalogue.ts
+++ b/packages/wigeonpulley/src/logging/event-catalogue.ts
@@ -158,6 +158,15 @@
         ({ id, error, version, ageMs }) =>
             `request ${id} was not admitted by configuration ${version}, confirmed ${ageMs} ms ago: ${error}`,
     ),
+    QuotaRefused: defineEvent<
+        { id: string; workspace: string; units: number; level: number; ratePerS: number; quotaPerS: number; }
+    >(
+        409,
+        "info",
+        ({ id, workspace, units, level, ratePerS, quotaPerS }) =>
+            `request ${id} of workspace ${workspace} asks for ${units} units; this VM's bucket holds ${level} and fills `
+            + `with ${ratePerS} of ${quotaPerS} a second`,
+    ),
     RequestRepeated: defineEvent<
         { id: string; instance: string; reason: string; attempts: number; lastEventId: string; }
     >(
--- a/packages/wigeonpulley/src/placement/index.ts
+++ b/packages/wigeonpulley/src/placement/index.ts
@@ -8,6 +8,6 @@
 export { NoPeerLoads, PeerLoads } from "./peer-loads.js";
 export { type Demand, Placement, type PlacementOptions, PlacementService } from "./placement-service.js";
 export { type Part, PrefixMemory } from "./prefix-memory.js";
-export { RankBalance } from "./rank-balance.js";
+export { joinRanks, RankBalance } from "./rank-balance.js";
 export { RankHeadroom } from "./rank-headroom.js";
 export { WaitingLine, type WaitingRequest } from "./waiting-line.js";
--- a/packages/wigeonpulley/src/placement/rank-balance.ts
+++ b/packages/wigeonpulley/src/placement/rank-balance.ts
@@ -1,16 +1,25 @@
 /**
- * Keeps lower ranks from starving. The best rank in use always goes first. Below it a rank that was served markedly less
- * often than a better one goes first until it has caught up; so under lasting overload the lower ranks share what the best
- * one leaves, none is served more often than a better one, and a rank of short requests does not end with nothing.
+ * Keeps lower ranks from starving. A rank joins a workspace's rank, which goes first, and a route's. Within one workspace's
+ * rank the best route's requests always go first; below them a rank that was served markedly less often than a better one
+ * goes before it until it has caught up. So under lasting overload the lower ranks share what the best one leaves, none is
+ * served more often than a better one, and a rank of short requests does not end with nothing. Between workspaces' ranks
+ * the same holds, but only for one that is served next to never.
  */
 
 /** Time constant of the served shares, in milliseconds. */
 const WINDOW_MS = 4_000;
 /** Difference of served shares from which a rank counts as behind. */
 const BEHIND_BY = 0.04;
+/** The same between workspaces' ranks. */
+const WORKSPACE_BEHIND_BY = 0.7;
+/** Step between the ranks of two workspaces' ranks; routes' ranks lie within it. */
+const WORKSPACE_STEP = 1_000;
 /** Outcomes, decayed, from which a served share means anything. */
 const LEAST_OUTCOMES = 3;
 
+/** Puts a rank between two others. */
+const HALF_STEP = 0.5;
+
 interface Tally {
     served: number;
     refused: number;
@@ -43,13 +52,18 @@
      */
     findEffectiveRank(rank: number, now: number): number {
         const share = this.readShare(rank, now);
-        const ranks = [...this.tallies.keys()].filter(other => this.readShare(other, now) !== undefined);
-        const best = Math.min(...ranks, rank);
-        const ahead = ranks.filter(other =>
-            other > best && other < rank && share !== undefined
-            && (this.readShare(other, now) ?? 0) > share + BEHIND_BY
-        );
-        return ahead.length === 0 ? rank : Math.min(...ahead) - 0.5;
+        if (share === undefined) {
+            return rank;
+        }
+        const workspaceRank = readWorkspaceRank(rank);
+        const known = [...this.tallies.keys()].filter(other => this.readShare(other, now) !== undefined);
+        const isBest = (other: number): boolean =>
+            !known.some(better => better < other && readWorkspaceRank(better) === readWorkspaceRank(other));
+        const ahead = known.filter(other => {
+            const behindBy = readWorkspaceRank(other) === workspaceRank ? BEHIND_BY : WORKSPACE_BEHIND_BY;
+            return other < rank && !isBest(other) && (this.readShare(other, now) ?? 0) > share + behindBy;
+        });
+        return ahead.length === 0 ? rank : Math.min(...ahead) - HALF_STEP;
     }
 
     private readShare(rank: number, now: number): number | undefined {
@@ -63,6 +77,12 @@
     }
 }
 
+/** One number for the order of ranks: the workspace's goes before the route's. */
+export const joinRanks = (workspaceRank: number, routeRank: number): number =>
+    workspaceRank * WORKSPACE_STEP + routeRank;
+
+const readWorkspaceRank = (rank: number): number => Math.floor(rank / WORKSPACE_STEP);
+
 const decay = (tally: Tally, now: number): void => {
     const factor = Math.exp(-(now - tally.at) / WINDOW_MS);
     tally.served *= factor;
--- a/packages/wigeonpulley/src/placement/rank-headroom.ts
+++ b/packages/wigeonpulley/src/placement/rank-headroom.ts
@@ -1,12 +1,12 @@
 /**
  * Places that lower ranks leave free. Engines admit in order of arrival and hold a place for seconds, so a request of a
- * high rank that finds every place taken waits however strictly the line is ordered. Each rank that was in use lately
- * keeps one place in twelve free of the ranks below it; the best of them may also be sent to an engine that is just full.
+ * high rank that finds every place taken waits however strictly the line is ordered. While a better rank is in use, lower
+ * ranks leave one place in twelve free, and the best rank may also be sent to an engine that is just full.
  */
 
 /** Time for which a rank counts as in use, in milliseconds. */
 const IN_USE_MS = 2_000;
-/** Places of an engine for each one that a rank keeps free. */
+/** Places of an engine for each one that stays free of lower ranks. */
 const PLACES_PER_RESERVED = 12;
 /** Requests of the best rank sent to an instance beyond its slots. */
 const BEST_RANK_OVERLAP = 2;
@@ -45,6 +45,6 @@
         if (better === 0) {
             return slots + (worse > 0 ? BEST_RANK_OVERLAP : OVERLAP);
         }
-        return Math.max(1, slots - better * Math.ceil(slots / PLACES_PER_RESERVED));
+        return Math.max(1, slots - Math.ceil(slots / PLACES_PER_RESERVED));
     }
 }
--- a/packages/wigeonpulley/src/quotas/quota-ledger.ts
+++ b/packages/wigeonpulley/src/quotas/quota-ledger.ts
@@ -44,6 +44,8 @@
  * that is let through is paid back; the rest covers what VMs do not know of each other.
  */
 const OVERDRAFT_SHARE = 0.6;
+/** Part of the quota's rate up to which the demand of all VMs refuses nobody. */
+const UNCONTENDED_SHARE = 0.8;
 const MS_PER_S = 1_000;
 
 interface PeerUse {
@@ -78,7 +80,7 @@
         const account = this.findAccount(workspace, quota);
         this.noteDemand(account, units);
         this.fill(account);
-        if (account.level + this.computeOverdraft(account) <= 0) {
+        if (account.level + this.computeOverdraft(account) <= 0 && !this.isUncontended(account)) {
             return false;
         }
         account.level -= units;
@@ -92,6 +94,13 @@
         }
     }
 
+    override explain(workspace: string): { readonly level: number; readonly ratePerS: number; } {
+        const account = this.accounts.get(workspace);
+        return account === undefined
+            ? { level: 0, ratePerS: 0 }
+            : { level: Math.round(account.level), ratePerS: Math.round(this.computeRate(account)) };
+    }
+
     override estimateWaitMs(workspace: string, quota: Quota, units: number): number {
         const account = this.findAccount(workspace, quota);
         const missing = Math.min(units, Math.max(0, -account.level));
@@ -158,6 +167,14 @@
         return account.quota.burst * this.computeRate(account) / account.quota.ratePerS;
     }
 
+    /** True while all VMs together ask for so little that a bucket's ups and downs need refuse nobody. */
+    private isUncontended(account: Account): boolean {
+        const fresh = this.listFresh(account);
+        const unheard = Math.max(0, this.countVms() - 1 - fresh.length) * this.computeEqualRate(account);
+        const demand = fresh.reduce((sum, { demandPerS }) => sum + demandPerS, account.demandPerS + unheard);
+        return demand < UNCONTENDED_SHARE * account.quota.ratePerS;
+    }
+
     /** Units by which this VM's bucket may be overdrawn. */
     private computeOverdraft({ quota }: Account): number {
         const { slack, overrun, windowMs } = this.options.readTolerance();
@@ -177,8 +194,7 @@
         if (kept < equal) {
             return kept;
         }
-        const oldest = this.options.timers.now() - LEND_MS;
-        const fresh = [...account.peers.values()].filter(({ heardAt }) => heardAt >= oldest);
+        const fresh = this.listFresh(account);
         const lent = fresh.reduce((sum, { keptPerS }) => sum + Math.max(0, equal - keptPerS), 0);
         const wanted = fresh.reduce(
             (sum, { demandPerS }) => sum + Math.max(0, KEEP_FACTOR * demandPerS - equal),
@@ -188,6 +204,11 @@
         return equal + (own === 0 ? 0 : lent * own / (own + wanted));
     }
 
+    private listFresh(account: Account): readonly PeerUse[] {
+        const oldest = this.options.timers.now() - LEND_MS;
+        return [...account.peers.values()].filter(({ heardAt }) => heardAt >= oldest);
+    }
+
     private noteDemand(account: Account, units: number): void {
         this.decayDemand(account);
         account.demandPerS += units / DEMAND_WINDOW_MS * MS_PER_S;
--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -31,9 +31,9 @@
 }
 
 /** Time for which a read of the operators' records waits, in milliseconds: a read costs, and its age counts from its sending. */
-const OPERATOR_WAIT_MS = 1_500;
+const OPERATOR_WAIT_MS = 1_400;
 /** Pause between reads of the instances, whose entries change all the time, in milliseconds. */
-const INSTANCE_PAUSE_MS = 800;
+const INSTANCE_PAUSE_MS = 1_000;
 /** Part of the time to revoke a key after which an unconfirmed configuration admits no key. */
 const KEY_AGE_SHARE = 0.6;
 /** Part of the time to apply a configuration after which an unconfirmed one proves nothing unknown. */
@@ -44,7 +44,7 @@
 const CONTENDED_HEARTBEAT_MS = 150;
 const CONTENDED_CALLS = 2;
 const PEER_TIMEOUT_MS = 2_000;
-const VM_LIST_POLL_MS = 4_000;
+const VM_LIST_POLL_MS = 8_000;
 /** Time for the platform to notice that a VM is not ready: two checks of one a second, in milliseconds. */
 const UNREADY_NOTICE_MS = 2_600;
 const MS_PER_S = 1_000;
