--- a/packages/wigeonpulley/src/cli/docs/generate.ts
+++ b/packages/wigeonpulley/src/cli/docs/generate.ts
@@ -4,6 +4,8 @@
 import { settingsSchema } from "../../config/settings.js";
 import { errorCatalogue, type ErrorEntry } from "../../errors/index.js";
 import { eventCatalogue, type EventEntry } from "../../logging/index.js";
+import { routedSettingsSchema } from "../../routed-vm/routed-settings.js";
+import { routingConfigurationSchema } from "../../routing/index.js";
 import { describeSchema } from "./schema-table.js";
 
 const DOCS_FOLDER = new URL("../../../../../../docs/", import.meta.url);
@@ -67,6 +69,14 @@
         "## Settings",
         "",
         describeSchema(settingsSchema),
+        "",
+        "## Routed traffic: configuration",
+        "",
+        describeSchema(routingConfigurationSchema),
+        "",
+        "## Routed traffic: settings",
+        "",
+        describeSchema(routedSettingsSchema),
     ].join("\n");
     return `${before}${TABLES_START}\n\n${tables}\n\n${TABLES_END}${after}`;
 };
--- a/packages/wigeonpulley/src/cli/index.ts
+++ b/packages/wigeonpulley/src/cli/index.ts
@@ -1,5 +1,5 @@
 /** The `wigeonpulley` command. */
-import { cac } from "cac";
+import { type CAC, cac } from "cac";
 import { describeCause, SchedulerError } from "../errors/index.js";
 import { runAudit } from "./audit/index.js";
 import { runConfigCheck } from "./config-check/index.js";
@@ -10,6 +10,7 @@
 import type { VmOptions } from "./operator-client.js";
 import { printError } from "./output.js";
 import { runServe, type ServeOptions } from "./serve/index.js";
+import { runSettingsCheck } from "./settings-check/index.js";
 import { runStatus } from "./status/index.js";
 
 const VERSION = "0.1.0";
@@ -59,6 +60,18 @@
     }
 };
 
+const addSettingsCommand = (cli: CAC): void => {
+    cli.command("settings <action> <file>", "check the settings of a VM for routed traffic")
+        .action((action: string, file: string) => {
+            if (action !== "check") {
+                throw SchedulerError.create("InvalidRequest", {
+                    problems: `there is no command "settings ${action}"`,
+                });
+            }
+            runSettingsCheck(file);
+        });
+};
+
 /** Runs the command line. */
 export const runCli = async (argv: readonly string[]): Promise<void> => {
     const cli = cac("wigeonpulley");
@@ -77,6 +90,7 @@
         .option("--vm <url>", "Base URL of any VM")
         .option("--key <key>", "Operator key; the variable WIGEONPULLEY_OPERATOR_KEY if absent")
         .action(runConfig);
+    addSettingsCommand(cli);
     for (
         const [name, description, run] of [
             ["status", "Shows what one VM knows of the system", runStatus],
--- /dev/null
+++ b/packages/wigeonpulley/src/cli/settings-check/index.ts
@@ -0,0 +1,12 @@
+/** `wigeonpulley settings check`: checks the settings of a VM for routed traffic without starting it. */
+import { checkDocument, readJsonFile } from "../../config/index.js";
+import { routedSettingsSchema } from "../../routed-vm/index.js";
+import { printResult } from "../output.js";
+
+/** Runs the command. */
+export const runSettingsCheck = (path: string): void => {
+    const checked = readJsonFile(path).andThen(document =>
+        checkDocument(routedSettingsSchema, document, "InvalidSettings")
+    );
+    printResult(checked.map(({ name, dataCentre }) => ({ valid: true, vm: name, dataCentre })));
+};
--- a/packages/wigeonpulley/src/config/index.ts
+++ b/packages/wigeonpulley/src/config/index.ts
@@ -29,7 +29,13 @@
 } from "./configuration.js";
 export { type Labels, labelsSchema, matchLabels } from "./field-schemas.js";
 export { type AuditEntry, readAuditTrail } from "./queries/audit.js";
-export { checkConfiguration, checkSettings, formatProblems, readJsonFile } from "./queries/check.js";
+export {
+    checkConfiguration,
+    checkDocument,
+    checkSettings,
+    formatProblems,
+    readJsonFile,
+} from "./queries/check.js";
 export { type ConfigurationChange, listChanges } from "./queries/diff.js";
 export { findCaller, hashKey } from "./queries/find-caller.js";
 export { isUnderMaintenance } from "./queries/maintenance.js";
--- a/packages/wigeonpulley/src/config/queries/check.ts
+++ b/packages/wigeonpulley/src/config/queries/check.ts
@@ -14,7 +14,8 @@
         )
         .join("; ");
 
-const checkDocument = <Output>(
+/** Checks a document against a schema. Fails with the given error, which names every problem. */
+export const checkDocument = <Output>(
     schema: z.ZodType<Output>,
     document: unknown,
     errorName: ErrorName & ("InvalidSettings" | "InvalidConfiguration"),
