--- a/packages/wigeonpulley/src/placement/instance-health.ts
+++ b/packages/wigeonpulley/src/placement/instance-health.ts
@@ -96,7 +96,10 @@
         record.outcomes += 1;
         record.isUnreachable = evidence === "unreachable";
         if (record.pausedUntil !== undefined) {
-            this.judgeTrial(id, record, failed === 1, reason);
+            // Requests that were on their way before the time out say nothing new.
+            if (record.isTrialOpen) {
+                this.judgeTrial(id, record, failed === 1, reason);
+            }
         }
         else if (failed === 1 && this.isFailing(id, record)) {
             this.pause(id, record, FIRST_PAUSE_MS, reason);
--- a/packages/wigeonpulley/test/placement/instance-health.test.ts
+++ b/packages/wigeonpulley/test/placement/instance-health.test.ts
@@ -59,3 +59,12 @@
     }
     expect(health.isSound("i-1")).toBe(true);
 });
+
+test("failures of requests that were on their way before the time out do not lengthen it", async () => {
+    const { health, timers } = createHealth();
+    noteAll(health, ["i-1", "i-2", "i-3"], "success", 5);
+    noteAll(health, ["i-1"], "failure", 9);
+    expect(health.canUse("i-1")).toBe(false);
+    await timers.advance(1_000);
+    expect(health.canUse("i-1")).toBe(true);
+});
