--- a/packages/wigeonpulley/src/forwarding/front-server.ts
+++ b/packages/wigeonpulley/src/forwarding/front-server.ts
@@ -11,15 +11,9 @@
 import type { EventLogger } from "../logging/index.js";
 import type { MetricsRegistry } from "../metrics/index.js";
 import type { RandomSource } from "../random/index.js";
-import {
-    type CallerLimits,
-    type ConfigurationKeeper,
-    pickTarget,
-    type Route,
-    type RouteTable,
-    type Workspace,
-} from "../routing/index.js";
+import { type CallerLimits, type ConfigurationKeeper, pickTarget } from "../routing/index.js";
 import type { TimerService } from "../time/index.js";
+import { type AdmissionCheck, type AdmittedRequest } from "./admission-check.js";
 import type { QuotaAllowance } from "./allowances.js";
 import { AnswerWriter } from "./answer-writer.js";
 import { readBody } from "./body-reader.js";
@@ -42,10 +36,7 @@
     readonly port: number;
     /** Most requests open at the same time. */
     readonly mostOpen: number;
-    /** Ages of the configuration from which requests with a key are refused and nothing is called unknown. */
-    readonly readAgeLimits: () => { readonly keyMs: number; readonly unknownMs: number; };
-    /** Reads the configuration at once; resolves when the read is over. */
-    readonly refreshConfiguration: () => Promise<void>;
+    readonly admission: AdmissionCheck;
 }
 
 /** Interval at which connections are looked at for heads that take too long, in milliseconds. */
@@ -55,13 +46,6 @@
 /** Delay told to callers whom this VM can't serve for reasons of its own, in milliseconds. */
 const OWN_RETRY_AFTER_MS = 500;
 
-/** What admission found out about a request. */
-interface Admission {
-    readonly table: RouteTable;
-    readonly route: Route;
-    readonly workspace: Workspace | undefined;
-}
-
 /** Server for callers. */
 export class FrontServer {
     private readonly server: Server;
@@ -183,7 +167,10 @@
             this.refuse(writer, "", "", facts.error);
             return;
         }
-        const admitted = await this.admit(message, facts.value);
+        const admitted = this.refuseAtOnce() ?? await this.options.admission.admit(
+            { host: message.headers.host ?? "", path: readPath(message) },
+            facts.value,
+        );
         const limitBytes = this.options.keeper.current?.configuration.limits.bodyBytes ?? 0;
         const body = admitted.isOk() ? await readBody(message, limitBytes) : Ok(undefined);
         const refusal = admitted.isErr() ? admitted.error : body.isErr() ? body.error : undefined;
@@ -240,58 +227,22 @@
         this.writeSummary(request, summary);
     }
 
-    /** Checks the route and the key. A configuration that may be out of date proves nothing unknown. */
-    private async admit(
-        message: IncomingMessage,
-        facts: RequestFacts,
-    ): Promise<Result<Admission, SchedulerError>> {
-        const first = this.match(message, facts);
-        if (first.isOk() || (first.error.name !== "ConfigurationStale")) {
-            return first;
-        }
-        await this.options.refreshConfiguration();
-        return this.match(message, facts);
-    }
-
-    private match(message: IncomingMessage, facts: RequestFacts): Result<Admission, SchedulerError> {
-        const { keeper, mostOpen } = this.options;
-        const { keyMs, unknownMs } = this.options.readAgeLimits();
-        const table = keeper.current;
+    /** Refusals that need no look at the request. */
+    private refuseAtOnce(): Result<AdmittedRequest, SchedulerError> | undefined {
+        const { mostOpen } = this.options;
         const retry = { retryAfterMs: OWN_RETRY_AFTER_MS };
-        if (table === undefined) {
-            return Err(SchedulerError.create("ConfigurationUnavailable", {}, retry));
-        }
         if (this.refusesNew) {
             return Err(SchedulerError.create("Stopping", {}, retry));
         }
-        if (this.open > mostOpen) {
-            return Err(SchedulerError.create("TooManyStreams", { limit: mostOpen }, retry));
-        }
-        const ageMs = keeper.readAgeMs();
-        const stale = SchedulerError.create("ConfigurationStale", { ageMs: Math.round(ageMs) }, retry);
-        const path = (message.url ?? "").split("?", 1)[0] ?? "";
-        const route = Option.toUndefined(table.findRoute(message.headers.host ?? "", path));
-        if (route === undefined) {
-            return Err(ageMs > unknownMs ? stale : SchedulerError.create("NoRoute", { path }));
-        }
-        const workspace = facts.key === undefined
-            ? undefined
-            : Option.toUndefined(table.findWorkspace(facts.key));
-        if (table.needsKey(route)) {
-            if (ageMs > keyMs) {
-                return Err(stale);
-            }
-            if (workspace === undefined) {
-                return Err(ageMs > unknownMs ? stale : SchedulerError.create("UnknownCaller", {}));
-            }
-        }
-        return Ok({ table, route, workspace });
+        return this.open > mostOpen
+            ? Err(SchedulerError.create("TooManyStreams", { limit: mostOpen }, retry))
+            : undefined;
     }
 
     private createRequest(
         message: IncomingMessage,
         facts: RequestFacts,
-        { table, route, workspace }: Admission,
+        { table, route, workspace }: AdmittedRequest,
         body: Buffer | undefined,
         arrivedAt: number,
     ): RoutedRequest {
@@ -352,3 +303,5 @@
         });
     }
 }
+
+const readPath = (message: IncomingMessage): string => (message.url ?? "").split("?", 1)[0] ?? "";
--- a/packages/wigeonpulley/src/forwarding/index.ts
+++ b/packages/wigeonpulley/src/forwarding/index.ts
@@ -2,6 +2,12 @@
  * Forwarding: carries requests of routes to instances and their answers back, byte for byte.
  * Decides whether a request may be sent again; may not decide which request goes first or which instance it gets.
  */
+export {
+    AdmissionCheck,
+    type AdmissionCheckOptions,
+    type AdmittedRequest,
+    type RequestTarget,
+} from "./admission-check.js";
 export { QuotaAllowance, RepeatAllowance } from "./allowances.js";
 export { AnswerWriter } from "./answer-writer.js";
 export { Attempt, type AttemptOptions, type AttemptOutcome } from "./attempt.js";
--- /dev/null
+++ b/packages/wigeonpulley/src/placement/instance-chooser.ts
@@ -0,0 +1,125 @@
+/** Chooses the instance on which a request is expected to do best. */
+import type { Instance, InstanceDirectory } from "../discovery/index.js";
+import type { Demand } from "./demand.js";
+import type { InstanceHealth } from "./instance-health.js";
+import type { InstanceLoads } from "./instance-loads.js";
+import type { InstancePace } from "./instance-pace.js";
+import type { PeerLoads } from "./peer-loads.js";
+
+/** What the chooser is built from. */
+export interface InstanceChooserOptions {
+    readonly directory: InstanceDirectory;
+    readonly peers: PeerLoads;
+    readonly loads: InstanceLoads;
+    readonly health: InstanceHealth;
+    readonly dataCentre: string;
+    readonly region: string;
+    /** Region by data centre. */
+    readonly regions: Readonly<Record<string, string>>;
+}
+
+/** The best instance for a request. */
+export interface Choice {
+    readonly instance: Instance;
+    /** Tokens of the prompt that it has to read. */
+    readonly unreadTokens: number;
+    /** Free places of all instances that the request may have. */
+    readonly freePlaces: number;
+}
+
+/** Time added for an instance in another data centre of the region, in milliseconds; stands for the round trip and its price. */
+const OTHER_DATA_CENTRE_MS = 4;
+/** Time added for an instance in another region, in milliseconds; stands for the round trip and the price of the narrow link. */
+const OTHER_REGION_MS = 60;
+/** Weight of the time that a stream holds its place against the time to its first event. */
+const HOLDING_WEIGHT = 0.1;
+
+/** Chooser of one VM. */
+export class InstanceChooser {
+    private constructor(private readonly options: InstanceChooserOptions) {}
+
+    /** Creates a chooser. */
+    static create(options: InstanceChooserOptions): InstanceChooser {
+        return new InstanceChooser(options);
+    }
+
+    /** The best instance with a free place; `computeLimit` tells how many requests one with so many slots may hold. */
+    choose(demand: Demand, computeLimit: (slots: number) => number): Choice | undefined {
+        const { directory, loads } = this.options;
+        let best:
+            | { readonly instance: Instance; readonly cost: number; readonly unread: number; }
+            | undefined;
+        let freePlaces = 0;
+        for (const instance of directory.list()) {
+            const free = this.isCandidate(instance, demand)
+                ? computeLimit(instance.slots) - this.countInFlight(instance)
+                : 0;
+            if (free <= 0) {
+                continue;
+            }
+            freePlaces += free;
+            const unread = loads.countUnread(instance.id, demand);
+            const cost = this.estimateCost(instance, demand, unread);
+            if (best === undefined || cost < best.cost) {
+                best = { instance, cost, unread };
+            }
+        }
+        return best === undefined
+            ? undefined
+            : { instance: best.instance, unreadTokens: best.unread, freePlaces };
+    }
+
+    /** Requests of all VMs at an instance, as far as is known. */
+    countInFlight({ id, slots }: Instance): number {
+        return this.options.loads.countInFlight(id) + this.options.peers.countInFlight(id, slots);
+    }
+
+    /** Prompt tokens of all VMs that an instance has still to read, as far as is known. */
+    countPendingTokens(id: string): number {
+        return this.options.loads.countPendingTokens(id) + this.options.peers.countPendingTokens(id);
+    }
+
+    private isCandidate(instance: Instance, demand: Demand): boolean {
+        const { health, loads } = this.options;
+        return instance.service === demand.service
+            && instance.state === "ready"
+            && !demand.excluded.has(instance.id)
+            && health.canUse(instance.id)
+            && !loads.isFull(instance.id);
+    }
+
+    private estimateCost(instance: Instance, demand: Demand, unread: number): number {
+        const pace = this.options.loads.findPace(instance.id);
+        const inFlight = this.countInFlight(instance);
+        const work = demand.isEngine
+            ? estimateStreamCost(
+                pace,
+                demand,
+                this.countPendingTokens(instance.id) + unread,
+                inFlight / instance.slots,
+            )
+            : pace.estimateAnswerMs(inFlight, instance.slots);
+        return work * (1 + this.options.health.readFailureShare(instance.id)) + this.readDistanceMs(instance);
+    }
+
+    private readDistanceMs({ dataCentre }: Instance): number {
+        const { dataCentre: own, region, regions } = this.options;
+        if (dataCentre === own) {
+            return 0;
+        }
+        return regions[dataCentre] === region ? OTHER_DATA_CENTRE_MS : OTHER_REGION_MS;
+    }
+}
+
+/**
+ * Cost of a stream in milliseconds: the time to its first event, a part of the time that it holds its place, and what it
+ * would take beyond its deadline. Engines slow down as they fill up.
+ */
+const estimateStreamCost = (pace: InstancePace, demand: Demand, tokens: number, load: number): number => {
+    const firstMs = pace.estimateFirstEventMs(tokens) * (1 + load / 2);
+    const gapMs = pace.estimateGapMs();
+    const durationMs = demand.expectedEvents * gapMs;
+    const lateMs = Math.max(0, firstMs + durationMs - demand.leftMs);
+    const slowMs = Math.max(0, gapMs - (demand.gapTargetMs ?? gapMs)) * demand.expectedEvents;
+    return firstMs + durationMs * HOLDING_WEIGHT + lateMs + slowMs;
+};
--- /dev/null
+++ b/packages/wigeonpulley/src/placement/placement.ts
@@ -0,0 +1,83 @@
+/** An instance given to one request. */
+import type { Instance } from "../discovery/index.js";
+import type { TimerService } from "../time/index.js";
+import type { Evidence } from "./instance-health.js";
+import type { InstanceLoads } from "./instance-loads.js";
+
+/** What a request tells of its instance when it gives the place back; undefined says nothing. */
+export type ReleaseEvidence = Evidence | "full" | undefined;
+
+/** What a placement is built from. */
+export interface PlacementParts {
+    readonly timers: TimerService;
+    readonly loads: InstanceLoads;
+    readonly instance: Instance;
+    /** Tokens of this request's prompt that the instance has to read, and those that it has to read before. */
+    readonly unreadTokens: number;
+    readonly backlogTokens: number;
+    /** Called once when the place is free again. */
+    readonly onRelease: (evidence: ReleaseEvidence, reason: string) => void;
+}
+
+/** A place that is held until `release` is called. */
+export class Placement {
+    private readonly startedAt: number;
+    private isReleased = false;
+    private isPending = true;
+    private firstAt: number | undefined;
+
+    private constructor(private readonly parts: PlacementParts) {
+        this.startedAt = parts.timers.now();
+    }
+
+    /** Creates a placement that begins now. */
+    static create(parts: PlacementParts): Placement {
+        return new Placement(parts);
+    }
+
+    /** The instance. */
+    get instance(): Instance {
+        return this.parts.instance;
+    }
+
+    /** Notes that the endpoint began to answer. */
+    noteFirstEvent(): void {
+        if (this.isPending) {
+            const { timers, loads, instance, backlogTokens, unreadTokens } = this.parts;
+            this.endPrefill();
+            this.firstAt = timers.now();
+            const elapsedMs = this.firstAt - this.startedAt;
+            loads.findPace(instance.id).observeFirstEvent(backlogTokens + unreadTokens, elapsedMs);
+        }
+    }
+
+    /** Notes that a stream ended as complete after so many events. */
+    noteEvents(count: number): void {
+        if (this.firstAt !== undefined) {
+            const { timers, loads, instance } = this.parts;
+            loads.findPace(instance.id).observeEvents(count - 1, timers.now() - this.firstAt);
+        }
+    }
+
+    /** Notes that a whole answer of a plain service came. */
+    noteAnswer(): void {
+        const { timers, loads, instance } = this.parts;
+        loads.findPace(instance.id).observeAnswer(timers.now() - this.startedAt);
+    }
+
+    /** Gives the place back. */
+    release(evidence: ReleaseEvidence, reason: string): void {
+        if (!this.isReleased) {
+            this.isReleased = true;
+            this.endPrefill();
+            this.parts.onRelease(evidence, reason);
+        }
+    }
+
+    private endPrefill(): void {
+        if (this.isPending) {
+            this.isPending = false;
+            this.parts.loads.endPrefill(this.parts.instance.id, this.parts.unreadTokens);
+        }
+    }
+}
--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -1,7 +1,6 @@
 /** One VM that serves routed traffic: configuration, endpoints, placement, quotas and forwarding put together. */
 import { type Instance, InstanceDirectory } from "../discovery/index.js";
-import type { EndpointTransport } from "../forwarding/index.js";
-import { Forwarder, FrontServer } from "../forwarding/index.js";
+import { AdmissionCheck, type EndpointTransport, Forwarder, FrontServer } from "../forwarding/index.js";
 import type { MemberDigest } from "../gen/wigeonpulley/peer/v1/peer_pb.js";
 import type { EventLogger } from "../logging/index.js";
 import { MembershipService } from "../membership/index.js";
@@ -337,11 +336,14 @@
             mostOpen: Math.floor(
                 Math.min(mostDescriptors / DESCRIPTORS_PER_REQUEST, memoryMb / 2 / MEMORY_PER_REQUEST_MB),
             ),
-            readAgeLimits: () => ({
-                keyMs: this.bounds.keyRevokeMs * KEY_AGE_SHARE,
-                unknownMs: this.bounds.applyMs * UNKNOWN_AGE_SHARE,
+            admission: AdmissionCheck.create({
+                keeper: this.keeper,
+                readAgeLimits: () => ({
+                    keyMs: this.bounds.keyRevokeMs * KEY_AGE_SHARE,
+                    unknownMs: this.bounds.applyMs * UNKNOWN_AGE_SHARE,
+                }),
+                refreshConfiguration: () => this.operatorRecords.refresh(),
             }),
-            refreshConfiguration: () => this.operatorRecords.refresh(),
         });
     }
 }
