--- a/bench/src/capacity/links.ts
+++ b/bench/src/capacity/links.ts
@@ -16,6 +16,7 @@
     ReleaseSchema,
     type SchedulerMessage,
     SchedulerMessageSchema,
+    SystemTimerService,
     TicketSchema,
 } from "wigeonpulley";
 import { roundTo, type Row, type Table } from "../table.js";
@@ -93,7 +94,7 @@
     const transport = ConnectPeerTransport.create("vm-1", PEER_KEY, {
         countsMembers: true,
         add: () => undefined,
-    });
+    }, SystemTimerService.create());
     const outgoing = MessageQueue.create<GatewayMessage>();
     const abort = new AbortController();
     const peer = {
--- a/packages/wigeonpulley/src/discovery/instance-directory.ts
+++ b/packages/wigeonpulley/src/discovery/instance-directory.ts
@@ -26,7 +26,6 @@
     private storeLostAt: number | undefined;
     private storeBackAt = Number.NEGATIVE_INFINITY;
     private isListed = false;
-    private revision = 0;
 
     private constructor(private readonly timers: TimerService, private readonly logger: EventLogger) {}
 
@@ -45,27 +44,11 @@
         return this.isListed;
     }
 
-    /** Changes whenever an instance came, went or changed. */
-    get currentRevision(): number {
-        return this.revision;
-    }
-
     /** All known instances, those that are leaving included. */
     list(): readonly Instance[] {
         return [...this.instances.values()];
     }
 
-    /** An instance by its id. */
-    find(id: string): Instance | undefined {
-        return this.instances.get(id);
-    }
-
-    /** True when the instance is known in this incarnation and may get new work. */
-    isUsable(instance: Instance): boolean {
-        const known = this.instances.get(instance.id);
-        return known !== undefined && known.state === "ready" && isSameIncarnation(known, instance);
-    }
-
     /** Takes a whole list over; an entry that is missing from it is gone. */
     applyList(changes: readonly InstanceChange[]): void {
         const listed = new Map(changes.map(change => [change.id, change]));
@@ -119,7 +102,6 @@
         this.doubtful.delete(instance.id);
         this.instances.set(instance.id, instance);
         if (before === undefined || before.state !== instance.state || !isSameIncarnation(before, instance)) {
-            this.revision += 1;
             this.logger.write("InstanceSeen", {
                 instance: instance.id,
                 service: instance.service,
@@ -133,7 +115,6 @@
     private remove(id: string): void {
         this.doubtful.delete(id);
         this.instances.delete(id);
-        this.revision += 1;
         this.logger.write("InstanceGone", { instance: id });
         this.notify();
     }
--- a/packages/wigeonpulley/src/forwarding/endpoint-transport.ts
+++ b/packages/wigeonpulley/src/forwarding/endpoint-transport.ts
@@ -48,9 +48,6 @@
     /** Begins an exchange. */
     abstract send(instance: Instance, request: OutgoingRequest): EndpointExchange;
 
-    /** Closes idle connections to an instance. */
-    abstract closeIdle(instanceId: string): void;
-
     /** Closes all connections. */
     abstract close(): void;
 }
--- a/packages/wigeonpulley/src/forwarding/undici-transport.ts
+++ b/packages/wigeonpulley/src/forwarding/undici-transport.ts
@@ -128,15 +128,6 @@
         });
     }
 
-    override closeIdle(instanceId: string): void {
-        for (const [key, connections] of this.idle) {
-            if (key.startsWith(`${instanceId} `)) {
-                connections.forEach(connection => connection.destroy());
-                this.idle.delete(key);
-            }
-        }
-    }
-
     override close(): void {
         this.idle.forEach(connections => connections.forEach(connection => connection.destroy()));
         this.idle.clear();
--- a/packages/wigeonpulley/src/peers/connect-peer-transport.ts
+++ b/packages/wigeonpulley/src/peers/connect-peer-transport.ts
@@ -33,6 +33,7 @@
     type SchedulerMessage,
 } from "../gen/wigeonpulley/peer/v1/peer_pb.js";
 import type { VmEntry } from "../platform/index.js";
+import type { TimerService } from "../time/index.js";
 import { GossipChannel } from "./gossip-channel.js";
 import { type MemberHandler, PeerHandler, PeerTransport } from "./peer-transport.js";
 
@@ -66,13 +67,19 @@
         private readonly vm: string,
         private readonly key: string,
         private readonly counter: ByteCounter,
+        private readonly timers: TimerService,
     ) {
         super();
     }
 
     /** Creates the calls of a VM; every VM knows the same key. */
-    static create(vm: string, key: string, counter: ByteCounter): ConnectPeerTransport {
-        return new ConnectPeerTransport(vm, key, counter);
+    static create(
+        vm: string,
+        key: string,
+        counter: ByteCounter,
+        timers: TimerService,
+    ): ConnectPeerTransport {
+        return new ConnectPeerTransport(vm, key, counter, timers);
     }
 
     override async exchange(
@@ -116,7 +123,7 @@
         if (known !== undefined && !known.isClosed) {
             return known;
         }
-        const channel = GossipChannel.create(peer, this.findClient(peer));
+        const channel = GossipChannel.create(peer, this.findClient(peer), this.timers);
         this.channels.set(peer.peerUrl, channel);
         return channel;
     }
--- a/packages/wigeonpulley/src/peers/gossip-channel.ts
+++ b/packages/wigeonpulley/src/peers/gossip-channel.ts
@@ -5,6 +5,7 @@
 import { describeCause, SchedulerError } from "../errors/index.js";
 import type { MemberDigest, PeerService } from "../gen/wigeonpulley/peer/v1/peer_pb.js";
 import type { VmEntry } from "../platform/index.js";
+import type { TimerService } from "../time/index.js";
 
 /** Time for an answer, in milliseconds; a stream that misses it may be silent for good and is replaced. */
 const ANSWER_TIMEOUT_MS = 1_500;
@@ -18,13 +19,17 @@
     private readonly abort = new AbortController();
     private closed = false;
 
-    private constructor(private readonly peer: VmEntry, client: Client<typeof PeerService>) {
+    private constructor(
+        private readonly peer: VmEntry,
+        client: Client<typeof PeerService>,
+        private readonly timers: TimerService,
+    ) {
         void this.readAnswers(client);
     }
 
     /** Opens a stream. */
-    static create(peer: VmEntry, client: Client<typeof PeerService>): GossipChannel {
-        return new GossipChannel(peer, client);
+    static create(peer: VmEntry, client: Client<typeof PeerService>, timers: TimerService): GossipChannel {
+        return new GossipChannel(peer, client, timers);
     }
 
     /** True when the stream has ended and can't be used any more. */
@@ -35,9 +40,9 @@
     /** Sends a digest and waits for the peer's. Fails with PeerUnavailable. */
     exchange(digest: MemberDigest): Promise<Answer> {
         return new Promise(resolve => {
-            const timeout = setTimeout(() => this.close("no answer in time"), ANSWER_TIMEOUT_MS);
+            const cancel = this.timers.schedule(ANSWER_TIMEOUT_MS, () => this.close("no answer in time"));
             this.waiting.push(answer => {
-                clearTimeout(timeout);
+                cancel();
                 resolve(answer);
             });
             this.outgoing.push(digest);
--- a/packages/wigeonpulley/src/placement/load-reports.ts
+++ b/packages/wigeonpulley/src/placement/load-reports.ts
@@ -82,11 +82,6 @@
             );
     }
 
-    /** VMs whose reports are fresh. */
-    countFresh(): number {
-        return this.listFresh().length;
-    }
-
     override countInFlight(instance: string): number {
         return this.readTotals().get(instance)?.inFlight ?? 0;
     }
--- a/packages/wigeonpulley/src/routed-vm/daemon.ts
+++ b/packages/wigeonpulley/src/routed-vm/daemon.ts
@@ -57,7 +57,7 @@
         peers: ConnectPeerTransport.create(settings.name, peerKey, {
             countsMembers: false,
             add: (kind, bytes) => metrics.countControlBytes(kind, bytes),
-        }),
+        }, timers),
     });
     const stop = createStop(vm);
     const operatorServer = await startOperatorServer(vm, settings, metrics, stop);
--- a/packages/wigeonpulley/src/store/keyed-store.ts
+++ b/packages/wigeonpulley/src/store/keyed-store.ts
@@ -3,7 +3,7 @@
 import type { SchedulerError } from "../errors/index.js";
 
 /** Topics, by what they hold. */
-export type Topic = "operator" | "instances" | "vms" | "status";
+export type Topic = "operator" | "instances" | "vms";
 
 /** One record. */
 export interface KeyedRecord {
@@ -19,11 +19,6 @@
     readonly nextOffset: number;
 }
 
-/** How a put ended: its offset, or where the topic ended instead of the offset that was asked for. */
-export type PutOutcome =
-    | { readonly kind: "stored"; readonly offset: number; }
-    | { readonly kind: "conflict"; readonly endOffset: number; };
-
 /** Calls to the store. */
 export abstract class KeyedStore {
     /** The newest record of each key. Fails with StoreUnavailable. */
@@ -40,13 +35,12 @@
     ): Promise<Result<RecordBatch, SchedulerError>>;
 
     /**
-     * Stores a record; without a value the key is dropped. With `expectedEnd` it is stored only if the topic ends there.
+     * Stores a record and returns its offset; without a value the key is dropped.
      * Fails with StoreUnavailable; the record may have been stored then.
      */
     abstract put(
         topic: Topic,
         key: string,
         value: Buffer | undefined,
-        expectedEnd?: number,
-    ): Promise<Result<PutOutcome, SchedulerError>>;
+    ): Promise<Result<number, SchedulerError>>;
 }
--- a/packages/wigeonpulley/src/vm/daemon.ts
+++ b/packages/wigeonpulley/src/vm/daemon.ts
@@ -27,14 +27,15 @@
     const logger = EventLogger.create(ConsolaSink.create(settings.logLevel, settings.name));
     const metrics = MetricsRegistry.create();
     const { timing } = settings;
+    const timers = SystemTimerService.create();
     const transport = ConnectPeerTransport.create(settings.name, settings.peerKey, {
         countsMembers: true,
         add: (kind, bytes) => metrics.countControlBytes(kind, bytes),
-    });
+    }, timers);
     const vm = EntryVm.create({
         settings,
         peerUrl: `http://${settings.peer.host}:${settings.peer.port}`,
-        timers: SystemTimerService.create(),
+        timers,
         random: SystemRandom.create(),
         logger,
         metrics,
