Count a request as open until its answer has left the process

Found by reading: a shutdown could end the process while the last bytes of an answer were still to be written, and a request that failed in an unexpected way kept its lifetime.

--- a/packages/wigeonpulley/src/forwarding/front-server.ts
+++ b/packages/wigeonpulley/src/forwarding/front-server.ts
@@ -141,6 +141,8 @@
             writer.sendError(error);
         }
         finally {
+            // A shutdown must not end the process while the last bytes of an answer are on their way.
+            await waitFlushed(response);
             this.open -= 1;
             this.addBusy(message.socket, -1);
             if (this.open === 0) {
@@ -194,9 +196,13 @@
         if (message.socket.destroyed) {
             request.lifetime.end("caller-gone");
         }
-        await this.forward(request, writer);
-        request.lifetime.close();
-        this.lifetimes.delete(request.lifetime);
+        try {
+            await this.forward(request, writer);
+        }
+        finally {
+            request.lifetime.close();
+            this.lifetimes.delete(request.lifetime);
+        }
     }
 
     private async forward(request: RoutedRequest, writer: AnswerWriter): Promise<void> {
@@ -305,3 +311,9 @@
 }
 
 const readPath = (message: IncomingMessage): string => (message.url ?? "").split("?", 1)[0] ?? "";
+
+/** Resolves when an answer has been handed over to the system, or when its connection is gone. */
+const waitFlushed = (response: ServerResponse): Promise<void> =>
+    response.writableFinished || response.destroyed
+        ? Promise.resolve()
+        : new Promise(resolve => response.once("close", () => resolve()));
