--- a/packages/wigeonpulley/src/forwarding/attempt.ts
+++ b/packages/wigeonpulley/src/forwarding/attempt.ts
@@ -18,7 +18,12 @@
 export type AttemptOutcome =
     | { readonly kind: "answered"; readonly status: number; }
     /** The endpoint provably did not run the request. */
-    | { readonly kind: "not-run"; readonly reason: string; }
+    | {
+        readonly kind: "not-run";
+        readonly reason: string;
+        /** True when it was refused for lack of room, false when the instance could not be reached. */
+        readonly isFull: boolean;
+    }
     | {
         readonly kind: "failed";
         readonly reason: string;
@@ -124,12 +129,15 @@
     /** What makes an answer unusable; undefined for an answer to pass on. */
     private checkHead(head: AnswerHead): AttemptOutcome | undefined {
         const { codec, request } = this.options;
-        const facts = codec.readAnswer(head.headers);
+        const facts = codec.readAnswer(head.status, head.headers);
         if (facts.attemptId !== undefined && facts.attemptId !== request.facts.attemptId) {
             return createFailed(`the answer belongs to ${facts.attemptId}`);
         }
+        if (facts.isMisdirected) {
+            return { kind: "not-run", reason: "another instance has the address", isFull: false };
+        }
         if (facts.isNotRun) {
-            return { kind: "not-run", reason: `status ${head.status}` };
+            return { kind: "not-run", reason: `status ${head.status}`, isFull: true };
         }
         if (!facts.isSigned) {
             return createFailed(`status ${head.status} without a signature`);
@@ -250,7 +258,7 @@
     }
 
     private createFailure({ mayHaveRun, reason }: ExchangeFailure): AttemptOutcome {
-        return mayHaveRun ? createFailed(reason) : { kind: "not-run", reason };
+        return mayHaveRun ? createFailed(reason) : { kind: "not-run", reason, isFull: false };
     }
 
     private readEvidence(outcome: AttemptOutcome): Evidence | "full" | undefined {
@@ -263,7 +271,7 @@
             case "answered":
                 return "success";
             case "not-run":
-                return outcome.reason.startsWith("status ") ? "full" : "unreachable";
+                return outcome.isFull ? "full" : "unreachable";
             case "failed":
                 return "failure";
         }
--- a/packages/wigeonpulley/src/forwarding/header-codec.ts
+++ b/packages/wigeonpulley/src/forwarding/header-codec.ts
@@ -43,6 +43,8 @@
     readonly isSigned: boolean;
     /** True when the endpoint states that it did not run the request and never will. */
     readonly isNotRun: boolean;
+    /** True when it did not run it because it is not the instance that the request was meant for. */
+    readonly isMisdirected: boolean;
 }
 
 /** Headers by lower-case name, as undici gives them. */
@@ -59,6 +61,6 @@
     /** Headers that the VM adds for the endpoint, as name and value by turns. */
     abstract createDispatchHeaders(facts: DispatchFacts): readonly string[];
 
-    /** Reads an endpoint's headers. */
-    abstract readAnswer(headers: ParsedHeaders): AnswerFacts;
+    /** Reads the status and headers of an endpoint's answer. */
+    abstract readAnswer(status: number, headers: ParsedHeaders): AnswerFacts;
 }
--- a/packages/wigeonpulley/test/forwarding/forwarder.test.ts
+++ b/packages/wigeonpulley/test/forwarding/forwarder.test.ts
@@ -48,6 +48,16 @@
     expect(view).toMatchObject({ status: 200, body: "done" });
 });
 
+test("a request that runs once is sent elsewhere when another instance has the address", async () => {
+    const { timers, transport, placement, serve } = createForwarding({
+        script: (instance, count) => count === 1 ? [{ kind: "head", status: 421 }] : answer("done"),
+    });
+    const { summary, view } = serve({ kind: "once", maxAttempts: 1 });
+    await timers.runUntil(summary, LIMIT_MS);
+    expect(view).toMatchObject({ status: 200, body: "done" });
+    expect(placement.health.canUse(transport.dispatches[0]?.instance ?? "")).toBe(false);
+});
+
 test("an endpoint's 503 without a proof is not passed on as a promise", async () => {
     const { timers, serve } = createForwarding({ script: () => answer("busy", 503) });
     const { summary, view } = serve({ kind: "once" });
