Divide a quota at its bound, by demand, and guard it by known use

Buckets filled at the rate (20,626 units a second) while the bound allows 42,000; each VM kept an equal share, so callers of the VM with a third of the traffic were refused 96 times and those of three others once. Drawn loads with sizes as prompts have them also showed windows above the bound, with nobody cut off. Ruled out: engines (under half busy), unknown demand, lost reports. Change: most of the tolerance is spread over the window, shares follow demand while VMs compete, and no VM admits beyond nine tenths of the bound by what it or any VM it hears knows to be used; a VM not heard counts with an equal part, one that started anew with what it used before.

--- a/packages/wigeonpulley/src/quotas/quota-ledger.ts
+++ b/packages/wigeonpulley/src/quotas/quota-ledger.ts
@@ -2,12 +2,13 @@
  * Quotas of workspaces over all VMs. Each VM has an equal share of a quota's rate. A VM that needs less tells the others
  * how much it keeps, and those that need more divide the rest by their demand, for as long as what they were told is
  * fresh. So the sum stays within the quota while VMs are cut off, frozen or started anew: a share that is not confirmed
- * falls back to the VM that it belongs to. A share is a token bucket; what a VM takes in error for a moment is covered by
- * the slack of the bound.
+ * falls back to the VM that it belongs to. A share is a token bucket, so that a VM that forgets what it used does little
+ * harm. Besides, nothing is admitted beyond the bound by what this VM knows of the use of all VMs in the window.
  */
 import { QuotaAllowance } from "../forwarding/index.js";
 import type { Quota } from "../routing/index.js";
 import type { TimerService } from "../time/index.js";
+import { WindowUse } from "./window-use.js";
 
 /** What a VM tells the others of one workspace's quota. */
 export interface WorkspaceUse {
@@ -16,6 +17,10 @@
     readonly keptPerS: number;
     /** Units asked for a second, lately. */
     readonly demandPerS: number;
+    /** Units that the VM used in the window. */
+    readonly usedUnits: number;
+    /** Units that the VM knows to have been used in the window by all VMs. */
+    readonly knownUnits: number;
 }
 
 /** What the ledger is built from. */
@@ -39,12 +44,16 @@
 const KEEP_FACTOR = 1.5;
 /** Part of its equal share that a VM keeps without any demand, so that a first request is not refused. */
 const KEEP_LEAST = 0.25;
+/** Part of the tolerance that is spread over the window and so raises the rate that all VMs divide. */
+const RATE_SHARE = 0.8;
 /**
  * Part of the tolerance that all buckets together may be overdrawn by. Requests are large against a VM's share, and one
- * that is let through is paid back; the rest covers what VMs do not know of each other.
+ * that is let through is paid back; what remains of the tolerance covers what VMs do not know of each other.
  */
-const OVERDRAFT_SHARE = 0.6;
-/** Part of the quota's rate up to which the demand of all VMs refuses nobody. */
+const OVERDRAFT_SHARE = 0.15;
+/** Part of the bound up to which known use is admitted; the rest covers what VMs admit between two reports. */
+const KNOWN_SHARE = 0.9;
+/** Part of the divided rate up to which the demand of all VMs refuses nobody. */
 const UNCONTENDED_SHARE = 0.8;
 const MS_PER_S = 1_000;
 
@@ -52,6 +61,11 @@
     readonly keptPerS: number;
     readonly demandPerS: number;
     readonly heardAt: number;
+    readonly usedUnits: number;
+    readonly knownUnits: number;
+    readonly incarnation: bigint;
+    /** What an earlier incarnation used and this one does not know, until it has left the window. */
+    readonly forgotten: { readonly units: number; readonly heardAt: number; };
 }
 
 interface Account {
@@ -60,6 +74,7 @@
     filledAt: number;
     demandPerS: number;
     demandAt: number;
+    readonly use: WindowUse;
     readonly peers: Map<string, PeerUse>;
 }
 
@@ -80,10 +95,13 @@
         const account = this.findAccount(workspace, quota);
         this.noteDemand(account, units);
         this.fill(account);
-        if (account.level + this.computeOverdraft(account) <= 0 && !this.isUncontended(account)) {
+        const isWithinShare = account.level + this.computeOverdraft(account) > 0
+            || this.isUncontended(account);
+        if (!isWithinShare || this.computeKnown(account) + units > KNOWN_SHARE * this.computeBound(account)) {
             return false;
         }
         account.level -= units;
+        account.use.add(units);
         return true;
     }
 
@@ -91,6 +109,7 @@
         const account = this.accounts.get(workspace);
         if (account !== undefined) {
             account.level += units;
+            account.use.add(-units);
         }
     }
 
@@ -111,19 +130,44 @@
     listUse(): readonly WorkspaceUse[] {
         return [...this.accounts].map(([workspace, account]) => {
             this.decayDemand(account);
-            return { workspace, keptPerS: this.computeKept(account), demandPerS: account.demandPerS };
+            return {
+                workspace,
+                keptPerS: this.computeKept(account),
+                demandPerS: account.demandPerS,
+                usedUnits: account.use.readSum(this.options.readTolerance().windowMs),
+                knownUnits: this.computeSeen(account),
+            };
         });
     }
 
     /** Takes another VM's report over; a workspace that it does not name is one that it has not used. */
-    applyUse(vm: string, uses: readonly WorkspaceUse[]): void {
+    applyUse(vm: string, incarnation: bigint, uses: readonly WorkspaceUse[]): void {
         const heardAt = this.options.timers.now();
         const useByWorkspace = new Map(uses.map(use => [use.workspace, use]));
         for (const [workspace, account] of this.accounts) {
-            const keptUnused = KEEP_LEAST * this.computeEqualRate(account);
-            const { keptPerS, demandPerS } = useByWorkspace.get(workspace)
-                ?? { keptPerS: keptUnused, demandPerS: 0 };
-            account.peers.set(vm, { keptPerS, demandPerS, heardAt });
+            const use = useByWorkspace.get(workspace) ?? {
+                workspace,
+                keptPerS: KEEP_LEAST * this.computeEqualRate(account),
+                demandPerS: 0,
+                usedUnits: 0,
+                knownUnits: 0,
+            };
+            const before = account.peers.get(vm);
+            const forgotten = before === undefined || before.incarnation === incarnation
+                ? before?.forgotten ?? { units: 0, heardAt }
+                : { units: before.usedUnits + this.readForgotten(before), heardAt: before.heardAt };
+            account.peers.set(vm, { ...use, heardAt, incarnation, forgotten });
+            this.dropSilent(account);
+        }
+    }
+
+    /** Forgets VMs whose use has left the window; those that still exist count as unknown again. */
+    private dropSilent(account: Account): void {
+        const oldest = this.options.timers.now() - this.options.readTolerance().windowMs;
+        for (const [vm, { heardAt }] of account.peers) {
+            if (heardAt < oldest) {
+                account.peers.delete(vm);
+            }
         }
     }
 
@@ -140,6 +184,7 @@
             filledAt: now,
             demandPerS: 0,
             demandAt: now,
+            use: WindowUse.create(this.options.timers),
             peers: new Map(),
         };
         this.accounts.set(workspace, account);
@@ -159,12 +204,12 @@
     }
 
     private computeEqualRate(account: Account): number {
-        return account.quota.ratePerS / this.countVms();
+        return this.computeDividedRate(account) / this.countVms();
     }
 
     /** The part of the burst that goes with this VM's part of the rate. */
     private computeBurst(account: Account): number {
-        return account.quota.burst * this.computeRate(account) / account.quota.ratePerS;
+        return account.quota.burst * this.computeRate(account) / this.computeDividedRate(account);
     }
 
     /** True while all VMs together ask for so little that a bucket's ups and downs need refuse nobody. */
@@ -172,19 +217,76 @@
         const fresh = this.listFresh(account);
         const unheard = Math.max(0, this.countVms() - 1 - fresh.length) * this.computeEqualRate(account);
         const demand = fresh.reduce((sum, { demandPerS }) => sum + demandPerS, account.demandPerS + unheard);
-        return demand < UNCONTENDED_SHARE * account.quota.ratePerS;
+        return demand < UNCONTENDED_SHARE * this.computeDividedRate(account);
     }
 
-    /** Units by which this VM's bucket may be overdrawn. */
-    private computeOverdraft({ quota }: Account): number {
+    /** Units that all VMs together may use in a window. */
+    private computeBound(account: Account): number {
+        const { ratePerS, burst } = account.quota;
+        const { windowMs, overrun } = this.options.readTolerance();
+        return ratePerS * windowMs / MS_PER_S + burst * (1 + overrun) + this.computeTolerance(account);
+    }
+
+    /** Units used in the window as far as this VM knows; a VM that is not heard may use an equal part of the bound. */
+    private computeSeen(account: Account): number {
+        const { windowMs } = this.options.readTolerance();
+        const now = this.options.timers.now();
+        const part = KNOWN_SHARE * this.computeBound(account) / this.countVms();
+        const unknown = Math.max(0, this.countVms() - 1 - account.peers.size) * part;
+        return [...account.peers.values()].reduce((sum, peer) => {
+            const used = peer.heardAt < now - windowMs ? 0 : peer.usedUnits;
+            return sum + this.readForgotten(peer) + (this.isFresh(peer) ? used : Math.max(used, part));
+        }, account.use.readSum(windowMs) + unknown);
+    }
+
+    /** The most that this VM or one that it hears knows of: a VM that started anew has forgotten its own use. */
+    private computeKnown(account: Account): number {
+        return Math.max(
+            this.computeSeen(account),
+            ...this.listFresh(account).map(({ knownUnits }) => knownUnits),
+        );
+    }
+
+    private readForgotten({ forgotten }: PeerUse): number {
+        const oldest = this.options.timers.now() - this.options.readTolerance().windowMs;
+        return forgotten.heardAt < oldest ? 0 : forgotten.units;
+    }
+
+    /** Units by which a workspace may exceed its quota in a window, over all VMs. */
+    private computeTolerance({ quota }: Account): number {
         const { slack, overrun, windowMs } = this.options.readTolerance();
-        return OVERDRAFT_SHARE * (slack + overrun * quota.ratePerS * windowMs / MS_PER_S) / this.countVms();
+        return slack + overrun * quota.ratePerS * windowMs / MS_PER_S;
+    }
+
+    /** Units by which this VM's bucket may be overdrawn. */
+    private computeOverdraft(account: Account): number {
+        return OVERDRAFT_SHARE * this.computeTolerance(account) / this.countVms();
+    }
+
+    /** The rate that all VMs divide: the quota's, and the part of the tolerance that goes with a window. */
+    private computeDividedRate(account: Account): number {
+        const spread = RATE_SHARE * this.computeTolerance(account) / this.options.readTolerance().windowMs
+            * MS_PER_S;
+        return account.quota.ratePerS + spread;
     }
 
-    /** What this VM keeps of its own equal share. */
+    /** What this VM keeps of its own equal share: at most what it needs, and its part by demand while VMs compete. */
     private computeKept(account: Account): number {
         const equal = this.computeEqualRate(account);
-        return Math.min(equal, Math.max(KEEP_LEAST * equal, KEEP_FACTOR * account.demandPerS));
+        const least = KEEP_LEAST * equal;
+        return Math.min(
+            equal,
+            Math.max(least, Math.min(KEEP_FACTOR * account.demandPerS, this.computePart(account))),
+        );
+    }
+
+    /** This VM's part of the divided rate by its demand; VMs that are not heard count with their equal rates. */
+    private computePart(account: Account): number {
+        const fresh = this.listFresh(account);
+        const unheard = Math.max(0, this.countVms() - 1 - fresh.length);
+        const shared = this.computeDividedRate(account) - unheard * this.computeEqualRate(account);
+        const demand = fresh.reduce((sum, { demandPerS }) => sum + demandPerS, account.demandPerS);
+        return demand === 0 ? shared : shared * account.demandPerS / demand;
     }
 
     /** The rate that this VM may use now: what it keeps, and its part of what the others lend. */
@@ -205,8 +307,11 @@
     }
 
     private listFresh(account: Account): readonly PeerUse[] {
-        const oldest = this.options.timers.now() - LEND_MS;
-        return [...account.peers.values()].filter(({ heardAt }) => heardAt >= oldest);
+        return [...account.peers.values()].filter(peer => this.isFresh(peer));
+    }
+
+    private isFresh({ heardAt }: PeerUse): boolean {
+        return heardAt >= this.options.timers.now() - LEND_MS;
     }
 
     private noteDemand(account: Account, units: number): void {
--- a/packages/wigeonpulley/src/routed-vm/report-service.ts
+++ b/packages/wigeonpulley/src/routed-vm/report-service.ts
@@ -42,7 +42,7 @@
     override applyReports(received: readonly CarriedReport[]): void {
         const { reports, quotas, placement } = this.options;
         const fresh = received.flatMap(carried => reports.apply(carried) ?? []);
-        fresh.forEach(report => quotas.applyUse(report.vm, listQuotaUse(report)));
+        fresh.forEach(report => quotas.applyUse(report.vm, report.incarnation, listQuotaUse(report)));
         if (fresh.length > 0) {
             placement.pumpAll();
         }
@@ -66,6 +66,8 @@
             workspaces: uses.map(({ workspace }) => workspace),
             workspaceKeptPerS: uses.map(({ keptPerS }) => Math.round(keptPerS)),
             workspaceDemandPerS: uses.map(({ demandPerS }) => Math.round(demandPerS)),
+            workspaceUsedUnits: uses.map(({ usedUnits }) => Math.max(0, Math.round(usedUnits))),
+            workspaceKnownUnits: uses.map(({ knownUnits }) => Math.max(0, Math.round(knownUnits))),
         });
     }
 }
@@ -75,4 +77,6 @@
         workspace,
         keptPerS: report.workspaceKeptPerS[index] ?? 0,
         demandPerS: report.workspaceDemandPerS[index] ?? 0,
+        usedUnits: report.workspaceUsedUnits[index] ?? 0,
+        knownUnits: report.workspaceKnownUnits[index] ?? 0,
     }));
--- a/packages/wigeonpulley/test/quotas/quota-ledger.test.ts
+++ b/packages/wigeonpulley/test/quotas/quota-ledger.test.ts
@@ -74,7 +74,7 @@
                 vms.forEach((from, fromIndex) =>
                     vms.forEach(({ ledger }, toIndex) => {
                         if (fromIndex !== toIndex && cut[fromIndex] !== true && cut[toIndex] !== true) {
-                            ledger.applyUse(`vm-${fromIndex}`, from.ledger.listUse());
+                            ledger.applyUse(`vm-${fromIndex}`, 1n, from.ledger.listUse());
                         }
                     })
                 );
@@ -152,7 +152,7 @@
     let asked = 0;
     for (; now < 600_000; now += 500) {
         // The other VMs are idle and say so.
-        ["vm-1", "vm-2", "vm-3"].forEach(vm => ledger.applyUse(vm, []));
+        ["vm-1", "vm-2", "vm-3"].forEach(vm => ledger.applyUse(vm, 1n, []));
         // Half of the VM's equal share on average, in lumps of up to a whole second of the quota.
         if (random.pickInteger(4) === 0) {
             const units = 500 + random.pickInteger(4_000);
