Keep idle connections within a VM's part of what an endpoint takes; print the hash of operator keys

Cause: connections to an endpoint were not counted, so bursts at every VM left idle ones beyond the endpoint's limit, and idle ones to instances that were gone stayed until their next use. Status and drain needed a hash that nothing printed, and no test asked a running VM for its status. Ruled out: a count shared between VMs; busy connections are bound by places, and parts by the number of VMs need no call.

--- a/packages/wigeonpulley/src/cli/index.ts
+++ b/packages/wigeonpulley/src/cli/index.ts
@@ -7,6 +7,7 @@
 import { type PublishOptions, runConfigPublish } from "./config-publish/index.js";
 import { runConfigShow, type ShowOptions } from "./config-show/index.js";
 import { runDrain } from "./drain/index.js";
+import { runKeyHash } from "./key-hash/index.js";
 import type { VmOptions } from "./operator-client.js";
 import { printError } from "./output.js";
 import { runServe, type ServeOptions } from "./serve/index.js";
@@ -72,6 +73,19 @@
         });
 };
 
+const addKeyCommand = (cli: CAC): void => {
+    cli.command("key <action>", "hash: print what the settings hold of an operator key")
+        .option("--key <key>", "Operator key; the variable WIGEONPULLEY_OPERATOR_KEY if absent")
+        .action((action: string, { key }: { readonly key?: string; }) => {
+            if (action !== "hash") {
+                throw SchedulerError.create("InvalidRequest", {
+                    problems: `there is no command "key ${action}"`,
+                });
+            }
+            runKeyHash(key);
+        });
+};
+
 /** Runs the command line. */
 export const runCli = async (argv: readonly string[]): Promise<void> => {
     const cli = cac("wigeonpulley");
@@ -91,6 +105,7 @@
         .option("--key <key>", "Operator key; the variable WIGEONPULLEY_OPERATOR_KEY if absent")
         .action(runConfig);
     addSettingsCommand(cli);
+    addKeyCommand(cli);
     for (
         const [name, description, run] of [
             ["status", "Shows what one VM knows of the system", runStatus],
--- /dev/null
+++ b/packages/wigeonpulley/src/forwarding/endpoint-connection.ts
@@ -0,0 +1,87 @@
+/** One connection to an instance with a client of undici, which sends one request at a time on it. */
+import { connect, type Socket } from "node:net";
+import { type buildConnector, Client } from "undici";
+import type { Instance } from "../discovery/index.js";
+import type { TimerService } from "../time/index.js";
+
+/** How connections are opened. */
+export interface ConnectionOptions {
+    readonly timers: TimerService;
+    /** Time for a connection, in milliseconds. */
+    readonly connectMs: number;
+}
+
+const KEEP_ALIVE_PROBE_MS = 1_000;
+
+/** One connection to an instance. */
+export class EndpointConnection {
+    /** Monotonic time of the end of its last request, in milliseconds. */
+    idleSince = 0;
+    private socketFailure: Error | undefined;
+    readonly client: Client;
+
+    private constructor(instance: Instance, private readonly options: ConnectionOptions) {
+        this.client = new Client(`http://${instance.host}:${instance.port}`, {
+            connect: (target, callback) => this.connect(target, callback),
+            pipelining: 1,
+            headersTimeout: 0,
+            bodyTimeout: 0,
+        });
+    }
+
+    /** Creates a connection that opens with its first request. */
+    static create(instance: Instance, options: ConnectionOptions): EndpointConnection {
+        return new EndpointConnection(instance, options);
+    }
+
+    /** The error that ended the socket. The library takes a reset for the end of an answer without a length. */
+    get failure(): Error | undefined {
+        return this.socketFailure;
+    }
+
+    /** True while another request may use it. */
+    get isOpen(): boolean {
+        return !this.client.destroyed && !this.client.closed && this.socketFailure === undefined;
+    }
+
+    /** Closes the connection. */
+    destroy(): void {
+        // A client that is destroyed twice rejects; there is nothing left to do for it.
+        this.client.destroy().catch(() => undefined);
+    }
+
+    /** Opens the socket with a timeout of this VM's own timer service. */
+    private connect(target: buildConnector.Options, callback: buildConnector.Callback): void {
+        const { timers, connectMs } = this.options;
+        const socket: Socket = connect({
+            host: target.hostname,
+            port: Number(target.port),
+            noDelay: true,
+            keepAlive: true,
+            keepAliveInitialDelay: KEEP_ALIVE_PROBE_MS,
+        });
+        const cancelTimeout = timers.schedule(connectMs, () => socket.destroy(new Error("connect timeout")));
+        socket.once("connect", () => {
+            cancelTimeout();
+            socket.off("error", failConnect);
+            socket.once("error", failure => {
+                this.socketFailure = failure;
+            });
+            socket.once("end", () => {
+                // A reset that arrives with the last bytes is reported as an ordinary end. Only a connection that was
+                // closed in order still knows its peer then.
+                if (socket.remoteAddress === undefined) {
+                    this.socketFailure = new Error("the connection was reset");
+                }
+            });
+            // eslint-disable-next-line no-restricted-syntax -- the library's callback wants null
+            callback(null, socket);
+        });
+        const failConnect = (failure: Error): void => {
+            cancelTimeout();
+            // eslint-disable-next-line no-restricted-syntax -- the library's callback wants null
+            callback(failure, null);
+        };
+        socket.once("error", failConnect);
+    }
+}
--- a/packages/wigeonpulley/src/forwarding/index.ts
+++ b/packages/wigeonpulley/src/forwarding/index.ts
@@ -11,6 +11,7 @@
 export { QuotaAllowance, RepeatAllowance } from "./allowances.js";
 export { AnswerWriter } from "./answer-writer.js";
 export { Attempt, type AttemptOptions, type AttemptOutcome } from "./attempt.js";
+export { ConnectionPool, type ConnectionPoolOptions } from "./connection-pool.js";
 export {
     type AnswerHead,
     EndpointExchange,
@@ -40,4 +41,4 @@
     type RoutedRequest,
 } from "./routed-request.js";
 export { StreamRelay } from "./stream-relay.js";
-export { type TransportOptions, UndiciTransport } from "./undici-transport.js";
+export { UndiciTransport } from "./undici-transport.js";
--- a/packages/wigeonpulley/src/forwarding/undici-transport.ts
+++ b/packages/wigeonpulley/src/forwarding/undici-transport.ts
@@ -1,9 +1,9 @@
-/** Connections to instances with undici: one client a connection, so that each reuse is this VM's decision. */
-import { connect, type Socket } from "node:net";
-import { type buildConnector, Client, type Dispatcher } from "undici";
+/** Exchanges with instances over undici: one client a connection, so that each reuse is this VM's decision. */
+import type { Dispatcher } from "undici";
 import type { Instance } from "../discovery/index.js";
 import { describeCause } from "../errors/index.js";
-import type { TimerService } from "../time/index.js";
+import { ConnectionPool, type ConnectionPoolOptions } from "./connection-pool.js";
+import type { EndpointConnection } from "./endpoint-connection.js";
 import {
     type AnswerHead,
     EndpointExchange,
@@ -13,151 +13,41 @@
 } from "./endpoint-transport.js";
 import type { ParsedHeaders } from "./header-codec.js";
 
-/** Limits on connections to endpoints. */
-export interface TransportOptions {
-    readonly timers: TimerService;
-    /** Time for a connection, in milliseconds. */
-    readonly connectMs: number;
-    /** Longest idle time of a connection that a repeatable request may use, in milliseconds. */
-    readonly idleMs: number;
-    /** Longest idle time of a connection that a request which runs once may use, in milliseconds. */
-    readonly onceIdleMs: number;
-}
-
 const FIRST_FINAL_STATUS = 200;
-const KEEP_ALIVE_PROBE_MS = 1_000;
 /** Bytes of an answer that wait for a slow caller before reading from the endpoint pauses. */
 const HIGH_WATER_BYTES = 65_536;
 
-/** One connection to an instance. */
-class EndpointConnection {
-    /** Monotonic time of the end of its last request, in milliseconds. */
-    idleSince = 0;
-    private socketFailure: Error | undefined;
-    readonly client: Client;
-
-    private constructor(instance: Instance, private readonly options: TransportOptions) {
-        this.client = new Client(`http://${instance.host}:${instance.port}`, {
-            connect: (target, callback) => this.connect(target, callback),
-            pipelining: 1,
-            headersTimeout: 0,
-            bodyTimeout: 0,
-        });
-    }
-
-    /** Creates a connection that opens with its first request. */
-    static create(instance: Instance, options: TransportOptions): EndpointConnection {
-        return new EndpointConnection(instance, options);
-    }
-
-    /** The error that ended the socket. The library takes a reset for the end of an answer without a length. */
-    get failure(): Error | undefined {
-        return this.socketFailure;
-    }
-
-    /** True while another request may use it. */
-    get isOpen(): boolean {
-        return !this.client.destroyed && !this.client.closed && this.socketFailure === undefined;
-    }
-
-    /** Closes the connection. */
-    destroy(): void {
-        // A client that is destroyed twice rejects; there is nothing left to do for it.
-        this.client.destroy().catch(() => undefined);
-    }
-
-    /** Opens the socket with a timeout of this VM's own timer service. */
-    private connect(target: buildConnector.Options, callback: buildConnector.Callback): void {
-        const { timers, connectMs } = this.options;
-        const socket: Socket = connect({
-            host: target.hostname,
-            port: Number(target.port),
-            noDelay: true,
-            keepAlive: true,
-            keepAliveInitialDelay: KEEP_ALIVE_PROBE_MS,
-        });
-        const cancelTimeout = timers.schedule(connectMs, () => socket.destroy(new Error("connect timeout")));
-        socket.once("connect", () => {
-            cancelTimeout();
-            socket.off("error", failConnect);
-            socket.once("error", failure => {
-                this.socketFailure = failure;
-            });
-            socket.once("end", () => {
-                // A reset that arrives with the last bytes is reported as an ordinary end. Only a connection that was
-                // closed in order still knows its peer then.
-                if (socket.remoteAddress === undefined) {
-                    this.socketFailure = new Error("the connection was reset");
-                }
-            });
-            // eslint-disable-next-line no-restricted-syntax -- the library's callback wants null
-            callback(null, socket);
-        });
-        const failConnect = (failure: Error): void => {
-            cancelTimeout();
-            // eslint-disable-next-line no-restricted-syntax -- the library's callback wants null
-            callback(failure, null);
-        };
-        socket.once("error", failConnect);
-    }
-}
-
 /** Transport over TCP. */
 export class UndiciTransport extends EndpointTransport {
-    private readonly idle = new Map<string, EndpointConnection[]>();
+    private readonly pool: ConnectionPool;
 
-    private constructor(private readonly options: TransportOptions) {
+    private constructor(options: ConnectionPoolOptions) {
         super();
+        this.pool = ConnectionPool.create(options);
     }
 
     /** Creates a transport without connections. */
-    static create(options: TransportOptions): UndiciTransport {
+    static create(options: ConnectionPoolOptions): UndiciTransport {
         return new UndiciTransport(options);
     }
 
     override send(instance: Instance, request: OutgoingRequest): EndpointExchange {
-        const connection = this.takeIdle(instance, request.isOnce)
-            ?? EndpointConnection.create(instance, this.options);
+        const connection = this.pool.take(instance, request.isOnce);
         return UndiciExchange.create(connection, request, isReusable => {
             if (isReusable) {
-                this.keepIdle(instance, connection);
+                this.pool.keep(instance, connection);
             }
             else {
-                connection.destroy();
+                this.pool.drop(instance, connection);
             }
         });
     }
 
     override close(): void {
-        this.idle.forEach(connections => connections.forEach(connection => connection.destroy()));
-        this.idle.clear();
-    }
-
-    private takeIdle(instance: Instance, isOnce: boolean): EndpointConnection | undefined {
-        const connections = this.idle.get(createKey(instance)) ?? [];
-        const now = this.options.timers.now();
-        const oldest = now - this.options.idleMs;
-        while ((connections[0]?.idleSince ?? now) < oldest) {
-            connections.shift()?.destroy();
-        }
-        if (isOnce && (connections.at(-1)?.idleSince ?? now) < now - this.options.onceIdleMs) {
-            return undefined;
-        }
-        const connection = connections.pop();
-        return connection?.isOpen === true ? connection : undefined;
-    }
-
-    private keepIdle(instance: Instance, connection: EndpointConnection): void {
-        const key = createKey(instance);
-        const connections = this.idle.get(key) ?? [];
-        this.idle.set(key, connections);
-        connection.idleSince = this.options.timers.now();
-        connections.push(connection);
+        this.pool.close();
     }
 }
 
-const createKey = ({ id, host, port, bornMs }: Instance): string => `${id} ${host}:${port} ${bornMs}`;
-
 /** One request on one client. */
 class UndiciExchange extends EndpointExchange {
     private controller: Dispatcher.DispatchController | undefined;
--- a/packages/wigeonpulley/src/routed-vm/daemon.ts
+++ b/packages/wigeonpulley/src/routed-vm/daemon.ts
@@ -45,8 +45,9 @@
         connectMs: CONNECT_MS,
         idleMs: IDLE_MS,
         onceIdleMs: ONCE_IDLE_MS,
+        computeLimit: instance => vm.computeConnectionLimit(instance),
     });
-    const vm = RoutedVm.create({
+    const vm: RoutedVm = RoutedVm.create({
         settings,
         timers,
         random: SystemRandom.create(),
--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -47,6 +47,8 @@
 /** Time for the platform to notice that a VM is not ready: two checks of one a second, in milliseconds. */
 const UNREADY_NOTICE_MS = 2_600;
 const MS_PER_S = 1_000;
+/** Part of an endpoint's connections that all VMs keep; the rest is for new VMs and for those that were not heard of. */
+const CONNECTION_SHARE = 0.7;
 /** Time kept free at the end of the grace period, in milliseconds. */
 const GRACE_RESERVE_MS = 500;
 /** Descriptors that open requests may use: one to the caller, one to the endpoint, and a reserve. */
@@ -119,6 +121,15 @@
         });
     }
 
+    /** Connections to an instance up to which this VM keeps idle ones: its part of what the endpoint takes. */
+    computeConnectionLimit({ service }: Instance): number {
+        const known = this.keeper.current?.configuration.services.find(({ name }) => name === service);
+        const members = Math.max(1, this.membership.listMembers().length);
+        return known?.maxConnections === undefined
+            ? Number.POSITIVE_INFINITY
+            : Math.floor(known.maxConnections * CONNECTION_SHARE / members);
+    }
+
     /** Takes new settings over. Addresses and places stay as they were until a restart. */
     applySettings(settings: RoutedSettings): void {
         this.bounds = settings.bounds;
--- a/packages/wigeonpulley/test/forwarding/undici-transport.test.ts
+++ b/packages/wigeonpulley/test/forwarding/undici-transport.test.ts
@@ -24,6 +24,7 @@
         connectMs: 1_000,
         idleMs: 5_000,
         onceIdleMs: 5_000,
+        computeLimit: () => 100,
     });
 
 interface ReadAnswer {
