Report from log lines what became of requests and where callers lose

Change: reason, targets and the longest pause in RequestEnded, RequestNotPlaced (410), known and allowed units in QuotaRefused; 'wigeonpulley report' makes a table and a plot of them.

--- a/packages/wigeonpulley/src/cli/index.ts
+++ b/packages/wigeonpulley/src/cli/index.ts
@@ -10,6 +10,7 @@
 import { runKeyHash } from "./key-hash/index.js";
 import type { VmOptions } from "./operator-client.js";
 import { printError } from "./output.js";
+import { type ReportOptions, runReport } from "./report/index.js";
 import { runServe, type ServeOptions } from "./serve/index.js";
 import { runSettingsCheck } from "./settings-check/index.js";
 import { runStatus } from "./status/index.js";
@@ -86,26 +87,7 @@
         });
 };
 
-/** Runs the command line. */
-export const runCli = async (argv: readonly string[]): Promise<void> => {
-    const cli = cac("wigeonpulley");
-    cli.command("serve", "Runs one VM until SIGTERM")
-        .option("--settings <file>", "Settings of the VM as JSON")
-        .action((options: ServeOptions) => {
-            checkRequired("serve", { ...options });
-            return runServe(options);
-        });
-    cli.command("config <action> [file]", "check, publish, show or diff a configuration")
-        .option("--log <url>", "URL of the platform's log")
-        .option("--base <version>", "Version that the change is based on; the one in force if absent")
-        .option("--author <name>", "Name for the audit trail")
-        .option("--wait", "Wait until all live VMs report the version; needs --vm")
-        .option("--timeout <seconds>", "Longest wait, 12 if absent")
-        .option("--vm <url>", "Base URL of any VM")
-        .option("--key <key>", "Operator key; the variable WIGEONPULLEY_OPERATOR_KEY if absent")
-        .action(runConfig);
-    addSettingsCommand(cli);
-    addKeyCommand(cli);
+const addVmCommands = (cli: CAC): void => {
     for (
         const [name, description, run] of [
             ["status", "Shows what one VM knows of the system", runStatus],
@@ -120,12 +102,42 @@
                 return run(options);
             });
     }
+};
+
+const addReportCommands = (cli: CAC): void => {
+    cli.command("report <file>", "Says from log lines what became of requests and where callers lose")
+        .option("--svg <file>", "Also writes a plot")
+        .action((file: string, options: ReportOptions) => runReport(file, options));
     cli.command("audit", "Lists the changes of the configuration and what became of them")
         .option("--log <url>", "URL of the platform's log")
         .action((options: ShowOptions) => {
             checkRequired("audit", { ...options });
             return runAudit(options);
         });
+};
+
+/** Runs the command line. */
+export const runCli = async (argv: readonly string[]): Promise<void> => {
+    const cli = cac("wigeonpulley");
+    cli.command("serve", "Runs one VM until SIGTERM")
+        .option("--settings <file>", "Settings of the VM as JSON")
+        .action((options: ServeOptions) => {
+            checkRequired("serve", { ...options });
+            return runServe(options);
+        });
+    cli.command("config <action> [file]", "check, publish, show or diff a configuration")
+        .option("--log <url>", "URL of the platform's log")
+        .option("--base <version>", "Version that the change is based on; the one in force if absent")
+        .option("--author <name>", "Name for the audit trail")
+        .option("--wait", "Wait until all live VMs report the version; needs --vm")
+        .option("--timeout <seconds>", "Longest wait, 12 if absent")
+        .option("--vm <url>", "Base URL of any VM")
+        .option("--key <key>", "Operator key; the variable WIGEONPULLEY_OPERATOR_KEY if absent")
+        .action(runConfig);
+    addSettingsCommand(cli);
+    addKeyCommand(cli);
+    addVmCommands(cli);
+    addReportCommands(cli);
     cli.help();
     cli.version(VERSION);
     try {
--- a/packages/wigeonpulley/src/forwarding/allowances.ts
+++ b/packages/wigeonpulley/src/forwarding/allowances.ts
@@ -1,6 +1,17 @@
 /** What the forwarder asks before it admits or repeats a request; shared over all VMs by their implementations. */
 import type { Quota } from "../routing/index.js";
 
+/** What a decision on a quota rests on. */
+export interface QuotaFacts {
+    /** Units in this VM's bucket. */
+    readonly level: number;
+    /** This VM's rate, in units a second. */
+    readonly ratePerS: number;
+    /** Units known as used in the window by all VMs, and the most that may be used. */
+    readonly knownUnits: number;
+    readonly boundUnits: number;
+}
+
 /** Quotas of workspaces. */
 export abstract class QuotaAllowance {
     /** Takes units of a workspace's quota; false when it is used up. */
@@ -9,8 +20,8 @@
     /** Gives units back that were not used. */
     abstract giveBack(workspace: string, units: number): void;
 
-    /** What the last decision on a workspace rested on: its bucket in units, and this VM's rate in units a second. */
-    abstract explain(workspace: string): { readonly level: number; readonly ratePerS: number; };
+    /** What the last decision on a workspace rested on. */
+    abstract explain(workspace: string): QuotaFacts;
 
     /** Time until the quota allows a request again, in milliseconds. */
     abstract estimateWaitMs(workspace: string, quota: Quota, units: number): number;
--- a/packages/wigeonpulley/src/forwarding/forwarder.ts
+++ b/packages/wigeonpulley/src/forwarding/forwarder.ts
@@ -45,8 +45,12 @@
     readonly firstMs: number;
     /** Events of a stream that the caller got. */
     readonly events: number;
+    /** Longest time between two events, in milliseconds. */
+    readonly longestGapMs: number;
     /** True when an endpoint may have run the request. */
     readonly mayHaveRun: boolean;
+    /** Why the last send failed; empty without a failure. */
+    readonly reason: string;
 }
 
 /** Share of the caller's patience for which a request may wait before it is told to come back. */
@@ -66,6 +70,7 @@
     refusedSends: number;
     waitedMs: number | undefined;
     instance: string;
+    reason: string;
     readonly arrivedAt: number;
 }
 
@@ -89,6 +94,7 @@
             refusedSends: 0,
             waitedMs: undefined,
             instance: "",
+            reason: "",
         };
         for (;;) {
             const placement = await this.acquire(request, progress);
@@ -152,6 +158,7 @@
             progress.attempts += 1;
             return this.summarize(progress, outcome.status, "answered", true);
         }
+        progress.reason = outcome.reason;
         const isNotRun = outcome.kind === "not-run";
         progress.attempts += isNotRun ? 0 : 1;
         progress.refusedSends += isNotRun ? 1 : 0;
@@ -233,7 +240,9 @@
                 progress.relay.firstAt === undefined ? -1 : progress.relay.firstAt - progress.arrivedAt,
             ),
             events: progress.relay.eventCount,
+            longestGapMs: Math.round(progress.relay.longestGapMs),
             mayHaveRun,
+            reason: outcome === "answered" ? "" : progress.reason,
         };
     }
 }
--- a/packages/wigeonpulley/src/forwarding/front-server.ts
+++ b/packages/wigeonpulley/src/forwarding/front-server.ts
@@ -304,8 +304,12 @@
             promptTokens: request.facts.tokens?.prompt ?? 0,
             waitedMs: summary.waitedMs,
             firstMs: summary.firstMs,
+            targetMs: request.route.targetLatencyMs,
+            longestGapMs: summary.longestGapMs,
+            gapTargetMs: request.route.gapTargetMs ?? 0,
             events: summary.events,
             tookMs,
+            reason: summary.reason,
         });
     }
 }
--- a/packages/wigeonpulley/src/forwarding/index.ts
+++ b/packages/wigeonpulley/src/forwarding/index.ts
@@ -8,7 +8,7 @@
     type AdmittedRequest,
     type RequestTarget,
 } from "./admission-check.js";
-export { QuotaAllowance, RepeatAllowance } from "./allowances.js";
+export { QuotaAllowance, type QuotaFacts, RepeatAllowance } from "./allowances.js";
 export { AnswerWriter } from "./answer-writer.js";
 export { Attempt, type AttemptOptions, type AttemptOutcome } from "./attempt.js";
 export { ConnectionPool, type ConnectionPoolOptions } from "./connection-pool.js";
--- a/packages/wigeonpulley/src/forwarding/stream-relay.ts
+++ b/packages/wigeonpulley/src/forwarding/stream-relay.ts
@@ -11,6 +11,8 @@
     private events = 0;
 
     private firstPushAt: number | undefined;
+    private lastPushAt = 0;
+    private longestGap = 0;
 
     private constructor(private readonly writer: AnswerWriter, private readonly timers: TimerService) {}
 
@@ -24,6 +26,11 @@
         return this.firstPushAt;
     }
 
+    /** Longest time between two writes of events, in milliseconds. */
+    get longestGapMs(): number {
+        return this.longestGap;
+    }
+
     /** Id of the last event that the caller got from this relay. */
     get lastEventId(): string | undefined {
         return this.lastId;
@@ -49,7 +56,7 @@
             return;
         }
         this.events += fresh.length;
-        this.firstPushAt ??= this.timers.now();
+        this.noteTime(this.timers.now());
         this.lastId = fresh.findLast(({ id }) => id !== undefined)?.id ?? this.lastId;
         const [first] = fresh;
         await this.writer.write(
@@ -64,6 +71,16 @@
         return this.splitter.remainder.length === 0;
     }
 
+    private noteTime(now: number): void {
+        if (this.firstPushAt === undefined) {
+            this.firstPushAt = now;
+        }
+        else {
+            this.longestGap = Math.max(this.longestGap, now - this.lastPushAt);
+        }
+        this.lastPushAt = now;
+    }
+
     /** An endpoint that goes on may repeat events that the caller has. */
     private isNew(id: string | undefined): boolean {
         return id === undefined || this.lastId === undefined || Number(id) > Number(this.lastId);
--- a/packages/wigeonpulley/src/index.ts
+++ b/packages/wigeonpulley/src/index.ts
@@ -18,6 +18,7 @@
 export * from "./platform/index.js";
 export * from "./quotas/index.js";
 export * from "./random/index.js";
+export * from "./reports/index.js";
 export * from "./routed-vm/index.js";
 export * from "./routing/index.js";
 export * from "./scheduling/index.js";
--- a/packages/wigeonpulley/src/logging/event-catalogue.ts
+++ b/packages/wigeonpulley/src/logging/event-catalogue.ts
@@ -141,8 +141,12 @@
             promptTokens: number;
             waitedMs: number;
             firstMs: number;
+            targetMs: number;
+            longestGapMs: number;
+            gapTargetMs: number;
             events: number;
             tookMs: number;
+            reason: string;
         }
     >(
         406,
@@ -159,13 +163,40 @@
             `request ${id} was not admitted by configuration ${version}, confirmed ${ageMs} ms ago: ${error}`,
     ),
     QuotaRefused: defineEvent<
-        { id: string; workspace: string; units: number; level: number; ratePerS: number; quotaPerS: number; }
+        {
+            id: string;
+            workspace: string;
+            units: number;
+            level: number;
+            ratePerS: number;
+            quotaPerS: number;
+            knownUnits: number;
+            boundUnits: number;
+        }
     >(
         409,
         "info",
-        ({ id, workspace, units, level, ratePerS, quotaPerS }) =>
+        ({ id, workspace, units, level, ratePerS, quotaPerS, knownUnits, boundUnits }) =>
             `request ${id} of workspace ${workspace} asks for ${units} units; this VM's bucket holds ${level} and fills `
-            + `with ${ratePerS} of ${quotaPerS} a second`,
+            + `with ${ratePerS} of ${quotaPerS} a second; ${knownUnits} of ${boundUnits} are known as used`,
+    ),
+    RequestNotPlaced: defineEvent<
+        {
+            id: string;
+            service: string;
+            rank: number;
+            waitedMs: number;
+            ahead: number;
+            instances: number;
+            inFlight: number;
+            places: number;
+        }
+    >(
+        410,
+        "info",
+        ({ id, service, waitedMs, ahead, instances, inFlight, places }) =>
+            `request ${id} found no place in ${waitedMs} ms: ${ahead} wait before it, ${instances} instances of ${service} `
+            + `hold ${inFlight} requests on ${places} places`,
     ),
     RequestRepeated: defineEvent<
         { id: string; instance: string; reason: string; attempts: number; lastEventId: string; }
--- a/packages/wigeonpulley/src/placement/placement-service.ts
+++ b/packages/wigeonpulley/src/placement/placement-service.ts
@@ -3,7 +3,7 @@
  * whatever has to wait waits here.
  */
 import { Err, Ok, type Result } from "ts-results-es";
-import type { InstanceDirectory } from "../discovery/index.js";
+import type { Instance, InstanceDirectory } from "../discovery/index.js";
 import { SchedulerError } from "../errors/index.js";
 import type { EventLogger } from "../logging/index.js";
 import type { RandomSource } from "../random/index.js";
@@ -225,17 +225,37 @@
         const { directory, timers } = this.options;
         const { service, rank, excluded } = waiter.demand;
         this.findQueue(service).balance.note(rank, false, timers.now());
-        const hasInstance = directory.list().some(instance =>
+        const instances = directory.list().filter(instance =>
             instance.service === service && !excluded.has(instance.id)
         );
+        this.writeRefusal(line, waiter, instances);
         const retryAfterMs = this.pickRetryAfterMs(waiter.demand.leftMs);
         waiter.settle(Err(
-            hasInstance
+            instances.length > 0
                 ? SchedulerError.create("Overloaded", { tier: String(rank) }, { retryAfterMs })
                 : SchedulerError.create("NoEndpoint", { target: service }, { retryAfterMs }),
         ));
     }
 
+    private writeRefusal(
+        line: WaitingLine<Waiter>,
+        { demand }: Waiter,
+        instances: readonly Instance[],
+    ): void {
+        const { timers, logger } = this.options;
+        const usable = instances.filter(({ id, state }) => state === "ready" && this.health.canUse(id));
+        logger.write("RequestNotPlaced", {
+            id: demand.requestId,
+            service: demand.service,
+            rank: demand.rank,
+            waitedMs: Math.round(timers.now() - demand.arrivedAt),
+            ahead: line.countBefore(demand.rank, demand.arrivedAt),
+            instances: usable.length,
+            inFlight: usable.reduce((sum, instance) => sum + this.chooser.countInFlight(instance), 0),
+            places: usable.reduce((sum, { slots }) => sum + slots, 0),
+        });
+    }
+
     private applyDirectory(): void {
         const ids = new Set(this.options.directory.list().map(instance => instance.id));
         this.health.retain(ids);
--- a/packages/wigeonpulley/src/placement/waiting-line.ts
+++ b/packages/wigeonpulley/src/placement/waiting-line.ts
@@ -67,6 +67,13 @@
         );
     }
 
+    /** Waiting requests of a better rank, or of the same one and earlier. */
+    countBefore(rank: number, arrivedAt: number): number {
+        return this.requests.filter(other =>
+            other.rank < rank || (other.rank === rank && other.arrivedAt < arrivedAt)
+        ).length;
+    }
+
     /** How many wait, by rank. */
     countByRank(): ReadonlyMap<number, number> {
         const counts = new Map<number, number>();
--- a/packages/wigeonpulley/src/quotas/quota-ledger.ts
+++ b/packages/wigeonpulley/src/quotas/quota-ledger.ts
@@ -5,7 +5,7 @@
  * falls back to the VM that it belongs to. A share is a token bucket, so that a VM that forgets what it used does little
  * harm. Besides, nothing is admitted beyond the bound by what this VM knows of the use of all VMs in the window.
  */
-import { QuotaAllowance } from "../forwarding/index.js";
+import { QuotaAllowance, type QuotaFacts } from "../forwarding/index.js";
 import type { Quota } from "../routing/index.js";
 import type { TimerService } from "../time/index.js";
 import { WindowUse } from "./window-use.js";
@@ -113,11 +113,16 @@
         }
     }
 
-    override explain(workspace: string): { readonly level: number; readonly ratePerS: number; } {
+    override explain(workspace: string): QuotaFacts {
         const account = this.accounts.get(workspace);
         return account === undefined
-            ? { level: 0, ratePerS: 0 }
-            : { level: Math.round(account.level), ratePerS: Math.round(this.computeRate(account)) };
+            ? { level: 0, ratePerS: 0, knownUnits: 0, boundUnits: 0 }
+            : {
+                level: Math.round(account.level),
+                ratePerS: Math.round(this.computeRate(account)),
+                knownUnits: Math.round(this.computeKnown(account)),
+                boundUnits: Math.round(this.computeBound(account)),
+            };
     }
 
     override estimateWaitMs(workspace: string, quota: Quota, units: number): number {
--- /dev/null
+++ b/packages/wigeonpulley/src/reports/format-report.ts
@@ -0,0 +1,73 @@
+/** The loss report as text and as a plot. */
+import type { LossReport, LossSecond } from "./loss-report.js";
+import { REQUEST_FATES, type RequestFate } from "./request-line.js";
+
+const PERCENT = 100;
+
+/** A table in Markdown: shares in percent of what was asked, times in milliseconds. */
+export const formatLossTable = (report: LossReport): string => {
+    const header = ["route", "rank", "asked", ...REQUEST_FATES, "repeats", "waited p50/p95", "first p50/p95"];
+    const rows = report.listRows().map(row => [
+        row.route === "" ? "(none)" : row.route,
+        row.rank < 0 ? "" : String(row.rank),
+        String(row.asked),
+        ...REQUEST_FATES.map(fate => (row.counts[fate] * PERCENT / row.asked).toFixed(1)),
+        String(row.repeats),
+        row.waitedMs.join(" / "),
+        row.firstMs.join(" / "),
+    ]);
+    return [header, header.map(() => "---"), ...rows].map(cells => `| ${cells.join(" | ")} |`).join("\n");
+};
+
+const COLOURS: Readonly<Record<RequestFate, string>> = {
+    "on-time": "#4c9f70",
+    "late-first": "#f2c14e",
+    "slow-gaps": "#f4a259",
+    "refused-load": "#d1495b",
+    "refused-quota": "#9b5de5",
+    "refused-other": "#b08ea2",
+    "timed-out": "#8c2f39",
+    "failed": "#3d3d3d",
+    "cancelled": "#bbbbbb",
+};
+const BAR_WIDTH = 14;
+const PLOT_HEIGHT = 240;
+const MARGIN = 40;
+const LEGEND_WIDTH = 120;
+const LEGEND_STEP = 18;
+
+const plotSecond = ({ second, counts }: LossSecond, scale: number): string => {
+    let top = MARGIN + PLOT_HEIGHT;
+    return REQUEST_FATES.map(fate => {
+        const height = counts[fate] * scale;
+        top -= height;
+        return height === 0
+            ? ""
+            : `<rect x="${MARGIN + second * BAR_WIDTH}" y="${top.toFixed(1)}" width="${BAR_WIDTH - 1}" `
+                + `height="${height.toFixed(1)}" fill="${COLOURS[fate]}"/>`;
+    }).join("");
+};
+
+/** A plot as SVG: requests that ended in each second, by what became of them. */
+export const formatLossPlot = (report: LossReport): string => {
+    const seconds = report.listSeconds();
+    const sums = seconds.map(({ counts }) => Object.values(counts).reduce((sum, count) => sum + count, 0));
+    const most = Math.max(1, ...sums);
+    const plotWidth = seconds.length * BAR_WIDTH;
+    const legend = REQUEST_FATES.map((fate, index) => {
+        const x = MARGIN + plotWidth + LEGEND_STEP;
+        const y = MARGIN + index * LEGEND_STEP;
+        return `<rect x="${x}" y="${y}" width="12" height="12" fill="${COLOURS[fate]}"/>`
+            + `<text x="${x + LEGEND_STEP}" y="${y + 10}">${fate}</text>`;
+    });
+    const width = MARGIN * 2 + plotWidth + LEGEND_WIDTH;
+    const height = MARGIN * 2 + PLOT_HEIGHT;
+    return [
+        `<svg xmlns="http://www.w3.org/2000/svg" width="${width}" height="${height}" `
+        + `font-family="sans-serif" font-size="11">`,
+        `<text x="${MARGIN}" y="${MARGIN / 2}">requests ended a second, ${most} at most</text>`,
+        ...seconds.map(second => plotSecond(second, PLOT_HEIGHT / most)),
+        ...legend,
+        "</svg>",
+    ].join("\n");
+};
--- /dev/null
+++ b/packages/wigeonpulley/src/reports/loss-report.ts
@@ -0,0 +1,121 @@
+/** Where callers lose: what became of requests, by route and by second, with the times that explain it. */
+import { build, type Histogram } from "hdr-histogram-js";
+import { REQUEST_FATES, type RequestFate, type RequestRecord } from "./request-line.js";
+
+/** One route's requests. */
+export interface LossRow {
+    readonly route: string;
+    readonly rank: number;
+    readonly asked: number;
+    readonly counts: Readonly<Record<RequestFate, number>>;
+    /** Sends beyond the first. */
+    readonly repeats: number;
+    /** Median and 95th percentile of the wait for a place, in milliseconds. */
+    readonly waitedMs: readonly [number, number];
+    /** The same of the time to the first byte of an answer. */
+    readonly firstMs: readonly [number, number];
+}
+
+/** What became of the requests that ended in one second. */
+export interface LossSecond {
+    /** Seconds since the first request's end. */
+    readonly second: number;
+    readonly counts: Readonly<Record<RequestFate, number>>;
+}
+
+const MS_PER_S = 1_000;
+const MEDIAN = 50;
+const HIGH_PERCENTILE = 95;
+
+interface RouteTally {
+    rank: number;
+    readonly counts: Record<RequestFate, number>;
+    repeats: number;
+    readonly waited: Histogram;
+    readonly first: Histogram;
+}
+
+/** Report on the requests that were added. */
+export class LossReport {
+    private readonly routes = new Map<string, RouteTally>();
+    private readonly seconds = new Map<number, Record<RequestFate, number>>();
+
+    private constructor() {}
+
+    /** Creates a report on nothing. */
+    static create(): LossReport {
+        return new LossReport();
+    }
+
+    /** Adds a request. */
+    add(record: RequestRecord): void {
+        const tally = this.findRoute(record);
+        tally.rank = Math.max(tally.rank, record.rank);
+        tally.counts[record.fate] += 1;
+        tally.repeats += Math.max(0, record.sends - 1);
+        tally.waited.recordValue(Math.max(0, record.waitedMs));
+        if (record.firstMs !== undefined) {
+            tally.first.recordValue(record.firstMs);
+        }
+        const second = Math.floor(record.endedAt / MS_PER_S);
+        const counts = this.seconds.get(second) ?? createCounts();
+        this.seconds.set(second, counts);
+        counts[record.fate] += 1;
+    }
+
+    /** One row for each route, the one with the most losses first. */
+    listRows(): readonly LossRow[] {
+        return [...this.routes].map(([route, { rank, counts, repeats, waited, first }]) => ({
+            route,
+            rank,
+            asked: sumCounts(counts),
+            counts,
+            repeats,
+            waitedMs: readPercentiles(waited),
+            firstMs: readPercentiles(first),
+        })).toSorted((left, right) => countLost(right.counts) - countLost(left.counts));
+    }
+
+    /** One entry for each second between the first and the last end of a request. */
+    listSeconds(): readonly LossSecond[] {
+        const known = [...this.seconds.keys()];
+        if (known.length === 0) {
+            return [];
+        }
+        const first = Math.min(...known);
+        return Array.from({ length: Math.max(...known) - first + 1 }, (unused, second) => ({
+            second,
+            counts: this.seconds.get(first + second) ?? createCounts(),
+        }));
+    }
+
+    private findRoute({ route }: RequestRecord): RouteTally {
+        const known = this.routes.get(route);
+        if (known !== undefined) {
+            return known;
+        }
+        const tally: RouteTally = {
+            rank: -1,
+            counts: createCounts(),
+            repeats: 0,
+            waited: build(),
+            first: build(),
+        };
+        this.routes.set(route, tally);
+        return tally;
+    }
+}
+
+const createCounts = (): Record<RequestFate, number> =>
+    Object.fromEntries(REQUEST_FATES.map(fate => [fate, 0])) as Record<RequestFate, number>;
+
+const sumCounts = (counts: Readonly<Record<RequestFate, number>>): number =>
+    Object.values(counts).reduce((sum, count) => sum + count, 0);
+
+const countLost = (counts: Readonly<Record<RequestFate, number>>): number =>
+    sumCounts(counts) - counts["on-time"];
+
+const readPercentiles = (histogram: Histogram): readonly [number, number] => [
+    histogram.getValueAtPercentile(MEDIAN),
+    histogram.getValueAtPercentile(HIGH_PERCENTILE),
+];
