Let callers who can still be on time go before those who come back

A request that comes back looks new, but for its deadline: new ones lie within 15% of the longest of their route, returning ones below 77% (measured on 1,660). Ruled out: the order of arrival within a first try (3% were late there). Change: the time that a caller has spent before shows in its deadline against the longest of its route; who is late already goes after the others of its rank.

--- a/packages/wigeonpulley/src/forwarding/forwarder.ts
+++ b/packages/wigeonpulley/src/forwarding/forwarder.ts
@@ -124,6 +124,7 @@
             leftMs: lifetime.leftMs,
             gapTargetMs: route.gapTargetMs,
             arrivedAt: request.arrivedAt,
+            spentMs: request.spentMs,
             targetLatencyMs: route.targetLatencyMs,
             waitUntil: Math.max(request.arrivedAt, progress.attempts === 0 ? 0 : timers.now())
                 + Math.min(
--- a/packages/wigeonpulley/src/forwarding/front-server.ts
+++ b/packages/wigeonpulley/src/forwarding/front-server.ts
@@ -17,6 +17,7 @@
 import type { QuotaAllowance } from "./allowances.js";
 import { AnswerWriter } from "./answer-writer.js";
 import { readBody } from "./body-reader.js";
+import { DeadlineMemory } from "./deadline-memory.js";
 import type { Forwarder, ForwardSummary } from "./forwarder.js";
 import type { HeaderCodec, RequestFacts } from "./header-codec.js";
 import { RequestLifetime } from "./request-lifetime.js";
@@ -49,6 +50,7 @@
 /** Server for callers. */
 export class FrontServer {
     private readonly server: Server;
+    private readonly deadlines: DeadlineMemory;
     private readonly lifetimes = new Set<RequestLifetime>();
     private readonly idleWaiters: (() => void)[] = [];
     /** Requests in progress by connection. */
@@ -58,6 +60,7 @@
     private refusesNew = false;
 
     private constructor(private readonly options: FrontServerOptions) {
+        this.deadlines = DeadlineMemory.create(options.timers);
         this.server = createServer({
             maxHeaderSize: FIRST_HEADER_BYTES,
             connectionsCheckingInterval: CONNECTION_CHECK_MS,
@@ -266,6 +269,7 @@
             tokensPerEvent: Option.toUndefined(table.findService(service))?.engine?.tokensPerEvent,
             workspace,
             arrivedAt,
+            spentMs: this.deadlines.estimateSpentMs(route.name, facts.deadlineMs),
             configurationVersion: table.configuration.version,
             lifetime: RequestLifetime.create(timers, arrivedAt + limitMs),
         };
--- a/packages/wigeonpulley/src/forwarding/index.ts
+++ b/packages/wigeonpulley/src/forwarding/index.ts
@@ -12,6 +12,7 @@
 export { AnswerWriter } from "./answer-writer.js";
 export { Attempt, type AttemptOptions, type AttemptOutcome } from "./attempt.js";
 export { ConnectionPool, type ConnectionPoolOptions } from "./connection-pool.js";
+export { DeadlineMemory } from "./deadline-memory.js";
 export {
     type AnswerHead,
     EndpointExchange,
--- a/packages/wigeonpulley/src/forwarding/routed-request.ts
+++ b/packages/wigeonpulley/src/forwarding/routed-request.ts
@@ -19,6 +19,8 @@
     readonly workspace: Workspace | undefined;
     /** Monotonic time of its arrival, in milliseconds. */
     readonly arrivedAt: number;
+    /** Time that the caller had spent on earlier tries, in milliseconds, as far as its deadline shows. */
+    readonly spentMs: number;
     /** Version of the configuration that admitted it. */
     readonly configurationVersion: number;
     readonly lifetime: RequestLifetime;
--- a/packages/wigeonpulley/src/placement/demand.ts
+++ b/packages/wigeonpulley/src/placement/demand.ts
@@ -18,6 +18,8 @@
     readonly gapTargetMs: number | undefined;
     /** Monotonic times in milliseconds: its arrival, and until when it may wait for an instance. */
     readonly arrivedAt: number;
+    /** Time that the caller had spent on earlier tries, in milliseconds, as far as it shows. */
+    readonly spentMs: number;
     readonly waitUntil: number;
     /** Time from its arrival in which its answer is on time, in milliseconds. */
     readonly targetLatencyMs: number;
--- a/packages/wigeonpulley/src/placement/placement-service.ts
+++ b/packages/wigeonpulley/src/placement/placement-service.ts
@@ -87,7 +87,7 @@
                 demand,
                 rank: demand.rank,
                 arrivedAt: demand.arrivedAt,
-                onTimeUntil: demand.arrivedAt + demand.targetLatencyMs * START_SHARE,
+                onTimeUntil: demand.arrivedAt - demand.spentMs + demand.targetLatencyMs * START_SHARE,
                 settle: outcome => {
                     unsubscribe();
                     cancelTimeout();
