Keep long prompts from slow engines' streams; learn engines of a service together

Change: time to a first event is a line through recent observations in units of the engine's gap, one line a service; gaps are learned from eight events on and told to other VMs; a prompt that would delay events beyond their target waits for another engine where there is one, and lets others of the line pass. Tried and not kept: a later Retry-After (21 to 32% of the time left): no change beyond noise.

--- a/packages/wigeonpulley/src/forwarding/attempt.ts
+++ b/packages/wigeonpulley/src/forwarding/attempt.ts
@@ -52,6 +52,8 @@
 const SILENCE_PATIENCE_SHARE = 0.5;
 /** Silence from which an answer that never came counts against the instance, in milliseconds. */
 const MUTE_MS = 1_500;
+/** Events after which a stream tells how fast its engine is, before its end. */
+const EARLY_EVENTS = 8;
 const HTTP_OK = 200;
 const HTTP_REDIRECT = 300;
 const HTTP_SERVER_ERROR = 500;
@@ -151,6 +153,7 @@
     private async relayStream(head: AnswerHead): Promise<AttemptOutcome> {
         const { relay, writer, placement, timers } = this.options;
         let hasBegun = false;
+        let isPaceKnown = false;
         const eventsBefore = relay.eventCount;
         for (;;) {
             const chunk = await this.exchange.readChunk();
@@ -167,6 +170,10 @@
                 relay.begin(head);
             }
             await relay.push(chunk);
+            if (!isPaceKnown && relay.eventCount - eventsBefore >= EARLY_EVENTS) {
+                isPaceKnown = true;
+                placement.noteEvents(relay.eventCount - eventsBefore);
+            }
         }
         if (!hasBegun) {
             relay.begin(head);
--- a/packages/wigeonpulley/src/placement/index.ts
+++ b/packages/wigeonpulley/src/placement/index.ts
@@ -4,7 +4,7 @@
  */
 export { type Demand, type WaitControl } from "./demand.js";
 export { type Evidence, InstanceHealth } from "./instance-health.js";
-export { InstancePace } from "./instance-pace.js";
+export { createFirstEventLine, InstancePace } from "./instance-pace.js";
 export { LoadReports } from "./load-reports.js";
 export { NoPeerLoads, PeerLoads } from "./peer-loads.js";
 export { type PlacementOptions, PlacementService } from "./placement-service.js";
@@ -12,4 +12,5 @@
 export { type Part, PrefixMemory } from "./prefix-memory.js";
 export { joinRanks, RankBalance } from "./rank-balance.js";
 export { RankHeadroom } from "./rank-headroom.js";
+export { RecentLine } from "./recent-line.js";
 export { WaitingLine, type WaitingRequest } from "./waiting-line.js";
--- a/packages/wigeonpulley/src/placement/instance-chooser.ts
+++ b/packages/wigeonpulley/src/placement/instance-chooser.ts
@@ -18,6 +18,9 @@
     readonly regions: Readonly<Record<string, string>>;
 }
 
+/** Why there is no instance: all places are taken, or those that are free don't suit this request. */
+export type NoChoice = "no-place" | "unsuitable";
+
 /** The best instance for a request. */
 export interface Choice {
     readonly instance: Instance;
@@ -34,6 +37,12 @@
 /** Weight of the time that a stream holds its place against the time to its first event. */
 const HOLDING_WEIGHT = 0.1;
 
+/**
+ * Tokens of prompts that an engine reads between two events of a stream at the most, because it reads prompts in parts
+ * between its steps. From a trial with 2,048 tokens a part and five tokens an event.
+ */
+const READ_PER_EVENT_TOKENS = 10_000;
+
 /** Chooser of one VM. */
 export class InstanceChooser {
     private constructor(private readonly options: InstanceChooserOptions) {}
@@ -44,8 +53,9 @@
     }
 
     /** The best instance with a free place; `computeLimit` tells how many requests one with so many slots may hold. */
-    choose(demand: Demand, computeLimit: (slots: number) => number): Choice | undefined {
+    choose(demand: Demand, computeLimit: (slots: number) => number): Choice | NoChoice {
         const { directory, loads } = this.options;
+        const hasGentle = this.hasGentleInstance(demand);
         let best:
             | { readonly instance: Instance; readonly cost: number; readonly unread: number; }
             | undefined;
@@ -59,14 +69,42 @@
             }
             freePlaces += free;
             const unread = loads.countUnread(instance.id, demand);
+            if (hasGentle && this.disturbsStreams(instance, demand, unread)) {
+                continue;
+            }
             const cost = this.estimateCost(instance, demand, unread);
             if (best === undefined || cost < best.cost) {
                 best = { instance, cost, unread };
             }
         }
-        return best === undefined
-            ? undefined
-            : { instance: best.instance, unreadTokens: best.unread, freePlaces };
+        if (best === undefined) {
+            return freePlaces > 0 ? "unsuitable" : "no-place";
+        }
+        return { instance: best.instance, unreadTokens: best.unread, freePlaces };
+    }
+
+    /** True when some instance, busy or not, could read the prompt without a late event for the streams beside it. */
+    private hasGentleInstance(demand: Demand): boolean {
+        return demand.gapTargetMs !== undefined
+            && this.options.directory.list().some(instance =>
+                this.isCandidate(instance, demand) && !this.exceedsGap(instance, demand, demand.promptTokens)
+            );
+    }
+
+    /** True when reading the prompt would delay an event of the streams that the instance has beyond their target. */
+    private disturbsStreams(instance: Instance, demand: Demand, unread: number): boolean {
+        return this.countInFlight(instance) > 0
+            && this.exceedsGap(instance, demand, this.countPendingTokens(instance.id) + unread);
+    }
+
+    private exceedsGap(
+        instance: Instance,
+        { gapTargetMs = Number.POSITIVE_INFINITY }: Demand,
+        tokens: number,
+    ): boolean {
+        const pace = this.options.loads.findPace(instance);
+        const readMs = pace.estimateReadMs(Math.min(tokens, READ_PER_EVENT_TOKENS));
+        return pace.estimateGapMs() + readMs > gapTargetMs;
     }
 
     /** Requests of all VMs at an instance, as far as is known. */
@@ -89,7 +127,7 @@
     }
 
     private estimateCost(instance: Instance, demand: Demand, unread: number): number {
-        const pace = this.options.loads.findPace(instance.id);
+        const pace = this.options.loads.findPace(instance);
         const inFlight = this.countInFlight(instance);
         const work = demand.isEngine
             ? estimateStreamCost(
--- a/packages/wigeonpulley/src/placement/instance-loads.ts
+++ b/packages/wigeonpulley/src/placement/instance-loads.ts
@@ -2,8 +2,10 @@
 import type { Instance } from "../discovery/index.js";
 import type { TimerService } from "../time/index.js";
 import type { Demand } from "./demand.js";
-import { InstancePace } from "./instance-pace.js";
+import { createFirstEventLine, InstancePace } from "./instance-pace.js";
+import type { PeerLoads } from "./peer-loads.js";
 import { PrefixMemory } from "./prefix-memory.js";
+import type { RecentLine } from "./recent-line.js";
 
 /** Time for which an instance that refused for being full gets nothing new, in milliseconds. */
 const FULL_PAUSE_MS = 150;
@@ -18,13 +20,14 @@
 /** Loads by instance. */
 export class InstanceLoads {
     private readonly loads = new Map<string, Load>();
+    private readonly firstEvents = new Map<string, RecentLine>();
     private readonly prefixes = PrefixMemory.create();
 
-    private constructor(private readonly timers: TimerService) {}
+    private constructor(private readonly timers: TimerService, private readonly peers: PeerLoads) {}
 
     /** Creates loads without requests. */
-    static create(timers: TimerService): InstanceLoads {
-        return new InstanceLoads(timers);
+    static create(timers: TimerService, peers: PeerLoads): InstanceLoads {
+        return new InstanceLoads(timers, peers);
     }
 
     /** Requests at an instance. */
@@ -48,27 +51,27 @@
     }
 
     /** How fast an instance works. */
-    findPace(id: string): InstancePace {
-        return this.find(id).pace;
+    findPace(instance: Instance): InstancePace {
+        return this.find(instance).pace;
     }
 
     /** Notes a request on its way to an instance, with the tokens that it has to read. */
     occupy(instance: Instance, { prompt }: Demand, unreadTokens: number): void {
-        const load = this.find(instance.id);
+        const load = this.find(instance);
         load.inFlight += 1;
         load.pendingTokens += unreadTokens;
         this.prefixes.note(instance.id, prompt);
     }
 
     /** Notes that a prompt has been read, or will not be. */
-    endPrefill(id: string, unreadTokens: number): void {
-        const load = this.find(id);
+    endPrefill(instance: Instance, unreadTokens: number): void {
+        const load = this.find(instance);
         load.pendingTokens = Math.max(0, load.pendingTokens - unreadTokens);
     }
 
     /** Notes that a request has left an instance. */
-    release(id: string, isFull: boolean): void {
-        const load = this.find(id);
+    release(instance: Instance, isFull: boolean): void {
+        const load = this.find(instance);
         load.inFlight = Math.max(0, load.inFlight - 1);
         if (isFull) {
             load.fullUntil = this.timers.now() + FULL_PAUSE_MS;
@@ -85,10 +88,21 @@
         }
     }
 
-    private find(id: string): Load {
+    private find({ id, service }: Instance): Load {
         const load = this.loads.get(id)
-            ?? { inFlight: 0, pendingTokens: 0, fullUntil: 0, pace: InstancePace.create() };
+            ?? {
+                inFlight: 0,
+                pendingTokens: 0,
+                fullUntil: 0,
+                pace: InstancePace.create(this.findFirstEvents(service), () => this.peers.readGapMs(id)),
+            };
         this.loads.set(id, load);
         return load;
     }
+
+    private findFirstEvents(service: string): RecentLine {
+        const line = this.firstEvents.get(service) ?? createFirstEventLine();
+        this.firstEvents.set(service, line);
+        return line;
+    }
 }
--- a/packages/wigeonpulley/src/placement/instance-pace.ts
+++ b/packages/wigeonpulley/src/placement/instance-pace.ts
@@ -1,36 +1,53 @@
-/** How fast instances work, learned from answers: prompt tokens a millisecond for engines, time an answer for services. */
+/**
+ * How fast instances work, learned from answers. An engine that makes events slowly reads prompts as slowly, so the time
+ * to a first event is learned for all engines of a service together, in units of each engine's time between two events.
+ * So one that this VM has hardly used yet is known from its first few events.
+ */
+import { RecentLine } from "./recent-line.js";
 
 /** Weight of the newest observation. */
 const NEWEST_WEIGHT = 0.15;
-/** Prefill speed of an engine that was not seen yet, in tokens a millisecond; only its order of magnitude matters. */
-const FIRST_GUESS_TOKENS_PER_MS = 30;
+/** First events of a service that was not seen yet, in gaps between events, by tokens to read; only the order matters. */
+const FIRST_GUESS: readonly (readonly [tokens: number, gaps: number])[] = [[0, 3], [6_000, 8]];
 /** Time of an answer of a service that was not seen yet, in milliseconds. */
 const FIRST_GUESS_ANSWER_MS = 30;
-
 /** Time between events of an engine that was not seen yet, in milliseconds. */
 const FIRST_GUESS_GAP_MS = 25;
-/** Events from which the time between them means anything. */
-const LEAST_EVENTS = 4;
+/** Events from which the time between them means anything, and from which it counts in full. */
+const LEAST_EVENTS = 2;
+const WHOLE_EVENTS = 8;
+
+/** How the time to a first event grows with the prompt, for the engines of one service. */
+export const createFirstEventLine = (): RecentLine => RecentLine.create(FIRST_GUESS);
 
 /** Pace of one instance. */
 export class InstancePace {
-    private tokensPerMs: number | undefined;
     private answerMs: number | undefined;
     private gapMs: number | undefined;
 
-    private constructor() {}
+    private constructor(
+        private readonly firstEvents: RecentLine,
+        private readonly readHeardGapMs: () => number | undefined,
+    ) {}
+
+    /**
+     * Creates a pace without observations; `firstEvents` is shared by the instances of a service, `readHeardGapMs` is the
+     * time between two events that other VMs saw.
+     */
+    static create(firstEvents: RecentLine, readHeardGapMs: () => number | undefined): InstancePace {
+        return new InstancePace(firstEvents, readHeardGapMs);
+    }
 
-    /** Creates a pace without observations. */
-    static create(): InstancePace {
-        return new InstancePace();
+    /** Time between two events that this VM saw, in milliseconds. */
+    get seenGapMs(): number | undefined {
+        return this.gapMs;
     }
 
     /** Notes that a first event came `elapsedMs` after dispatch, with `tokens` to be read before it. */
     observeFirstEvent(tokens: number, elapsedMs: number): void {
-        const speed = Math.max(1, tokens) / Math.max(1, elapsedMs);
-        this.tokensPerMs = this.tokensPerMs === undefined
-            ? speed
-            : this.tokensPerMs + (speed - this.tokensPerMs) * NEWEST_WEIGHT;
+        if (this.gapMs !== undefined) {
+            this.firstEvents.observe(tokens, elapsedMs / this.gapMs);
+        }
     }
 
     /** Notes that a whole answer took `elapsedMs`. */
@@ -42,21 +59,28 @@
 
     /** Notes that `events` events after the first one took `elapsedMs`. */
     observeEvents(events: number, elapsedMs: number): void {
-        if (events < LEAST_EVENTS) {
+        if (events < LEAST_EVENTS || elapsedMs <= 0) {
             return;
         }
         const gap = elapsedMs / events;
-        this.gapMs = this.gapMs === undefined ? gap : this.gapMs + (gap - this.gapMs) * NEWEST_WEIGHT;
+        const before = this.gapMs ?? this.readHeardGapMs();
+        const weight = NEWEST_WEIGHT * Math.min(1, events / WHOLE_EVENTS);
+        this.gapMs = before === undefined ? gap : before + (gap - before) * weight;
     }
 
     /** Expected time between two events, in milliseconds. */
     estimateGapMs(): number {
-        return this.gapMs ?? FIRST_GUESS_GAP_MS;
+        return this.gapMs ?? this.readHeardGapMs() ?? FIRST_GUESS_GAP_MS;
     }
 
     /** Expected time to the first event after `tokens` were read, in milliseconds. */
     estimateFirstEventMs(tokens: number): number {
-        return tokens / (this.tokensPerMs ?? FIRST_GUESS_TOKENS_PER_MS);
+        return this.firstEvents.estimate(tokens) * this.estimateGapMs();
+    }
+
+    /** Time that an engine takes to read so many tokens, in milliseconds; the answers beside it wait as long. */
+    estimateReadMs(tokens: number): number {
+        return tokens * this.firstEvents.readSlope() * this.estimateGapMs();
     }
 
     /** Expected time of a whole answer when others are worked on at the same time, in milliseconds. */
--- a/packages/wigeonpulley/src/placement/load-reports.ts
+++ b/packages/wigeonpulley/src/placement/load-reports.ts
@@ -27,8 +27,12 @@
 interface InstanceLoad {
     readonly inFlight: number;
     readonly pendingTokens: number;
+    /** Time between two events that VMs saw, in milliseconds; 0 when none did. */
+    readonly gapMs: number;
 }
 
+const NO_LOAD: InstanceLoad = { inFlight: 0, pendingTokens: 0, gapMs: 0 };
+
 /** Newest report of each VM. */
 export class LoadReports extends PeerLoads {
     private readonly heard = new Map<string, HeardReport>();
@@ -64,6 +68,7 @@
                 report.instances.map((instance, index) => [instance, {
                     inFlight: report.inFlight[index] ?? 0,
                     pendingTokens: report.pendingTokens[index] ?? 0,
+                    gapMs: report.instanceGapMs[index] ?? 0,
                 }]),
             ),
         });
@@ -90,6 +95,11 @@
         return this.readTotals().get(instance)?.pendingTokens ?? 0;
     }
 
+    override readGapMs(instance: string): number | undefined {
+        const gapMs = this.readTotals().get(instance)?.gapMs ?? 0;
+        return gapMs === 0 ? undefined : gapMs;
+    }
+
     override countWaiting(service: string, rank: number): number {
         return this.sum(({ report }) =>
             report.queueServices.reduce(
@@ -108,10 +118,11 @@
             const byInstance = new Map<string, InstanceLoad>();
             for (const { loadByInstance } of this.listFresh()) {
                 for (const [instance, load] of loadByInstance) {
-                    const total = byInstance.get(instance) ?? { inFlight: 0, pendingTokens: 0 };
+                    const total = byInstance.get(instance) ?? NO_LOAD;
                     byInstance.set(instance, {
                         inFlight: total.inFlight + load.inFlight,
                         pendingTokens: total.pendingTokens + load.pendingTokens,
+                        gapMs: Math.max(total.gapMs, load.gapMs),
                     });
                 }
             }
--- a/packages/wigeonpulley/src/placement/peer-loads.ts
+++ b/packages/wigeonpulley/src/placement/peer-loads.ts
@@ -8,6 +8,9 @@
     /** Prompt tokens of other VMs that an instance has still to read. */
     abstract countPendingTokens(instance: string): number;
 
+    /** Time between two events of an instance's streams that other VMs saw, in milliseconds. */
+    abstract readGapMs(instance: string): number | undefined;
+
     /** Requests of other VMs that wait for the service with the same or a better rank. */
     abstract countWaiting(service: string, rank: number): number;
 }
@@ -31,6 +34,10 @@
         return 0;
     }
 
+    override readGapMs(): undefined {
+        return undefined;
+    }
+
     override countWaiting(): number {
         return 0;
     }
--- a/packages/wigeonpulley/src/placement/placement-service.ts
+++ b/packages/wigeonpulley/src/placement/placement-service.ts
@@ -9,7 +9,7 @@
 import type { RandomSource } from "../random/index.js";
 import type { TimerService } from "../time/index.js";
 import type { Demand, WaitControl } from "./demand.js";
-import { type Choice, InstanceChooser } from "./instance-chooser.js";
+import { type Choice, InstanceChooser, type NoChoice } from "./instance-chooser.js";
 import { InstanceHealth } from "./instance-health.js";
 import { InstanceLoads } from "./instance-loads.js";
 import type { PeerLoads } from "./peer-loads.js";
@@ -65,7 +65,7 @@
 
     private constructor(private readonly options: PlacementOptions) {
         this.health = InstanceHealth.create(options.timers, options.logger);
-        this.loads = InstanceLoads.create(options.timers);
+        this.loads = InstanceLoads.create(options.timers, options.peers);
         this.chooser = InstanceChooser.create({ ...options, loads: this.loads, health: this.health });
         options.directory.subscribe(() => this.applyDirectory());
     }
@@ -133,6 +133,11 @@
         return this.loads.countPendingTokens(instance);
     }
 
+    /** Time between two events that this VM saw of an instance's streams, in milliseconds; 0 when it saw none. */
+    readGapMs(instance: Instance): number {
+        return Math.round(this.loads.findPace(instance).seenGapMs ?? 0);
+    }
+
     /** Waiting requests by service and rank. */
     listWaiting(): readonly { readonly service: string; readonly rank: number; readonly count: number; }[] {
         return [...this.queues].flatMap(([service, { line }]) =>
@@ -152,12 +157,12 @@
         for (const waiter of line.listInOrder(now, rank => balance.findEffectiveRank(rank, now))) {
             const effectiveRank = balance.findEffectiveRank(waiter.rank, now);
             const placement = this.place(waiter.demand, effectiveRank, line.length);
-            if (placement !== undefined) {
+            if (placement instanceof Placement) {
                 line.remove(waiter);
                 balance.note(waiter.rank, true, now);
                 waiter.settle(Ok(placement));
             }
-            else if (waiter.demand.excluded.size === 0) {
+            else if (placement === "no-place" && waiter.demand.excluded.size === 0) {
                 break;
             }
         }
@@ -174,14 +179,16 @@
         }
     }
 
-    private place(demand: Demand, effectiveRank: number, waiting: number): Placement | undefined {
+    private place(demand: Demand, effectiveRank: number, waiting: number): Placement | NoChoice {
         const { headroom } = this.findQueue(demand.service);
         const now = this.options.timers.now();
         const choice = this.chooser.choose(demand, slots => headroom.computeLimit(effectiveRank, slots, now));
-        return choice === undefined
-                || !this.isOwnTurn(demand.service, effectiveRank, choice.freePlaces, waiting)
-            ? undefined
-            : this.occupy(demand, choice);
+        if (typeof choice === "string") {
+            return choice;
+        }
+        return this.isOwnTurn(demand.service, effectiveRank, choice.freePlaces, waiting)
+            ? this.occupy(demand, choice)
+            : "no-place";
     }
 
     /** Leaves scarce places to the other VMs' requests of better ranks, and shares the rest with those of the same rank. */
@@ -205,12 +212,13 @@
             instance,
             unreadTokens,
             backlogTokens,
-            onRelease: (evidence, reason) => this.release(instance.service, instance.id, evidence, reason),
+            onRelease: (evidence, reason) => this.release(instance, evidence, reason),
         });
     }
 
-    private release(service: string, id: string, evidence: ReleaseEvidence, reason: string): void {
-        this.loads.release(id, evidence === "full");
+    private release(instance: Instance, evidence: ReleaseEvidence, reason: string): void {
+        const { id, service } = instance;
+        this.loads.release(instance, evidence === "full");
         if (evidence === undefined || evidence === "full") {
             this.health.noteNothing(id);
         }
--- a/packages/wigeonpulley/src/placement/placement.ts
+++ b/packages/wigeonpulley/src/placement/placement.ts
@@ -47,22 +47,22 @@
             this.endPrefill();
             this.firstAt = timers.now();
             const elapsedMs = this.firstAt - this.startedAt;
-            loads.findPace(instance.id).observeFirstEvent(backlogTokens + unreadTokens, elapsedMs);
+            loads.findPace(instance).observeFirstEvent(backlogTokens + unreadTokens, elapsedMs);
         }
     }
 
-    /** Notes that a stream ended as complete after so many events. */
+    /** Notes that a stream has made so many events until now. */
     noteEvents(count: number): void {
         if (this.firstAt !== undefined) {
             const { timers, loads, instance } = this.parts;
-            loads.findPace(instance.id).observeEvents(count - 1, timers.now() - this.firstAt);
+            loads.findPace(instance).observeEvents(count - 1, timers.now() - this.firstAt);
         }
     }
 
     /** Notes that a whole answer of a plain service came. */
     noteAnswer(): void {
         const { timers, loads, instance } = this.parts;
-        loads.findPace(instance.id).observeAnswer(timers.now() - this.startedAt);
+        loads.findPace(instance).observeAnswer(timers.now() - this.startedAt);
     }
 
     /** Gives the place back. */
@@ -77,7 +77,7 @@
     private endPrefill(): void {
         if (this.isPending) {
             this.isPending = false;
-            this.parts.loads.endPrefill(this.parts.instance.id, this.parts.unreadTokens);
+            this.parts.loads.endPrefill(this.parts.instance, this.parts.unreadTokens);
         }
     }
 }
--- a/packages/wigeonpulley/src/routed-vm/report-service.ts
+++ b/packages/wigeonpulley/src/routed-vm/report-service.ts
@@ -60,6 +60,7 @@
             instances: busy.map(({ id }) => id),
             inFlight: busy.map(({ id }) => placement.countInFlight(id)),
             pendingTokens: busy.map(({ id }) => Math.round(placement.countPendingTokens(id))),
+            instanceGapMs: busy.map(instance => placement.readGapMs(instance)),
             queueServices: queues.map(({ service }) => service),
             queueRanks: queues.map(({ rank }) => rank),
             queueWaiting: queues.map(({ count }) => count),
--- /dev/null
+++ b/packages/wigeonpulley/test/placement/gentle-reading.test.ts
@@ -0,0 +1,126 @@
+import { expect, test } from "vitest";
+import {
+    createFirstEventLine,
+    EventLogger,
+    InstanceDirectory,
+    InstancePace,
+    MemorySink,
+    NoPeerLoads,
+    type Placement,
+    PlacementService,
+    RecentLine,
+    SeededRandom,
+    VirtualTimerService,
+} from "wigeonpulley";
+import { createInstance } from "../fixtures/raw-endpoint.js";
+
+/** Pattern: long prompts beside open streams on engines of which one is four times as slow. */
+const GAP_TARGET_MS = 300;
+const FAST_GAP_MS = 20;
+const SLOW_GAP_MS = 80;
+/** Gaps between events that an engine takes to read a token, as the trials' engines did. */
+const GAPS_PER_TOKEN = 8e-4;
+const WARM_UP = 40;
+
+const createDemand = (promptTokens: number, now: number) => ({
+    requestId: "a-1",
+    service: "stock",
+    rank: 0,
+    isEngine: true,
+    promptTokens,
+    prompt: [],
+    expectedEvents: 50,
+    leftMs: 15_000,
+    gapTargetMs: GAP_TARGET_MS,
+    arrivedAt: now,
+    spentMs: 0,
+    waitUntil: now + 1_000,
+    targetLatencyMs: 800,
+    excluded: new Set<string>(),
+});
+
+const createEngines = (ids: readonly string[]) => {
+    const timers = VirtualTimerService.create();
+    const logger = EventLogger.create(MemorySink.create());
+    const directory = InstanceDirectory.create(timers, logger);
+    directory.applyList(
+        ids.map((id, index) => ({ id, instance: createInstance({ id, slots: 4, port: index + 1 }) })),
+    );
+    const placement = PlacementService.create({
+        timers,
+        random: SeededRandom.create(1),
+        logger,
+        directory,
+        peers: NoPeerLoads.create(),
+        dataCentre: "south-1",
+        region: "south",
+        regions: { "south-1": "south" },
+    });
+    const acquire = async (promptTokens: number): Promise<Placement> => {
+        const placed = placement.acquire(createDemand(promptTokens, timers.now()), {
+            subscribe: () => () => undefined,
+        });
+        return (await timers.runUntil(placed, 2_000)).unwrap();
+    };
+    /** Serves one stream at a time, so that the service learns how fast its engines are. */
+    const warmUp = async (): Promise<void> => {
+        for (let count = 0; count < WARM_UP; count += 1) {
+            const tokens = count % 4 * 2_000;
+            const placed = await Promise.all(ids.map(() => acquire(tokens)));
+            for (const one of placed) {
+                const gapMs = one.instance.id === "slow" ? SLOW_GAP_MS : FAST_GAP_MS;
+                await timers.advance(gapMs * (3 + tokens * GAPS_PER_TOKEN));
+                one.noteFirstEvent();
+                await timers.advance(gapMs * 10);
+                one.noteEvents(11);
+                one.release("success", "");
+            }
+        }
+    };
+    return { timers, acquire, warmUp };
+};
+
+test("a long prompt waits for a faster engine while the slow one has streams, a short one does not", async () => {
+    const { acquire, warmUp } = createEngines(["slow", "fast"]);
+    await warmUp();
+    const streams = await Promise.all(Array.from({ length: 9 }, () => acquire(50)));
+    streams.forEach(stream => stream.noteFirstEvent());
+    const fast = streams.filter(({ instance }) => instance.id === "fast");
+    expect(fast.length).toBeGreaterThan(4);
+    const waiting = acquire(6_600);
+    const short = acquire(300);
+    expect((await short).instance.id).toBe("slow");
+    fast[0]?.release("success", "");
+    expect((await waiting).instance.id).toBe("fast");
+});
+
+test("where all engines are slow a long prompt is served all the same", async () => {
+    const { acquire, warmUp } = createEngines(["slow"]);
+    await warmUp();
+    const stream = await acquire(50);
+    stream.noteFirstEvent();
+    expect((await acquire(6_600)).instance.id).toBe("slow");
+});
+
+test("an engine that was hardly used is judged by its gaps and by what the service's others take to read", () => {
+    const firstEvents = createFirstEventLine();
+    const known = InstancePace.create(firstEvents, () => undefined);
+    known.observeEvents(20, 20 * FAST_GAP_MS);
+    for (let count = 0; count < 200; count += 1) {
+        const tokens = count % 5 * 1_500;
+        known.observeFirstEvent(tokens, FAST_GAP_MS * (3 + tokens * GAPS_PER_TOKEN));
+    }
+    const heardOf = InstancePace.create(firstEvents, () => SLOW_GAP_MS);
+    expect(heardOf.estimateReadMs(6_600)).toBeCloseTo(SLOW_GAP_MS * 6_600 * GAPS_PER_TOKEN, -1);
+    expect(heardOf.estimateFirstEventMs(0)).toBeCloseTo(SLOW_GAP_MS * 3, -1);
+});
+
+test("a line follows what is seen lately and never falls", () => {
+    const line = RecentLine.create([[0, 100], [1_000, 50]]);
+    expect(line.readSlope()).toBe(0);
+    for (let count = 0; count < 500; count += 1) {
+        line.observe(count % 10 * 100, 5 + count % 10 * 2);
+    }
+    expect(line.readSlope()).toBeCloseTo(0.02, 3);
+    expect(line.estimate(500)).toBeCloseTo(15, 1);
+});
