--- a/packages/wigeonpulley/src/logging/event-catalogue.ts
+++ b/packages/wigeonpulley/src/logging/event-catalogue.ts
@@ -126,6 +126,12 @@
         "info",
         ({ topic, lostMs }) => `reading ${topic} from the store works again after ${lostMs} ms`,
     ),
+    ClockJumped: defineEvent<{ jumpMs: number; }>(
+        205,
+        "warn",
+        ({ jumpMs }) =>
+            `the time of day went ${jumpMs} ms further than the monotonic clock; the configuration is confirmed anew`,
+    ),
     RequestEnded: defineEvent<
         {
             id: string;
--- a/packages/wigeonpulley/src/quotas/repeat-budget.ts
+++ b/packages/wigeonpulley/src/quotas/repeat-budget.ts
@@ -14,8 +14,13 @@
     readonly countVms: () => number;
 }
 
-/** Parts of the budget's window in which requests are counted. */
+/** Parts of the budget's window in which repeats are counted. */
 const SLICES = 10;
+/**
+ * The newest parts whose requests count: half of the window. The users' rule sets the repeats of a window against the
+ * requests of that window or of the one that begins half a window earlier, and half a window always lies in one of them.
+ */
+const REQUEST_SLICES = SLICES / 2;
 /** Part of the budget that is used; the rest covers what VMs do not know of each other. */
 const USED_SHARE = 0.8;
 
@@ -46,10 +51,11 @@
         return slice;
     }
 
-    get totals(): { readonly requests: number; readonly repeats: number; } {
+    /** Repeats of the window that ends with a part, and requests of its newer half. */
+    sumUntil(number: number): { readonly requests: number; readonly repeats: number; } {
         return this.slices.reduce(
             (sum, slice) => ({
-                requests: sum.requests + slice.requests,
+                requests: sum.requests + (slice.number > number - REQUEST_SLICES ? slice.requests : 0),
                 repeats: sum.repeats + slice.repeats,
             }),
             { requests: 0, repeats: 0 },
@@ -76,7 +82,7 @@
 
     override tryRepeat(service: string): boolean {
         const slice = this.findSlice(service);
-        const { requests, repeats } = this.findCounts(service).totals;
+        const { requests, repeats } = this.findCounts(service).sumUntil(slice.number);
         const { ratio, extra } = this.options.readLimits();
         const allowed = USED_SHARE * (ratio * requests + extra / Math.max(1, this.options.countVms()));
         if (repeats + 1 > allowed) {
--- a/packages/wigeonpulley/src/routing/configuration-keeper.ts
+++ b/packages/wigeonpulley/src/routing/configuration-keeper.ts
@@ -8,6 +8,12 @@
 import { RouteTable } from "./route-table.js";
 import type { RoutingConfiguration } from "./routing-configuration.js";
 
+/**
+ * Difference between the advances of the two clocks, in milliseconds, from which one of them stood still or was set. Well
+ * above what lies between two readings in a row, well below any bound.
+ */
+const CLOCK_JUMP_MS = 50;
+
 /** Called with each new version. */
 export type ConfigurationListener = (table: RouteTable) => void;
 
@@ -15,9 +21,14 @@
 export class ConfigurationKeeper {
     private table: RouteTable | undefined;
     private confirmedAt: AgeStamp | undefined;
+    private clockOffsetMs: number;
+    /** Monotonic time at which a jump of a clock was noticed, in milliseconds; no age from before it can be trusted. */
+    private jumpedAt = Number.NEGATIVE_INFINITY;
     private readonly listeners: ConfigurationListener[] = [];
 
-    private constructor(private readonly timers: TimerService, private readonly logger: EventLogger) {}
+    private constructor(private readonly timers: TimerService, private readonly logger: EventLogger) {
+        this.clockOffsetMs = timers.readWallClock() - timers.now();
+    }
 
     /** Creates a keeper that knows no configuration. */
     static create(timers: TimerService, logger: EventLogger): ConfigurationKeeper {
@@ -48,7 +59,9 @@
 
     /** Notes that a read sent at `sentAt` found nothing newer than what has been applied. */
     confirm(sentAt: AgeStamp): void {
-        if (this.confirmedAt === undefined || sentAt.isAfter(this.confirmedAt)) {
+        this.watchClocks();
+        const isTrusted = sentAt.monotonicMs > this.jumpedAt;
+        if (isTrusted && (this.confirmedAt === undefined || sentAt.isAfter(this.confirmedAt))) {
             this.confirmedAt = sentAt;
         }
     }
@@ -60,6 +73,22 @@
 
     /** Time since the configuration was last known to be the newest, in milliseconds. */
     readAgeMs(): number {
+        this.watchClocks();
         return this.confirmedAt?.readAgeMs(this.timers) ?? Number.POSITIVE_INFINITY;
     }
+
+    /**
+     * A suspension and a time of day that is set back can hide each other from both clocks. So when the clocks part,
+     * whatever was confirmed before has to be confirmed anew.
+     */
+    private watchClocks(): void {
+        const offsetMs = this.timers.readWallClock() - this.timers.now();
+        const jumpMs = offsetMs - this.clockOffsetMs;
+        this.clockOffsetMs = offsetMs;
+        if (Math.abs(jumpMs) > CLOCK_JUMP_MS) {
+            this.jumpedAt = this.timers.now();
+            this.confirmedAt = undefined;
+            this.logger.write("ClockJumped", { jumpMs: Math.round(jumpMs) });
+        }
+    }
 }
--- a/packages/wigeonpulley/src/time/age-stamp.ts
+++ b/packages/wigeonpulley/src/time/age-stamp.ts
@@ -3,7 +3,7 @@
 
 /** A moment on both clocks. */
 export class AgeStamp {
-    private constructor(private readonly monotonicMs: number, private readonly wallMs: number) {}
+    private constructor(readonly monotonicMs: number, private readonly wallMs: number) {}
 
     /** The present moment. */
     static create(timers: TimerService): AgeStamp {
