Give the mutants of the freshness check clocks that hide suspensions

Change: the mutants' keepers run on a clock whose time of day is its monotonic time. Both are caught again, with one changed only in which moment confirms.

--- a/packages/wigeonpulley/test/routing/freshness-model.test.ts
+++ b/packages/wigeonpulley/test/routing/freshness-model.test.ts
@@ -3,10 +3,12 @@
 import {
     AdmissionCheck,
     AgeStamp,
+    type CancelTimer,
     ConfigurationKeeper,
     EventLogger,
     MemorySink,
     SeededRandom,
+    TimerService,
     TopicFollower,
     VirtualTimerService,
 } from "wigeonpulley";
@@ -58,7 +60,30 @@
 );
 const schedule = fc.array(fc.tuple(fc.integer({ min: 0, max: STEPS - 1 }), event), { maxLength: 10 });
 
-/** Ways to get it wrong, for the check of the check. */
+/** A clock that does not show suspensions: its time of day is its monotonic time. */
+class MonotonicClock extends TimerService {
+    private constructor(private readonly clock: TimerService) {
+        super();
+    }
+
+    static create(clock: TimerService): MonotonicClock {
+        return new MonotonicClock(clock);
+    }
+
+    override now(): number {
+        return this.clock.now();
+    }
+
+    override readWallClock(): number {
+        return this.clock.now();
+    }
+
+    override schedule(delayMs: number, callback: () => void): CancelTimer {
+        return this.clock.schedule(delayMs, callback);
+    }
+}
+
+/** Ways to get it wrong, for the check of the check; both also lack the time of day. */
 type Mutant = "none" | "confirmed at the answer" | "monotonic clock alone";
 
 interface Observation {
@@ -73,7 +98,7 @@
     private readonly world = VirtualTimerService.create();
     private readonly topic = StoredTopic.create();
     private readonly clock = SuspendableClock.create(this.world);
-    private readonly keeper = ConfigurationKeeper.create(this.clock, EventLogger.create(MemorySink.create()));
+    private readonly keeper: ConfigurationKeeper;
     private readonly observation: Observation = {
         latestAfterRevoke: Number.NEGATIVE_INFINITY,
         isBackwards: false,
@@ -87,6 +112,8 @@
     private seenVersion = 0;
 
     private constructor(private readonly mutant: Mutant) {
+        const clock = mutant === "none" ? this.clock : MonotonicClock.create(this.clock);
+        this.keeper = ConfigurationKeeper.create(clock, EventLogger.create(MemorySink.create()));
         this.publish();
         const follower = this.createFollower();
         this.check = AdmissionCheck.create({
@@ -135,16 +162,7 @@
     }
 
     private mutate(sentAt: AgeStamp): AgeStamp {
-        if (this.mutant === "confirmed at the answer") {
-            return AgeStamp.create(this.clock);
-        }
-        if (this.mutant === "monotonic clock alone") {
-            const sentMs = this.clock.now() - Math.min(sentAt.readAgeMs(this.clock), 0);
-            const stamp = AgeStamp.create(this.clock);
-            stamp.readAgeMs = () => this.clock.now() - sentMs;
-            return stamp;
-        }
-        return sentAt;
+        return this.mutant === "confirmed at the answer" ? AgeStamp.create(this.clock) : sentAt;
     }
 
     private takeOver(value: Buffer | undefined): void {
