Complete a roll-out only on evidence for the version; split what is known of quota use

Change: 2% for usual; completing needs a ratio that speaks for the version, the switch before it only none against it. What is known of the use of a quota has a module of its own, as have delays for refused callers.

--- a/packages/wigeonpulley/src/placement/placement-service.ts
+++ b/packages/wigeonpulley/src/placement/placement-service.ts
@@ -16,6 +16,7 @@
 import { Placement, type ReleaseEvidence } from "./placement.js";
 import { RankBalance } from "./rank-balance.js";
 import { RankHeadroom } from "./rank-headroom.js";
+import { pickRetryDelayMs } from "./retry-delay.js";
 import type { VersionPolicy } from "./version-policy.js";
 import { WaitingLine, type WaitingRequest } from "./waiting-line.js";
 
@@ -39,13 +40,6 @@
 const RECHECK_MS = 50;
 /** Share of an instance's slots in use from which places count as scarce. */
 const CONTENDED_SHARE = 0.7;
-/** Delay told to a refused caller: a part of the time that it has left, spread, and never less than this. */
-const RETRY_SHORTEST_MS = 300;
-const RETRY_LEAST_SHARE = 0.12;
-const RETRY_SPREAD_SHARE = 0.2;
-/** Time left of a caller that is not known, in milliseconds. */
-const USUAL_LEFT_MS = 4_000;
-
 interface Waiter extends WaitingRequest {
     readonly demand: Demand;
     readonly settle: (outcome: Result<Placement, SchedulerError>) => void;
@@ -148,9 +142,8 @@
     }
 
     /** Delay after which a refused caller should come back, spread in time, in milliseconds. */
-    pickRetryAfterMs(leftMs = USUAL_LEFT_MS): number {
-        const share = RETRY_LEAST_SHARE + RETRY_SPREAD_SHARE * this.options.random.pickFraction();
-        return Math.max(RETRY_SHORTEST_MS, leftMs * share);
+    pickRetryAfterMs(leftMs?: number): number {
+        return pickRetryDelayMs(this.options.random, leftMs);
     }
 
     private pump(service: string): void {
--- a/packages/wigeonpulley/src/quotas/quota-ledger.ts
+++ b/packages/wigeonpulley/src/quotas/quota-ledger.ts
@@ -8,20 +8,7 @@
 import { QuotaAllowance, type QuotaFacts } from "../forwarding/index.js";
 import type { Quota } from "../routing/index.js";
 import type { TimerService } from "../time/index.js";
-import { WindowUse } from "./window-use.js";
-
-/** What a VM tells the others of one workspace's quota. */
-export interface WorkspaceUse {
-    readonly workspace: string;
-    /** Rate that the VM keeps for itself at the most, in units a second. */
-    readonly keptPerS: number;
-    /** Units asked for a second, lately. */
-    readonly demandPerS: number;
-    /** Units that the VM used in the window. */
-    readonly usedUnits: number;
-    /** Units that the VM knows to have been used in the window by all VMs. */
-    readonly knownUnits: number;
-}
+import { KnownUse, type WorkspaceUse } from "./known-use.js";
 
 /** What the ledger is built from. */
 export interface QuotaLedgerOptions {
@@ -36,8 +23,6 @@
     };
 }
 
-/** Age up to which another VM's report lends its unused rate, in milliseconds; a few intervals between reports. */
-const LEND_MS = 1_200;
 /** Time constant of the demand, in milliseconds. */
 const DEMAND_WINDOW_MS = 2_000;
 /** Demand is known only roughly, so a VM keeps this much more than it needs. */
@@ -57,25 +42,13 @@
 const UNCONTENDED_SHARE = 0.8;
 const MS_PER_S = 1_000;
 
-interface PeerUse {
-    readonly keptPerS: number;
-    readonly demandPerS: number;
-    readonly heardAt: number;
-    readonly usedUnits: number;
-    readonly knownUnits: number;
-    readonly incarnation: bigint;
-    /** What an earlier incarnation used and this one does not know, until it has left the window. */
-    readonly forgotten: { readonly units: number; readonly heardAt: number; };
-}
-
 interface Account {
     quota: Quota;
     level: number;
     filledAt: number;
     demandPerS: number;
     demandAt: number;
-    readonly use: WindowUse;
-    readonly peers: Map<string, PeerUse>;
+    readonly use: KnownUse;
 }
 
 /** Ledger of one VM. */
@@ -127,6 +100,7 @@
 
     override estimateWaitMs(workspace: string, quota: Quota, units: number): number {
         const account = this.findAccount(workspace, quota);
+        // The caller's next try reaches another VM, so the whole deficit of this VM's bucket says little.
         const missing = Math.min(units, Math.max(0, -account.level));
         return missing / this.computeRate(account) * MS_PER_S;
     }
@@ -139,7 +113,7 @@
                 workspace,
                 keptPerS: this.computeKept(account),
                 demandPerS: account.demandPerS,
-                usedUnits: account.use.readSum(this.options.readTolerance().windowMs),
+                usedUnits: account.use.sumOwn(this.options.readTolerance().windowMs),
                 knownUnits: this.computeSeen(account),
             };
         });
@@ -147,32 +121,17 @@
 
     /** Takes another VM's report over; a workspace that it does not name is one that it has not used. */
     applyUse(vm: string, incarnation: bigint, uses: readonly WorkspaceUse[]): void {
-        const heardAt = this.options.timers.now();
+        const { windowMs } = this.options.readTolerance();
         const useByWorkspace = new Map(uses.map(use => [use.workspace, use]));
         for (const [workspace, account] of this.accounts) {
-            const use = useByWorkspace.get(workspace) ?? {
+            const unused = {
                 workspace,
                 keptPerS: KEEP_LEAST * this.computeEqualRate(account),
                 demandPerS: 0,
                 usedUnits: 0,
                 knownUnits: 0,
             };
-            const before = account.peers.get(vm);
-            const forgotten = before === undefined || before.incarnation === incarnation
-                ? before?.forgotten ?? { units: 0, heardAt }
-                : { units: before.usedUnits + this.readForgotten(before), heardAt: before.heardAt };
-            account.peers.set(vm, { ...use, heardAt, incarnation, forgotten });
-            this.dropSilent(account);
-        }
-    }
-
-    /** Forgets VMs whose use has left the window; those that still exist count as unknown again. */
-    private dropSilent(account: Account): void {
-        const oldest = this.options.timers.now() - this.options.readTolerance().windowMs;
-        for (const [vm, { heardAt }] of account.peers) {
-            if (heardAt < oldest) {
-                account.peers.delete(vm);
-            }
+            account.use.applyPeer(vm, incarnation, useByWorkspace.get(workspace) ?? unused, windowMs);
         }
     }
 
@@ -189,8 +148,7 @@
             filledAt: now,
             demandPerS: 0,
             demandAt: now,
-            use: WindowUse.create(this.options.timers),
-            peers: new Map(),
+            use: KnownUse.create(this.options.timers),
         };
         this.accounts.set(workspace, account);
         return account;
@@ -219,7 +177,7 @@
 
     /** True while all VMs together ask for so little that a bucket's ups and downs need refuse nobody. */
     private isUncontended(account: Account): boolean {
-        const fresh = this.listFresh(account);
+        const fresh = account.use.listFresh();
         const unheard = Math.max(0, this.countVms() - 1 - fresh.length) * this.computeEqualRate(account);
         const demand = fresh.reduce((sum, { demandPerS }) => sum + demandPerS, account.demandPerS + unheard);
         return demand < UNCONTENDED_SHARE * this.computeDividedRate(account);
@@ -234,29 +192,18 @@
 
     /** Units used in the window as far as this VM knows; a VM that is not heard may use an equal part of the bound. */
     private computeSeen(account: Account): number {
-        const { windowMs } = this.options.readTolerance();
-        const now = this.options.timers.now();
         const part = KNOWN_SHARE * this.computeBound(account) / this.countVms();
-        const unknown = Math.max(0, this.countVms() - 1 - account.peers.size) * part;
-        return [...account.peers.values()].reduce((sum, peer) => {
-            const used = peer.heardAt < now - windowMs ? 0 : peer.usedUnits;
-            return sum + this.readForgotten(peer) + (this.isFresh(peer) ? used : Math.max(used, part));
-        }, account.use.readSum(windowMs) + unknown);
+        return account.use.sumSeen(this.options.readTolerance().windowMs, this.countVms(), part);
     }
 
     /** The most that this VM or one that it hears knows of: a VM that started anew has forgotten its own use. */
     private computeKnown(account: Account): number {
         return Math.max(
             this.computeSeen(account),
-            ...this.listFresh(account).map(({ knownUnits }) => knownUnits),
+            ...account.use.listFresh().map(({ knownUnits }) => knownUnits),
         );
     }
 
-    private readForgotten({ forgotten }: PeerUse): number {
-        const oldest = this.options.timers.now() - this.options.readTolerance().windowMs;
-        return forgotten.heardAt < oldest ? 0 : forgotten.units;
-    }
-
     /** Units by which a workspace may exceed its quota in a window, over all VMs. */
     private computeTolerance({ quota }: Account): number {
         const { slack, overrun, windowMs } = this.options.readTolerance();
@@ -287,7 +234,7 @@
 
     /** This VM's part of the divided rate by its demand; VMs that are not heard count with their equal rates. */
     private computePart(account: Account): number {
-        const fresh = this.listFresh(account);
+        const fresh = account.use.listFresh();
         const unheard = Math.max(0, this.countVms() - 1 - fresh.length);
         const shared = this.computeDividedRate(account) - unheard * this.computeEqualRate(account);
         const demand = fresh.reduce((sum, { demandPerS }) => sum + demandPerS, account.demandPerS);
@@ -301,7 +248,7 @@
         if (kept < equal) {
             return kept;
         }
-        const fresh = this.listFresh(account);
+        const fresh = account.use.listFresh();
         const lent = fresh.reduce((sum, { keptPerS }) => sum + Math.max(0, equal - keptPerS), 0);
         const wanted = fresh.reduce(
             (sum, { demandPerS }) => sum + Math.max(0, KEEP_FACTOR * demandPerS - equal),
@@ -311,14 +258,6 @@
         return equal + (own === 0 ? 0 : lent * own / (own + wanted));
     }
 
-    private listFresh(account: Account): readonly PeerUse[] {
-        return [...account.peers.values()].filter(peer => this.isFresh(peer));
-    }
-
-    private isFresh({ heardAt }: PeerUse): boolean {
-        return heardAt >= this.options.timers.now() - LEND_MS;
-    }
-
     private noteDemand(account: Account, units: number): void {
         this.decayDemand(account);
         account.demandPerS += units / DEMAND_WINDOW_MS * MS_PER_S;
--- a/packages/wigeonpulley/src/rollouts/rollout.ts
+++ b/packages/wigeonpulley/src/rollouts/rollout.ts
@@ -133,7 +133,7 @@
 
     private isSwitching(): boolean {
         const isNear = this.leftMs <= Math.min(SWITCH_MS, SWITCH_SHARE * this.order.durationMs);
-        return isNear && !this.evidence.isDoubtful(this.listHeard());
+        return isNear && !this.evidence.isSuspect(this.listHeard());
     }
 
     private listHeard(): readonly RouteEvidence[] {
--- a/packages/wigeonpulley/src/rollouts/version-evidence.ts
+++ b/packages/wigeonpulley/src/rollouts/version-evidence.ts
@@ -22,12 +22,14 @@
 /** An answer is never slow by less than this, in milliseconds: a new connection to another region costs two round trips. */
 const LEAST_SLOWER_MS = 40;
 /** Least share of bad answers that a sound version is expected to have, beside what the old one has. */
-const USUAL_BAD_SHARE = 0.05;
+const USUAL_BAD_SHARE = 0.02;
 /** By how much more often the answers of a bad version are bad. */
 const BAD_SHARE_STEP = 0.25;
 const HIGHEST_SHARE = 0.95;
 /** Log-likelihood ratio from which a version is bad: about one window in 55 of a sound version would be taken for bad. */
 const VERDICT_RATIO = 4;
+/** Log-likelihood ratio of all routes together up to which a version counts as sound: about four good answers. */
+const SOUND_RATIO = -1;
 /** Time for which an answer counts, in milliseconds, and the parts in which answers are counted. */
 const WINDOW_MS = 5_000;
 const SLICE_MS = 500;
@@ -95,11 +97,17 @@
         return this.computeRatios(others).some(ratio => ratio >= VERDICT_RATIO);
     }
 
-    /** True when the counts speak rather against the new version, without a proof. */
-    isDoubtful(others: readonly RouteEvidence[]): boolean {
+    /** True when the counts speak rather against the new version. */
+    isSuspect(others: readonly RouteEvidence[]): boolean {
         return this.computeRatios(others).some(ratio => ratio > 0);
     }
 
+    /** True when the counts do not speak for the new version, without proving it bad; no answers at all are no doubt. */
+    isDoubtful(others: readonly RouteEvidence[]): boolean {
+        const [total = 0, ...ofRoutes] = this.computeRatios(others);
+        return (total !== 0 && total > SOUND_RATIO) || ofRoutes.some(ratio => ratio > 0);
+    }
+
     /** Log-likelihood ratios of bad against sound: for all routes together, and for each. */
     private computeRatios(others: readonly RouteEvidence[]): readonly number[] {
         const sums = new Map<string, { good: number; bad: number; }>();
