Say how well first events are predicted; end checks of roll-outs that are final

Cause: the time to a first event decides placement, but nothing compared it with what was seen; and a VM looked at final orders ten times a second. Change: the expected time in RequestEnded, and its error by route in the report; checks end with the last order that is not final.

--- a/packages/wigeonpulley/src/forwarding/forwarder.ts
+++ b/packages/wigeonpulley/src/forwarding/forwarder.ts
@@ -44,6 +44,8 @@
     readonly waitedMs: number;
     /** Time until the first byte of the answer came, in milliseconds; -1 without one. */
     readonly firstMs: number;
+    /** Expected time from the last dispatch to the first byte, in milliseconds; -1 without a dispatch. */
+    readonly predictedMs: number;
     /** Events of a stream that the caller got. */
     readonly events: number;
     /** Longest time between two events, in milliseconds. */
@@ -71,6 +73,7 @@
     refusedSends: number;
     waitedMs: number | undefined;
     instance: string;
+    predictedMs: number;
     reason: string;
     /** True when the request tries a new version of its service. */
     readonly isTrial: boolean;
@@ -97,6 +100,7 @@
             refusedSends: 0,
             waitedMs: undefined,
             instance: "",
+            predictedMs: -1,
             reason: "",
             isTrial: this.options.versions.chooseTrial(request.service),
         };
@@ -150,6 +154,7 @@
         placement: Placement,
     ): Promise<AttemptOutcome> {
         progress.instance = placement.instance.id;
+        progress.predictedMs = placement.predictedMs;
         progress.excluded.add(placement.instance.id);
         return Attempt.create({ ...this.options, request, writer, relay: progress.relay, placement }).run();
     }
@@ -246,6 +251,7 @@
             firstMs: Math.round(
                 progress.relay.firstAt === undefined ? -1 : progress.relay.firstAt - progress.arrivedAt,
             ),
+            predictedMs: Math.round(progress.predictedMs),
             events: progress.relay.eventCount,
             longestGapMs: Math.round(progress.relay.longestGapMs),
             mayHaveRun,
--- a/packages/wigeonpulley/src/forwarding/front-server.ts
+++ b/packages/wigeonpulley/src/forwarding/front-server.ts
@@ -308,6 +308,7 @@
             promptTokens: request.facts.tokens?.prompt ?? 0,
             waitedMs: summary.waitedMs,
             firstMs: summary.firstMs,
+            predictedMs: summary.predictedMs,
             targetMs: request.route.targetLatencyMs,
             longestGapMs: summary.longestGapMs,
             gapTargetMs: request.route.gapTargetMs ?? 0,
--- a/packages/wigeonpulley/src/logging/event-catalogue.ts
+++ b/packages/wigeonpulley/src/logging/event-catalogue.ts
@@ -147,6 +147,7 @@
             promptTokens: number;
             waitedMs: number;
             firstMs: number;
+            predictedMs: number;
             targetMs: number;
             longestGapMs: number;
             gapTargetMs: number;
--- a/packages/wigeonpulley/src/placement/instance-chooser.ts
+++ b/packages/wigeonpulley/src/placement/instance-chooser.ts
@@ -144,6 +144,15 @@
             && !loads.isFull(instance.id);
     }
 
+    /** Expected time to the first event or answer of a request with so many tokens to be read before, in milliseconds. */
+    predictFirstMs(instance: Instance, { isEngine }: Demand, tokens: number): number {
+        const pace = this.options.loads.findPace(instance);
+        const inFlight = this.countInFlight(instance);
+        return isEngine
+            ? estimateFirstMs(pace, tokens, inFlight / instance.slots)
+            : pace.estimateAnswerMs(inFlight, instance.slots);
+    }
+
     private estimateCost(instance: Instance, demand: Demand, unread: number): number {
         const pace = this.options.loads.findPace(instance);
         const inFlight = this.countInFlight(instance);
@@ -172,10 +181,13 @@
  * would take beyond its deadline. Engines slow down as they fill up.
  */
 const estimateStreamCost = (pace: InstancePace, demand: Demand, tokens: number, load: number): number => {
-    const firstMs = pace.estimateFirstEventMs(tokens) * (1 + load / 2);
+    const firstMs = estimateFirstMs(pace, tokens, load);
     const gapMs = pace.estimateGapMs();
     const durationMs = demand.expectedEvents * gapMs;
     const lateMs = Math.max(0, firstMs + durationMs - demand.leftMs);
     const slowMs = Math.max(0, gapMs - (demand.gapTargetMs ?? gapMs)) * demand.expectedEvents;
     return firstMs + durationMs * HOLDING_WEIGHT + lateMs + slowMs;
 };
+
+const estimateFirstMs = (pace: InstancePace, tokens: number, load: number): number =>
+    pace.estimateFirstEventMs(tokens) * (1 + load / 2);
--- a/packages/wigeonpulley/src/placement/placement-service.ts
+++ b/packages/wigeonpulley/src/placement/placement-service.ts
@@ -199,6 +199,7 @@
 
     private occupy(demand: Demand, { instance, unreadTokens }: Choice): Placement {
         const backlogTokens = this.chooser.countPendingTokens(instance.id);
+        const predictedMs = this.chooser.predictFirstMs(instance, demand, backlogTokens + unreadTokens);
         this.loads.occupy(instance, demand, unreadTokens);
         this.health.noteDispatch(instance.id);
         this.options.versions.noteDispatch(instance);
@@ -208,6 +209,7 @@
             instance,
             unreadTokens,
             backlogTokens,
+            predictedMs,
             onRelease: (evidence, reason, firstMs) => {
                 if (evidence === "success" || evidence === "failure") {
                     this.options.versions.noteEnd(
--- a/packages/wigeonpulley/src/placement/placement.ts
+++ b/packages/wigeonpulley/src/placement/placement.ts
@@ -15,6 +15,8 @@
     /** Tokens of this request's prompt that the instance has to read, and those that it has to read before. */
     readonly unreadTokens: number;
     readonly backlogTokens: number;
+    /** Expected time to the first event or answer, in milliseconds. */
+    readonly predictedMs: number;
     /** Called once when the place is free again, with the time to the first event or answer, if one came. */
     readonly onRelease: (evidence: ReleaseEvidence, reason: string, firstMs: number | undefined) => void;
 }
@@ -40,6 +42,11 @@
         return this.parts.instance;
     }
 
+    /** Expected time from dispatch to the first event or answer, in milliseconds. */
+    get predictedMs(): number {
+        return this.parts.predictedMs;
+    }
+
     /** Notes that the endpoint began to answer. */
     noteFirstEvent(): void {
         if (this.isPending) {
--- a/packages/wigeonpulley/src/reports/format-report.ts
+++ b/packages/wigeonpulley/src/reports/format-report.ts
@@ -6,7 +6,16 @@
 
 /** A table in Markdown: shares in percent of what was asked, times in milliseconds. */
 export const formatLossTable = (report: LossReport): string => {
-    const header = ["route", "rank", "asked", ...REQUEST_FATES, "repeats", "waited p50/p95", "first p50/p95"];
+    const header = [
+        "route",
+        "rank",
+        "asked",
+        ...REQUEST_FATES,
+        "repeats",
+        "waited p50/p95",
+        "first p50/p95",
+        "prediction error p50/p95",
+    ];
     const rows = report.listRows().map(row => [
         row.route === "" ? "(none)" : row.route,
         row.rank < 0 ? "" : String(row.rank),
@@ -15,6 +24,7 @@
         String(row.repeats),
         row.waitedMs.join(" / "),
         row.firstMs.join(" / "),
+        row.predictionErrorMs.join(" / "),
     ]);
     return [header, header.map(() => "---"), ...rows].map(cells => `| ${cells.join(" | ")} |`).join("\n");
 };
--- a/packages/wigeonpulley/src/reports/loss-report.ts
+++ b/packages/wigeonpulley/src/reports/loss-report.ts
@@ -14,6 +14,8 @@
     readonly waitedMs: readonly [number, number];
     /** The same of the time to the first byte of an answer. */
     readonly firstMs: readonly [number, number];
+    /** The same of the difference between the expected and the seen time to the first byte, whichever was longer. */
+    readonly predictionErrorMs: readonly [number, number];
 }
 
 /** What became of the requests that ended in one second. */
@@ -33,6 +35,7 @@
     repeats: number;
     readonly waited: Histogram;
     readonly first: Histogram;
+    readonly predictionError: Histogram;
 }
 
 /** Report on the requests that were added. */
@@ -57,6 +60,9 @@
         if (record.firstMs !== undefined) {
             tally.first.recordValue(record.firstMs);
         }
+        if (record.predictionErrorMs !== undefined) {
+            tally.predictionError.recordValue(Math.abs(record.predictionErrorMs));
+        }
         const second = Math.floor(record.endedAt / MS_PER_S);
         const counts = this.seconds.get(second) ?? createCounts();
         this.seconds.set(second, counts);
@@ -65,7 +71,7 @@
 
     /** One row for each route, the one with the most losses first. */
     listRows(): readonly LossRow[] {
-        return [...this.routes].map(([route, { rank, counts, repeats, waited, first }]) => ({
+        return [...this.routes].map(([route, { rank, counts, repeats, waited, first, predictionError }]) => ({
             route,
             rank,
             asked: sumCounts(counts),
@@ -73,6 +79,7 @@
             repeats,
             waitedMs: readPercentiles(waited),
             firstMs: readPercentiles(first),
+            predictionErrorMs: readPercentiles(predictionError),
         })).toSorted((left, right) => countLost(right.counts) - countLost(left.counts));
     }
 
@@ -100,6 +107,7 @@
             repeats: 0,
             waited: build(),
             first: build(),
+            predictionError: build(),
         };
         this.routes.set(route, tally);
         return tally;
--- a/packages/wigeonpulley/src/reports/request-line.ts
+++ b/packages/wigeonpulley/src/reports/request-line.ts
@@ -37,6 +37,8 @@
     readonly waitedMs: number;
     /** Time to the first byte of its answer, in milliseconds; undefined without one. */
     readonly firstMs: number | undefined;
+    /** How much earlier (below zero) or later the first byte came than was expected at dispatch, in milliseconds. */
+    readonly predictionErrorMs: number | undefined;
     /** Endpoints that it was sent to. */
     readonly sends: number;
 }
@@ -52,6 +54,7 @@
         sends: z.number(),
         waitedMs: z.number(),
         firstMs: z.number(),
+        predictedMs: z.number(),
         targetMs: z.number(),
         longestGapMs: z.number(),
         gapTargetMs: z.number(),
@@ -81,6 +84,10 @@
     return details.gapTargetMs > 0 && details.longestGapMs > details.gapTargetMs ? "slow-gaps" : "on-time";
 };
 
+/** Only a first send that was answered as a stream can be compared with what was expected. */
+const readPredictionError = ({ sends, firstMs, waitedMs, predictedMs }: EndedDetails): number | undefined =>
+    sends === 1 && firstMs >= 0 && predictedMs >= 0 ? firstMs - waitedMs - predictedMs : undefined;
+
 const judgeEnded = (details: EndedDetails): RequestFate => {
     switch (details.outcome) {
         case "answered":
@@ -117,7 +124,17 @@
     if (parsed.data.name === "RequestNotAdmitted") {
         const { id, route, error } = parsed.data.details;
         const fate = error === "QuotaExceeded" ? "refused-quota" : "refused-other";
-        return { id, route, rank: NO_RANK, endedAt, fate, waitedMs: 0, firstMs: undefined, sends: 0 };
+        return {
+            id,
+            route,
+            rank: NO_RANK,
+            endedAt,
+            fate,
+            waitedMs: 0,
+            firstMs: undefined,
+            predictionErrorMs: undefined,
+            sends: 0,
+        };
     }
     const { details } = parsed.data;
     return {
@@ -128,6 +145,7 @@
         fate: judgeEnded(details),
         waitedMs: details.waitedMs,
         firstMs: details.firstMs < 0 ? undefined : details.firstMs,
+        predictionErrorMs: readPredictionError(details),
         sends: details.sends,
     };
 };
--- a/packages/wigeonpulley/src/rollouts/rollout-service.ts
+++ b/packages/wigeonpulley/src/rollouts/rollout-service.ts
@@ -7,7 +7,7 @@
 import { VersionPolicy } from "../placement/index.js";
 import type { RandomSource } from "../random/index.js";
 import { AgeStamp, type CancelTimer, type TimerService } from "../time/index.js";
-import type { RolloutOrder, RolloutState } from "./rollout-order.js";
+import { isFinal, type RolloutOrder, type RolloutState } from "./rollout-order.js";
 import type { RolloutWriter } from "./rollout-writer.js";
 import { Rollout, type RolloutView } from "./rollout.js";
 
@@ -165,6 +165,9 @@
     }
 
     private check(): void {
+        if ([...this.entries.values()].every(({ rollout }) => isFinal(rollout.state))) {
+            this.cancelChecks();
+        }
         for (const entry of this.entries.values()) {
             if (entry.rollout.judge()) {
                 this.writeVerdict(entry.rollout, "");
--- a/packages/wigeonpulley/test/reports/loss-report.test.ts
+++ b/packages/wigeonpulley/test/reports/loss-report.test.ts
@@ -21,6 +21,7 @@
         sends: 1,
         waitedMs: 3,
         firstMs: 120,
+        predictedMs: 97,
         targetMs: 800,
         longestGapMs: 90,
         gapTargetMs: 300,
@@ -48,6 +49,12 @@
     expect(readRequestLine(formatLine("RequestNotAdmitted", details))?.fate).toBe("refused-quota");
 });
 
+test("the first event is compared with what was expected when the request was sent", () => {
+    expect(readRequestLine(formatEnded())?.predictionErrorMs).toBe(120 - 3 - 97);
+    expect(readRequestLine(formatEnded({ sends: 2 }))?.predictionErrorMs).toBeUndefined();
+    expect(readRequestLine(formatEnded({ firstMs: -1 }))?.predictionErrorMs).toBeUndefined();
+});
+
 test("other lines, and lines that were cut off, are left out", () => {
     expect(readRequestLine(formatLine("VmStarted", {}))).toBeUndefined();
     expect(readRequestLine(formatEnded().slice(0, -20))).toBeUndefined();
