Count connections that replace expired ones

Cause: taking a connection after all idle ones had expired removed the instance's entry and then counted the new connection in the removed one, so that later ones were kept beyond the VM's part. Found by reading. The new test fails before.

--- a/packages/wigeonpulley/src/forwarding/connection-pool.ts
+++ b/packages/wigeonpulley/src/forwarding/connection-pool.ts
@@ -81,6 +81,13 @@
         const connections = this.connections.get(key);
         if (connections !== undefined) {
             connections.open -= 1;
+        }
+    }
+
+    /** Closes what has expired everywhere, and forgets instances without connections. */
+    private sweep(): void {
+        for (const [key, connections] of this.connections) {
+            this.dropExpired(key, connections);
             if (connections.open <= 0) {
                 this.connections.delete(key);
             }
@@ -102,8 +109,8 @@
             this.isSweepPlanned = true;
             this.options.timers.schedule(this.options.idleMs, () => {
                 this.isSweepPlanned = false;
-                [...this.connections].forEach(([key, connections]) => this.dropExpired(key, connections));
-                if ([...this.connections.values()].some(({ idle }) => idle.length > 0)) {
+                this.sweep();
+                if (this.connections.size > 0) {
                     this.planSweep();
                 }
             });
--- a/packages/wigeonpulley/src/placement/index.ts
+++ b/packages/wigeonpulley/src/placement/index.ts
@@ -13,6 +13,5 @@
 export { joinRanks, RankBalance } from "./rank-balance.js";
 export { RankHeadroom } from "./rank-headroom.js";
 export { RecentLine } from "./recent-line.js";
-export { pickRetryDelayMs } from "./retry-delay.js";
 export { AnyVersion, VersionPolicy } from "./version-policy.js";
 export { WaitingLine, type WaitingRequest } from "./waiting-line.js";
--- a/packages/wigeonpulley/test/forwarding/connection-pool.test.ts
+++ b/packages/wigeonpulley/test/forwarding/connection-pool.test.ts
@@ -62,3 +62,15 @@
     expect(pool.take(instance, true)).not.toBe(first);
     expect(pool.take(instance, false)).toBe(first);
 });
+
+test("a connection that replaces expired ones is counted", async () => {
+    const timers = VirtualTimerService.create();
+    const pool = createPool(timers, 10);
+    const instance = createInstance();
+    pool.keep(instance, pool.take(instance, false));
+    await timers.advance(IDLE_MS + 1);
+    const taken = pool.take(instance, false);
+    expect(pool.countOpen(instance)).toBe(1);
+    pool.drop(instance, taken);
+    expect(pool.countOpen(instance)).toBe(0);
+});
