Use plain names, one codec class, and one place for seeds of drawn tests

No behaviour changes: results instead of fates, store conditions instead of weather, undisturbed instead of gentle instances; the codec of roll-out states is an abstract class like the other adapters; RUNS and SEED are read once.

--- a/packages/wigeonpulley/src/placement/instance-chooser.ts
+++ b/packages/wigeonpulley/src/placement/instance-chooser.ts
@@ -72,7 +72,7 @@
         suits: (instance: Instance) => boolean,
     ): Choice | NoChoice {
         const { directory, loads } = this.options;
-        const hasGentle = this.hasGentleInstance(demand);
+        const hasUndisturbed = this.hasUndisturbedInstance(demand);
         let best:
             | { readonly instance: Instance; readonly cost: number; readonly unread: number; }
             | undefined;
@@ -86,7 +86,7 @@
             }
             freePlaces += free;
             const unread = loads.countUnread(instance.id, demand);
-            if (hasGentle && this.disturbsStreams(instance, demand, unread)) {
+            if (hasUndisturbed && this.disturbsStreams(instance, demand, unread)) {
                 continue;
             }
             const cost = this.estimateCost(instance, demand, unread);
@@ -101,7 +101,7 @@
     }
 
     /** True when some instance, busy or not, could read the prompt without a late event for the streams beside it. */
-    private hasGentleInstance(demand: Demand): boolean {
+    private hasUndisturbedInstance(demand: Demand): boolean {
         return demand.gapTargetMs !== undefined
             && this.options.directory.list().some(instance =>
                 this.isCandidate(instance, demand) && !this.exceedsGap(instance, demand, demand.promptTokens)
--- a/packages/wigeonpulley/src/reports/format-report.ts
+++ b/packages/wigeonpulley/src/reports/format-report.ts
@@ -1,6 +1,6 @@
 /** The loss report as text and as a plot. */
 import type { LossReport, LossSecond } from "./loss-report.js";
-import { REQUEST_FATES, type RequestFate } from "./request-line.js";
+import { REQUEST_RESULTS, type RequestResult } from "./request-line.js";
 
 const PERCENT = 100;
 
@@ -10,7 +10,7 @@
         "route",
         "rank",
         "asked",
-        ...REQUEST_FATES,
+        ...REQUEST_RESULTS,
         "repeats",
         "waited p50/p95",
         "first p50/p95",
@@ -20,7 +20,7 @@
         row.route === "" ? "(none)" : row.route,
         row.rank < 0 ? "" : String(row.rank),
         String(row.asked),
-        ...REQUEST_FATES.map(fate => (row.counts[fate] * PERCENT / row.asked).toFixed(1)),
+        ...REQUEST_RESULTS.map(result => (row.counts[result] * PERCENT / row.asked).toFixed(1)),
         String(row.repeats),
         row.waitedMs.join(" / "),
         row.firstMs.join(" / "),
@@ -29,7 +29,7 @@
     return [header, header.map(() => "---"), ...rows].map(cells => `| ${cells.join(" | ")} |`).join("\n");
 };
 
-const COLOURS: Readonly<Record<RequestFate, string>> = {
+const COLOURS: Readonly<Record<RequestResult, string>> = {
     "on-time": "#4c9f70",
     "late-first": "#f2c14e",
     "slow-gaps": "#f4a259",
@@ -48,13 +48,13 @@
 
 const plotSecond = ({ second, counts }: LossSecond, scale: number): string => {
     let top = MARGIN + PLOT_HEIGHT;
-    return REQUEST_FATES.map(fate => {
-        const height = counts[fate] * scale;
+    return REQUEST_RESULTS.map(result => {
+        const height = counts[result] * scale;
         top -= height;
         return height === 0
             ? ""
             : `<rect x="${MARGIN + second * BAR_WIDTH}" y="${top.toFixed(1)}" width="${BAR_WIDTH - 1}" `
-                + `height="${height.toFixed(1)}" fill="${COLOURS[fate]}"/>`;
+                + `height="${height.toFixed(1)}" fill="${COLOURS[result]}"/>`;
     }).join("");
 };
 
@@ -64,11 +64,11 @@
     const sums = seconds.map(({ counts }) => Object.values(counts).reduce((sum, count) => sum + count, 0));
     const most = Math.max(1, ...sums);
     const plotWidth = seconds.length * BAR_WIDTH;
-    const legend = REQUEST_FATES.map((fate, index) => {
+    const legend = REQUEST_RESULTS.map((result, index) => {
         const x = MARGIN + plotWidth + LEGEND_STEP;
         const y = MARGIN + index * LEGEND_STEP;
-        return `<rect x="${x}" y="${y}" width="12" height="12" fill="${COLOURS[fate]}"/>`
-            + `<text x="${x + LEGEND_STEP}" y="${y + 10}">${fate}</text>`;
+        return `<rect x="${x}" y="${y}" width="12" height="12" fill="${COLOURS[result]}"/>`
+            + `<text x="${x + LEGEND_STEP}" y="${y + 10}">${result}</text>`;
     });
     const width = MARGIN * 2 + plotWidth + LEGEND_WIDTH;
     const height = MARGIN * 2 + PLOT_HEIGHT;
--- a/packages/wigeonpulley/src/reports/index.ts
+++ b/packages/wigeonpulley/src/reports/index.ts
@@ -4,4 +4,4 @@
  */
 export { formatLossPlot, formatLossTable } from "./format-report.js";
 export { LossReport, type LossRow, type LossSecond } from "./loss-report.js";
-export { readRequestLine, REQUEST_FATES, type RequestFate, type RequestRecord } from "./request-line.js";
+export { readRequestLine, REQUEST_RESULTS, type RequestRecord, type RequestResult } from "./request-line.js";
--- a/packages/wigeonpulley/src/reports/loss-report.ts
+++ b/packages/wigeonpulley/src/reports/loss-report.ts
@@ -1,13 +1,13 @@
 /** Where callers lose: what became of requests, by route and by second, with the times that explain it. */
 import { build, type Histogram } from "hdr-histogram-js";
-import { REQUEST_FATES, type RequestFate, type RequestRecord } from "./request-line.js";
+import { REQUEST_RESULTS, type RequestRecord, type RequestResult } from "./request-line.js";
 
 /** One route's requests. */
 export interface LossRow {
     readonly route: string;
     readonly rank: number;
     readonly asked: number;
-    readonly counts: Readonly<Record<RequestFate, number>>;
+    readonly counts: Readonly<Record<RequestResult, number>>;
     /** Sends beyond the first. */
     readonly repeats: number;
     /** Median and 95th percentile of the wait for a place, in milliseconds. */
@@ -22,7 +22,7 @@
 export interface LossSecond {
     /** Seconds since the first request's end. */
     readonly second: number;
-    readonly counts: Readonly<Record<RequestFate, number>>;
+    readonly counts: Readonly<Record<RequestResult, number>>;
 }
 
 const MS_PER_S = 1_000;
@@ -31,7 +31,7 @@
 
 interface RouteTally {
     rank: number;
-    readonly counts: Record<RequestFate, number>;
+    readonly counts: Record<RequestResult, number>;
     repeats: number;
     readonly waited: Histogram;
     readonly first: Histogram;
@@ -41,7 +41,7 @@
 /** Report on the requests that were added. */
 export class LossReport {
     private readonly routes = new Map<string, RouteTally>();
-    private readonly seconds = new Map<number, Record<RequestFate, number>>();
+    private readonly seconds = new Map<number, Record<RequestResult, number>>();
 
     private constructor() {}
 
@@ -54,7 +54,7 @@
     add(record: RequestRecord): void {
         const tally = this.findRoute(record);
         tally.rank = Math.max(tally.rank, record.rank);
-        tally.counts[record.fate] += 1;
+        tally.counts[record.result] += 1;
         tally.repeats += Math.max(0, record.sends - 1);
         tally.waited.recordValue(Math.max(0, record.waitedMs));
         if (record.firstMs !== undefined) {
@@ -66,7 +66,7 @@
         const second = Math.floor(record.endedAt / MS_PER_S);
         const counts = this.seconds.get(second) ?? createCounts();
         this.seconds.set(second, counts);
-        counts[record.fate] += 1;
+        counts[record.result] += 1;
     }
 
     /** One row for each route, the one with the most losses first. */
@@ -114,13 +114,13 @@
     }
 }
 
-const createCounts = (): Record<RequestFate, number> =>
-    Object.fromEntries(REQUEST_FATES.map(fate => [fate, 0])) as Record<RequestFate, number>;
+const createCounts = (): Record<RequestResult, number> =>
+    Object.fromEntries(REQUEST_RESULTS.map(result => [result, 0])) as Record<RequestResult, number>;
 
-const sumCounts = (counts: Readonly<Record<RequestFate, number>>): number =>
+const sumCounts = (counts: Readonly<Record<RequestResult, number>>): number =>
     Object.values(counts).reduce((sum, count) => sum + count, 0);
 
-const countLost = (counts: Readonly<Record<RequestFate, number>>): number =>
+const countLost = (counts: Readonly<Record<RequestResult, number>>): number =>
     sumCounts(counts) - counts["on-time"];
 
 const readPercentiles = (histogram: Histogram): readonly [number, number] => [
--- a/packages/wigeonpulley/src/reports/request-line.ts
+++ b/packages/wigeonpulley/src/reports/request-line.ts
@@ -2,7 +2,7 @@
 import { z } from "zod";
 
 /** What became of a request, from its caller's side. */
-export type RequestFate =
+export type RequestResult =
     | "on-time"
     | "late-first"
     | "slow-gaps"
@@ -13,8 +13,8 @@
     | "failed"
     | "cancelled";
 
-/** All fates, best first. */
-export const REQUEST_FATES: readonly RequestFate[] = [
+/** All results, best first. */
+export const REQUEST_RESULTS: readonly RequestResult[] = [
     "on-time",
     "late-first",
     "slow-gaps",
@@ -33,7 +33,7 @@
     readonly rank: number;
     /** Wall-clock time of its end, in milliseconds since 1970-01-01 UTC. */
     readonly endedAt: number;
-    readonly fate: RequestFate;
+    readonly result: RequestResult;
     readonly waitedMs: number;
     /** Time to the first byte of its answer, in milliseconds; undefined without one. */
     readonly firstMs: number | undefined;
@@ -76,7 +76,7 @@
 /** Rank of requests that were refused before their route's rank was looked at. */
 const NO_RANK = -1;
 
-const judgeAnswered = (details: EndedDetails): RequestFate => {
+const judgeAnswered = (details: EndedDetails): RequestResult => {
     const firstMs = details.events > 0 ? details.firstMs : details.tookMs;
     if (firstMs > details.targetMs) {
         return "late-first";
@@ -88,7 +88,7 @@
 const readPredictionError = ({ sends, firstMs, waitedMs, predictedMs }: EndedDetails): number | undefined =>
     sends === 1 && firstMs >= 0 && predictedMs >= 0 ? firstMs - waitedMs - predictedMs : undefined;
 
-const judgeEnded = (details: EndedDetails): RequestFate => {
+const judgeEnded = (details: EndedDetails): RequestResult => {
     switch (details.outcome) {
         case "answered":
             return judgeAnswered(details);
@@ -123,13 +123,13 @@
     const endedAt = Date.parse(parsed.data.time);
     if (parsed.data.name === "RequestNotAdmitted") {
         const { id, route, error } = parsed.data.details;
-        const fate = error === "QuotaExceeded" ? "refused-quota" : "refused-other";
+        const result = error === "QuotaExceeded" ? "refused-quota" : "refused-other";
         return {
             id,
             route,
             rank: NO_RANK,
             endedAt,
-            fate,
+            result,
             waitedMs: 0,
             firstMs: undefined,
             predictionErrorMs: undefined,
@@ -142,7 +142,7 @@
         route: details.route,
         rank: details.rank,
         endedAt,
-        fate: judgeEnded(details),
+        result: judgeEnded(details),
         waitedMs: details.waitedMs,
         firstMs: details.firstMs < 0 ? undefined : details.firstMs,
         predictionErrorMs: readPredictionError(details),
--- a/packages/wigeonpulley/src/rollouts/index.ts
+++ b/packages/wigeonpulley/src/rollouts/index.ts
@@ -12,6 +12,6 @@
     type RolloutStatus,
 } from "./rollout-order.js";
 export { RolloutService, type RolloutServiceOptions } from "./rollout-service.js";
-export { RolloutWriter, type StatusCodec } from "./rollout-writer.js";
+export { RolloutWriter, StatusCodec } from "./rollout-writer.js";
 export { Rollout, type RolloutView } from "./rollout.js";
 export { type RouteEvidence, VersionEvidence } from "./version-evidence.js";
--- a/packages/wigeonpulley/src/rollouts/rollout-writer.ts
+++ b/packages/wigeonpulley/src/rollouts/rollout-writer.ts
@@ -8,11 +8,12 @@
 import { isFinal, type RolloutState, type RolloutStatus } from "./rollout-order.js";
 
 /** Translates statuses. */
-export interface StatusCodec {
+export abstract class StatusCodec {
     /** Key and bytes of a status. */
-    readonly formatStatus: (status: RolloutStatus) => { readonly key: string; readonly value: Buffer; };
+    abstract formatStatus(status: RolloutStatus): { readonly key: string; readonly value: Buffer; };
+
     /** The status in a record; undefined for other records and for ones that can't be read. */
-    readonly readStatus: (record: KeyedRecord) => RolloutStatus | undefined;
+    abstract readStatus(record: KeyedRecord): RolloutStatus | undefined;
 }
 
 /** Writes that others may come in between before a caller has to try again later. */
--- a/packages/wigeonpulley/test/placement/returning-callers.test.ts
+++ b/packages/wigeonpulley/test/placement/returning-callers.test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from "vitest";
-import { computeFateShare, type PlacementLoad, playPlacementLoad } from "../fixtures/placement-load.js";
+import { computeResultShare, type PlacementLoad, playPlacementLoad } from "../fixtures/placement-load.js";
 
 /** Pattern: twice as many callers as places for a while; whoever is refused comes back once, as told. */
 const LOAD: PlacementLoad = {
@@ -15,13 +15,13 @@
         playPlacementLoad(LOAD),
         playPlacementLoad({ ...LOAD, knowsReturning: false }),
     ]);
-    const gained = computeFateShare(known, 1, "on-time") - computeFateShare(unknown, 1, "on-time");
+    const gained = computeResultShare(known, 1, "on-time") - computeResultShare(unknown, 1, "on-time");
     expect(gained).toBeGreaterThan(0.08);
 });
 
 test("callers who come back get what is left over when the load is gone", async () => {
     const records = await playPlacementLoad({ ...LOAD, durationMs: 5_000 });
-    expect(computeFateShare(records, 1, "late")).toBeGreaterThan(0.2);
+    expect(computeResultShare(records, 1, "late")).toBeGreaterThan(0.2);
 });
 
 test("a load within the places leaves nobody waiting", async () => {
@@ -29,5 +29,5 @@
         ...LOAD,
         kinds: LOAD.kinds.map(kind => ({ ...kind, perS: 6 })),
     });
-    expect(computeFateShare(records, 1, "on-time")).toBeGreaterThan(0.99);
+    expect(computeResultShare(records, 1, "on-time")).toBeGreaterThan(0.99);
 });
--- a/packages/wigeonpulley/test/quotas/quota-ledger.test.ts
+++ b/packages/wigeonpulley/test/quotas/quota-ledger.test.ts
@@ -1,6 +1,7 @@
 import { fc, test as propertyTest } from "@fast-check/vitest";
 import { expect, test } from "vitest";
 import { type Quota, QuotaLedger, SeededRandom, VirtualTimerService } from "wigeonpulley";
+import { readDrawnProperty } from "../fixtures/properties.js";
 
 const QUOTA: Quota = { ratePerS: 10_000, burst: 10_000, unit: "tokens", plainTokens: 200 };
 const SLACK = 14_000;
@@ -8,9 +9,6 @@
 const WINDOW_MS = 8_000;
 const STEP_MS = 100;
 const REPORT_MS = 500;
-/** Schedules by hand: RUNS=10000 SEED=1 npx vitest run quota-ledger. */
-const RUNS = Number(process.env["RUNS"] ?? 60);
-const SEED = Number(process.env["SEED"] ?? 20_261_204);
 
 /** One stretch of a drawn history. */
 interface Stretch {
@@ -103,10 +101,10 @@
     return most;
 };
 
-propertyTest.prop([fc.array(stretch, { minLength: 1, maxLength: 8 }), fc.integer({ min: 1, max: 1_000 })], {
-    seed: SEED,
-    numRuns: RUNS,
-})("no window admits more than the rule allows, whoever is cut off or starts anew", (history, seed) => {
+propertyTest.prop(
+    [fc.array(stretch, { minLength: 1, maxLength: 8 }), fc.integer({ min: 1, max: 1_000 })],
+    readDrawnProperty(60),
+)("no window admits more than the rule allows, whoever is cut off or starts anew", (history, seed) => {
     expect(findMostInWindow(playHistory(history, seed))).toBeLessThanOrEqual(ALLOWED);
 });
 
--- a/packages/wigeonpulley/test/quotas/repeat-budget.test.ts
+++ b/packages/wigeonpulley/test/quotas/repeat-budget.test.ts
@@ -1,13 +1,11 @@
 import { fc, test as propertyTest } from "@fast-check/vitest";
 import { expect, test } from "vitest";
 import { RepeatBudget, VirtualTimerService } from "wigeonpulley";
+import { readDrawnProperty } from "../fixtures/properties.js";
 
 const LIMITS = { ratio: 0.2, extra: 52, windowMs: 10_000 };
 const STEP_MS = 100;
 const MOST_VMS = 7;
-/** Schedules by hand: RUNS=10000 SEED=1 npx vitest run repeat-budget. */
-const RUNS = Number(process.env["RUNS"] ?? 60);
-const SEED = Number(process.env["SEED"] ?? 20_261_204);
 
 /** One stretch of a drawn history. */
 interface Stretch {
@@ -74,10 +72,7 @@
 
 propertyTest.prop(
     [fc.array(stretch, { minLength: 1, maxLength: 6 }), fc.integer({ min: 1, max: MOST_VMS })],
-    {
-        seed: SEED,
-        numRuns: RUNS,
-    },
+    readDrawnProperty(60),
 )("no window has more repeats over all VMs than the budget allows", (history, vms) => {
     expect(findWorstExcess(playHistory(history, vms, vms))).toBeLessThanOrEqual(0);
 });
--- a/packages/wigeonpulley/test/reports/loss-report.test.ts
+++ b/packages/wigeonpulley/test/reports/loss-report.test.ts
@@ -1,5 +1,11 @@
 import { expect, test } from "vitest";
-import { formatLossPlot, formatLossTable, LossReport, readRequestLine, type RequestFate } from "wigeonpulley";
+import {
+    formatLossPlot,
+    formatLossTable,
+    LossReport,
+    readRequestLine,
+    type RequestResult,
+} from "wigeonpulley";
 
 const formatLine = (name: string, details: object, second = 0): string =>
     `  12.5 vm-1 ${
@@ -30,7 +36,7 @@
         ...fields,
     }, second);
 
-test.each<[string, object, RequestFate]>([
+test.each<[string, object, RequestResult]>([
     ["a stream in time", {}, "on-time"],
     ["a late first event", { firstMs: 900 }, "late-first"],
     ["a long pause", { longestGapMs: 301 }, "slow-gaps"],
@@ -40,13 +46,13 @@
     ["a time out", { outcome: "DeadlineExceeded" }, "timed-out"],
     ["a caller that left", { outcome: "RequestCancelled" }, "cancelled"],
     ["a failure of the endpoint", { outcome: "status 500" }, "failed"],
-])("%s is told apart", (name, fields, fate) => {
-    expect(readRequestLine(formatEnded(fields))?.fate).toBe(fate);
+])("%s is told apart", (name, fields, result) => {
+    expect(readRequestLine(formatEnded(fields))?.result).toBe(result);
 });
 
 test("refusals before a route's rank is known count by their reason", () => {
     const details = { id: "a-2", route: "r-quote", error: "QuotaExceeded", version: 1, ageMs: 2 };
-    expect(readRequestLine(formatLine("RequestNotAdmitted", details))?.fate).toBe("refused-quota");
+    expect(readRequestLine(formatLine("RequestNotAdmitted", details))?.result).toBe("refused-quota");
 });
 
 test("the first event is compared with what was expected when the request was sent", () => {
@@ -61,7 +67,7 @@
     expect(readRequestLine("")).toBeUndefined();
 });
 
-test("the table has the route with the most losses first, the plot a bar for each fate and second", () => {
+test("the table has the route with the most losses first, the plot a bar for each result and second", () => {
     const report = LossReport.create();
     const lines = [
         formatEnded({ route: "r-tag" }),
--- a/packages/wigeonpulley/test/rollouts/rollout-model.test.ts
+++ b/packages/wigeonpulley/test/rollouts/rollout-model.test.ts
@@ -4,20 +4,19 @@
     EventLogger,
     type Instance,
     isFinal,
+    type KeyedRecord,
     MemorySink,
     RolloutService,
     type RolloutStatus,
     RolloutWriter,
     SeededRandom,
-    type StatusCodec,
+    StatusCodec,
     VirtualTimerService,
 } from "wigeonpulley";
+import { readDrawnProperty } from "../fixtures/properties.js";
 import { createInstance } from "../fixtures/raw-endpoint.js";
-import { ScheduledStore, StoredTopic, type StoreWeather } from "../fixtures/scheduled-store.js";
+import { ScheduledStore, type StoreCondition, StoredTopic } from "../fixtures/scheduled-store.js";
 
-/** Schedules by hand: RUNS=10000 SEED=1 npx vitest run rollout-model. */
-const RUNS = Number(process.env["RUNS"] ?? 30);
-const SEED = Number(process.env["SEED"] ?? 20_261_204);
 const VMS = 3;
 const STEP_MS = 250;
 const PLAYED_MS = 18_000;
@@ -26,7 +25,7 @@
 const EXPOSURE = { share: 0.1, slack: 50 };
 const ROLLBACK_MS = 5_000;
 const BAD_ANSWERS = 50;
-const WELL: StoreWeather = { thereMs: 4, backMs: 4, mode: "well" };
+const WELL: StoreCondition = { thereMs: 4, backMs: 4, mode: "well" };
 
 /** How the new version behaves: its failing share, and how many times as long as the old one it takes. */
 interface NewVersion {
@@ -37,15 +36,15 @@
 }
 
 type Trouble =
-    | { readonly kind: "weather"; readonly weather: StoreWeather; }
+    | { readonly kind: "store"; readonly condition: StoreCondition; }
     | { readonly kind: "restart"; readonly vm: number; }
     | { readonly kind: "cut"; readonly vm: number; readonly isCut: boolean; };
 
 const vm = fc.integer({ min: 0, max: VMS - 1 });
 const trouble: fc.Arbitrary<Trouble> = fc.oneof(
     fc.record({
-        kind: fc.constant("weather" as const),
-        weather: fc.record({
+        kind: fc.constant("store" as const),
+        condition: fc.record({
             thereMs: fc.constantFrom(4, 100, 600),
             backMs: fc.constantFrom(4, 100, 600),
             mode: fc.constantFrom(
@@ -68,10 +67,25 @@
     fromMs: fc.constantFrom(0, 4_000),
 });
 
-const codec: StatusCodec = {
-    formatStatus: status => ({ key: status.service, value: Buffer.from(JSON.stringify(status)) }),
-    readStatus: ({ value }) => JSON.parse(value?.toString() ?? "{}") as RolloutStatus,
-};
+class JsonStatusCodec extends StatusCodec {
+    private constructor() {
+        super();
+    }
+
+    static create(): JsonStatusCodec {
+        return new JsonStatusCodec();
+    }
+
+    override formatStatus(status: RolloutStatus): { readonly key: string; readonly value: Buffer; } {
+        return { key: status.service, value: Buffer.from(JSON.stringify(status)) };
+    }
+
+    override readStatus({ value }: KeyedRecord): RolloutStatus {
+        return JSON.parse(value?.toString() ?? "{}") as RolloutStatus;
+    }
+}
+
+const codec = JsonStatusCodec.create();
 
 /** A store that writes without asking whether another record came first; the check has to catch it. */
 const createCarelessStore = (options: Parameters<typeof ScheduledStore.create>[0]): ScheduledStore => {
@@ -92,7 +106,7 @@
     private readonly isCut = Array.from({ length: VMS }, () => false);
     private readonly oldInstance = createInstance({ id: "i-old", version: "v1" });
     private readonly newInstance = createInstance({ id: "i-new", version: "v2" });
-    private weather = WELL;
+    private condition = WELL;
     private badAnswers = 0;
     private provenAt: number | undefined;
 
@@ -134,7 +148,7 @@
             topic: this.topic,
             world: this.world,
             timers: this.world,
-            readWeather: () => this.weather,
+            readCondition: () => this.condition,
         };
         const service = RolloutService.create({
             timers: this.world,
@@ -153,8 +167,8 @@
 
     private apply(one: Trouble): void {
         switch (one.kind) {
-            case "weather":
-                this.weather = one.weather;
+            case "store":
+                this.condition = one.condition;
                 return;
             case "cut":
                 this.isCut[one.vm] = one.isCut;
@@ -222,7 +236,7 @@
 
 const isBad = ({ failingShare, slowness }: NewVersion): boolean => failingShare > 0 || slowness > 1;
 
-propertyTest.prop([newVersion, schedule, fc.integer({ min: 1, max: 1_000 })], { seed: SEED, numRuns: RUNS })(
+propertyTest.prop([newVersion, schedule, fc.integer({ min: 1, max: 1_000 })], readDrawnProperty(30))(
     "one final state at most, and a bad version gets no more than the operators allow",
     async (behaviour, troubles, seed) => {
         const model = await RolloutModel.play(behaviour, troubles, seed);
@@ -258,10 +272,10 @@
 });
 
 test("the check catches writes that don't ask whether another came first", async () => {
-    const slow: StoreWeather = { thereMs: 200, backMs: 200, mode: "well" };
+    const slow: StoreCondition = { thereMs: 200, backMs: 200, mode: "well" };
     const troubles: readonly (readonly [number, Trouble])[] = [
         [6, { kind: "cut", vm: 0, isCut: true }],
-        [8, { kind: "weather", weather: slow }],
+        [8, { kind: "store", condition: slow }],
     ];
     const counts: number[] = [];
     for (let seed = 1; seed <= 40; seed += 1) {
--- a/packages/wigeonpulley/test/routing/freshness-model.test.ts
+++ b/packages/wigeonpulley/test/routing/freshness-model.test.ts
@@ -13,13 +13,11 @@
     VirtualTimerService,
 } from "wigeonpulley";
 import { createFacts } from "../fixtures/forwarding-fixture.js";
+import { readDrawnProperty } from "../fixtures/properties.js";
 import { createRoutingConfiguration } from "../fixtures/routing-fixture.js";
-import { ScheduledStore, StoredTopic, type StoreWeather } from "../fixtures/scheduled-store.js";
+import { ScheduledStore, type StoreCondition, StoredTopic } from "../fixtures/scheduled-store.js";
 import { SuspendableClock } from "../fixtures/suspendable-clock.js";
 
-/** Schedules by hand: RUNS=10000 SEED=1 npx vitest run freshness-model. */
-const RUNS = Number(process.env["RUNS"] ?? 60);
-const SEED = Number(process.env["SEED"] ?? 20_261_204);
 /** Bounds of the users' pages, and the part of them that a VM uses, in milliseconds. */
 const REVOKE_MS = 5_000;
 const KEY_AGE_MS = 0.6 * REVOKE_MS;
@@ -29,10 +27,10 @@
 const STEP_MS = 500;
 const STEPS = 40;
 const KEY = "key-1";
-const WELL: StoreWeather = { thereMs: 4, backMs: 4, mode: "well" };
+const WELL: StoreCondition = { thereMs: 4, backMs: 4, mode: "well" };
 
 type Event =
-    | { readonly kind: "weather"; readonly weather: StoreWeather; }
+    | { readonly kind: "store"; readonly condition: StoreCondition; }
     | { readonly kind: "suspend"; readonly forMs: number; }
     | { readonly kind: "step"; readonly byMs: number; }
     | { readonly kind: "forget"; }
@@ -42,8 +40,8 @@
 const delayMs = fc.constantFrom(4, 30, 300, 700);
 const event: fc.Arbitrary<Event> = fc.oneof(
     fc.record({
-        kind: fc.constant("weather" as const),
-        weather: fc.record({
+        kind: fc.constant("store" as const),
+        condition: fc.record({
             thereMs: delayMs,
             backMs: delayMs,
             mode: fc.constantFrom(
@@ -105,7 +103,7 @@
         isRefusedInTouch: false,
     };
     private readonly check: AdmissionCheck;
-    private weather = WELL;
+    private condition = WELL;
     private version = 0;
     private revokedAt: number | undefined;
     private troubledAt = 0;
@@ -129,7 +127,7 @@
         const model = new FreshnessModel(mutant);
         for (let step = 0; step < STEPS; step += 1) {
             events.filter(([at]) => at === step).forEach(([, one]) => model.apply(one));
-            if (model.weather !== WELL || model.clock.isSuspended) {
+            if (model.condition !== WELL || model.clock.isSuspended) {
                 model.troubledAt = model.world.now();
             }
             await model.world.advance(STEP_MS);
@@ -143,7 +141,7 @@
                 topic: this.topic,
                 world: this.world,
                 timers: this.clock,
-                readWeather: () => this.weather,
+                readCondition: () => this.condition,
             }),
             topic: "operator",
             timers: this.clock,
@@ -178,8 +176,8 @@
 
     private apply(one: Event): void {
         switch (one.kind) {
-            case "weather":
-                this.weather = one.weather;
+            case "store":
+                this.condition = one.condition;
                 return;
             case "suspend":
                 return this.clock.suspend(one.forMs);
@@ -213,12 +211,12 @@
                 now - this.revokedAt,
             );
         }
-        const isInTouch = this.weather === WELL && now - this.troubledAt > CONTACT_MS;
+        const isInTouch = this.condition === WELL && now - this.troubledAt > CONTACT_MS;
         this.observation.isRefusedInTouch ||= admitted.isErr() && this.revokedAt === undefined && isInTouch;
     }
 }
 
-propertyTest.prop([schedule], { seed: SEED, numRuns: RUNS })(
+propertyTest.prop([schedule], readDrawnProperty(60))(
     "a key that was taken away is dead in time, versions only go up, and a VM in touch refuses nobody",
     async events => {
         const { latestAfterRevoke, isBackwards, isRefusedInTouch } = await FreshnessModel.play(
@@ -235,13 +233,13 @@
     "the check catches a VM that takes a configuration for %s",
     async mutant => {
         // An answer that was on its way, or in the VM, while the VM was suspended and the key was taken away.
-        const slow: StoreWeather = { thereMs: 4, backMs: 700, mode: "well" };
+        const slow: StoreCondition = { thereMs: 4, backMs: 700, mode: "well" };
         const outcomes = await Promise.all([18, 19, 20, 21, 22].map(step =>
             FreshnessModel.play([
-                [10, { kind: "weather", weather: slow }],
+                [10, { kind: "store", condition: slow }],
                 [step, { kind: "suspend", forMs: 5_900 }],
                 [step + 1, { kind: "revoke" }],
-                [step + 2, { kind: "weather", weather: { ...slow, mode: "losing answers" } }],
+                [step + 2, { kind: "store", condition: { ...slow, mode: "losing answers" } }],
             ], mutant)
         ));
         expect(Math.max(...outcomes.map(({ latestAfterRevoke }) => latestAfterRevoke))).toBeGreaterThan(
