--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -12,11 +12,12 @@
 import type { RandomSource } from "../random/index.js";
 import { RolloutService, RolloutWriter } from "../rollouts/index.js";
 import { ConfigurationKeeper } from "../routing/index.js";
-import { type KeyedRecord, StoreVmList, TopicFollower } from "../store/index.js";
+import { StoreVmList } from "../store/index.js";
 import type { CancelTimer, TimerService } from "../time/index.js";
 import type { PlatformAdapter } from "./platform-adapter.js";
 import { ReportService } from "./report-service.js";
 import type { Bounds, RoutedSettings } from "./routed-settings.js";
+import { StoreRecords } from "./store-records.js";
 
 /** Everything outside of the VM. Tests replace each of these. */
 export interface RoutedVmOptions {
@@ -30,10 +31,6 @@
     readonly peers: MemberTransport;
 }
 
-/** Time for which a read of the operators' records waits, in milliseconds: a read costs, and its age counts from its sending. */
-const OPERATOR_WAIT_MS = 1_400;
-/** Pause between reads of the instances, whose entries change all the time, in milliseconds. */
-const INSTANCE_PAUSE_MS = 1_000;
 /** Part of the time to revoke a key after which an unconfirmed configuration admits no key. */
 const KEY_AGE_SHARE = 0.6;
 /** Part of the time to apply a configuration after which an unconfirmed one proves nothing unknown. */
@@ -67,8 +64,7 @@
     readonly quotas: QuotaLedger;
     readonly rollouts: RolloutService;
     private readonly reports: LoadReports;
-    private readonly operatorRecords: TopicFollower;
-    private readonly instanceRecords: TopicFollower;
+    private readonly records: StoreRecords;
     private cancelContendedCalls: CancelTimer = () => undefined;
     private isStopping = false;
     private bounds: Bounds;
@@ -103,8 +99,12 @@
             }),
         });
         this.membership = this.createMembership();
-        this.operatorRecords = this.followOperator();
-        this.instanceRecords = this.followInstances();
+        this.records = StoreRecords.create({
+            ...options,
+            keeper: this.keeper,
+            directory: this.directory,
+            rollouts: this.rollouts,
+        });
         this.front = this.createFront();
     }
 
@@ -115,8 +115,7 @@
 
     /** Begins to read the store and to call the other VMs. */
     async start(): Promise<void> {
-        this.operatorRecords.start();
-        this.instanceRecords.start();
+        this.records.start();
         await this.front.listen();
         await this.membership.start();
         this.cancelContendedCalls = this.options.timers.subscribe(CONTENDED_HEARTBEAT_MS, () => {
@@ -174,8 +173,7 @@
 
     /** Ends all tasks at once. */
     halt(): void {
-        this.operatorRecords.stop();
-        this.instanceRecords.stop();
+        this.records.stop();
         this.membership.stop();
         this.cancelContendedCalls();
         this.rollouts.stop();
@@ -272,78 +270,6 @@
         });
     }
 
-    private followOperator(): TopicFollower {
-        const { timers, random, logger, adapter } = this.options;
-        const apply = (records: readonly KeyedRecord[]): void =>
-            records.forEach(record => this.applyOperator(record));
-        return TopicFollower.create({
-            store: adapter.store,
-            topic: "operator",
-            timers,
-            random,
-            logger,
-            waitMs: OPERATOR_WAIT_MS,
-            pauseMs: 0,
-            listener: {
-                applyList: apply,
-                applyChanges: apply,
-                confirm: sentAt => {
-                    this.keeper.confirm(sentAt);
-                    this.rollouts.noteOrdersRead(sentAt);
-                },
-                noteLost: () => undefined,
-                noteBack: () => undefined,
-            },
-        });
-    }
-
-    private applyOperator(record: KeyedRecord): void {
-        const read = this.options.adapter.readOperatorRecord(record);
-        if (read.isErr()) {
-            this.options.logger.writeError(read.error);
-        }
-        else if (read.value.kind === "configuration") {
-            this.keeper.apply(read.value.configuration);
-        }
-        else if (read.value.kind === "rollout") {
-            this.rollouts.applyOrder(read.value.order);
-        }
-    }
-
-    private followInstances(): TopicFollower {
-        const { timers, random, logger, adapter } = this.options;
-        const readAll = (
-            records: readonly KeyedRecord[],
-        ): readonly { id: string; instance: Instance | undefined; }[] =>
-            records.map(record => ({ id: record.key, instance: this.readInstance(record) }));
-        return TopicFollower.create({
-            store: adapter.store,
-            topic: "instances",
-            timers,
-            random,
-            logger,
-            waitMs: 0,
-            pauseMs: INSTANCE_PAUSE_MS,
-            listener: {
-                applyList: records => this.directory.applyList(readAll(records)),
-                applyChanges: records => this.directory.applyChanges(readAll(records)),
-                confirm: () => undefined,
-                noteLost: () => this.directory.noteStoreLost(),
-                noteBack: () => this.directory.noteStoreBack(),
-            },
-        });
-    }
-
-    /** An entry that can't be read names no instance to use. */
-    private readInstance(record: KeyedRecord): Instance | undefined {
-        const read = this.options.adapter.readInstance(record);
-        if (read.isErr()) {
-            this.options.logger.writeError(read.error);
-            return undefined;
-        }
-        return read.value;
-    }
-
     private createFront(): FrontServer {
         const { settings, timers, random, logger, metrics, adapter, transport } = this.options;
         const { listen, memoryMb, mostDescriptors } = settings;
@@ -385,7 +311,7 @@
                     keyMs: this.bounds.keyRevokeMs * KEY_AGE_SHARE,
                     unknownMs: this.bounds.applyMs * UNKNOWN_AGE_SHARE,
                 }),
-                refreshConfiguration: () => this.operatorRecords.refresh(),
+                refreshConfiguration: () => this.records.refreshOperator(),
             }),
         });
     }
