Continue only streams after a response has started, and release the slot of an attempt that throws

Cause: a retryable response longer than the buffer is relayed as it arrives; when its endpoint failed then, the forwarder sent the request again and wrote a second head. The writer threw, and the exception skipped the release of the slot. The same happened to a resumed stream that was answered with an ordinary response. Event identifiers that are not numbers compared as not new, so that such events were dropped. Ruled out: the transport; its exchange was released in each case. Change: a failed attempt is repeated after the start of the response only if that is a stream; an ordinary response to a resumption fails the attempt; the forwarder releases the placement in any case.

--- a/packages/wigeonpulley/src/forwarding/attempt.ts
+++ b/packages/wigeonpulley/src/forwarding/attempt.ts
@@ -84,11 +84,17 @@
         const { placement, request } = this.options;
         const unsubscribe = request.lifetime.subscribe(reason => this.exchange.abort(reason));
         this.abortWhenSilent();
-        const outcome = await this.relayResponse();
-        this.isFinished = true;
-        unsubscribe();
-        placement.release(this.computeRequestOutcome(outcome), "reason" in outcome ? outcome.reason : "");
-        return outcome;
+        try {
+            const outcome = await this.relayResponse();
+            placement.release(this.computeRequestOutcome(outcome), "reason" in outcome ? outcome.reason : "");
+            return outcome;
+        }
+        finally {
+            this.isFinished = true;
+            unsubscribe();
+            // Without effect unless the relay threw.
+            this.exchange.abort("the relay failed");
+        }
     }
 
     private send(): EndpointExchange {
@@ -190,6 +196,10 @@
 
     private async relayBuffered(head: ResponseHead): Promise<AttemptOutcome> {
         const { writer, placement, request } = this.options;
+        if (writer.hasStarted) {
+            this.exchange.abort("the response has started");
+            return createFailedOutcome(`status ${head.status} after the response had started`);
+        }
         const chunks: Buffer[] = [];
         let bufferedBytes = 0;
         for (;;) {
--- a/packages/wigeonpulley/src/forwarding/forwarder.ts
+++ b/packages/wigeonpulley/src/forwarding/forwarder.ts
@@ -157,7 +157,7 @@
         return placed.isOk() ? placed.value : placed.error;
     }
 
-    private send(
+    private async send(
         request: RoutedRequest,
         writer: ResponseWriter,
         progress: RequestProgress,
@@ -166,7 +166,20 @@
         progress.instance = placement.instance.id;
         progress.predictedMs = placement.predictedMs;
         progress.excludedInstances.add(placement.instance.id);
-        return Attempt.create({ ...this.options, request, writer, relay: progress.relay, placement }).run();
+        try {
+            return await Attempt.create({
+                ...this.options,
+                request,
+                writer,
+                relay: progress.relay,
+                placement,
+            })
+                .run();
+        }
+        finally {
+            // Without effect unless the attempt threw.
+            placement.release(undefined, "the attempt failed");
+        }
     }
 
     /** Returns the summary when the request ends with this attempt; undefined when it is to be retried. */
@@ -190,7 +203,8 @@
         }
         const canRetry = isNotRun
             ? progress.notRunSends <= MAX_NOT_RUN_RETRIES
-            : isRetryable(request.route) && progress.attempts < request.route.maxAttempts;
+            : isRetryable(request.route) && progress.attempts < request.route.maxAttempts
+                && (!writer.hasStarted || progress.relay.hasStarted);
         if (canRetry && this.options.retryBudget.tryRetry(request.service)) {
             this.options.logger.write("RequestRepeated", {
                 id: request.metadata.attemptId,
--- a/packages/wigeonpulley/src/forwarding/stream-relay.ts
+++ b/packages/wigeonpulley/src/forwarding/stream-relay.ts
@@ -9,6 +9,7 @@
     private splitter = EventSplitter.create();
     private lastId: string | undefined;
     private events = 0;
+    private isStarted = false;
 
     private firstSentAt: number | undefined;
     private lastSentAt = 0;
@@ -21,6 +22,11 @@
         return new StreamRelay(writer, timers);
     }
 
+    /** True once the response to the caller is a stream, which another endpoint may resume. */
+    get hasStarted(): boolean {
+        return this.isStarted;
+    }
+
     /** Monotonic time of the first event, in milliseconds; undefined before it. */
     get firstEventAt(): number | undefined {
         return this.firstSentAt;
@@ -44,6 +50,7 @@
     /** Starts relaying the response of an endpoint; only the head of the first response is sent to the caller. */
     startResponse(head: ResponseHead): void {
         this.splitter = EventSplitter.create();
+        this.isStarted = true;
         if (!this.writer.hasStarted) {
             this.writer.startStream(head);
         }
@@ -83,6 +90,11 @@
 
     /** An endpoint that resumes a stream may repeat events that the caller already has. */
     private isNew(id: string | undefined): boolean {
-        return id === undefined || this.lastId === undefined || Number(id) > Number(this.lastId);
+        if (id === undefined || this.lastId === undefined) {
+            return true;
+        }
+        const difference = Number(id) - Number(this.lastId);
+        // Identifiers that are not numbers have no order: only a repetition of the last one is recognised.
+        return Number.isNaN(difference) ? id !== this.lastId : difference > 0;
     }
 }
--- a/packages/wigeonpulley/test/forwarding/forwarder.test.ts
+++ b/packages/wigeonpulley/test/forwarding/forwarder.test.ts
@@ -248,3 +248,38 @@
     );
     expect(deadlines).toEqual(["2000", "1700"]);
 });
+
+test("a stream that another endpoint resumes with an ordinary response is aborted, and its slots are free", async () => {
+    const { timers, transport, placement, serve } = createForwarding({
+        script: (instance, count) =>
+            count === 1
+                ? [createSignedHead(), createStreamEvent(1), { kind: "fail", mayHaveRun: true }]
+                : createSignedResponse("no such stream", 404),
+    });
+    const { summary, view } = serve(STREAM);
+    await timers.runUntilSettled(summary, LIMIT_MS);
+    expect(view).toMatchObject({ status: 200, isComplete: false, isAborted: true });
+    expect(transport.dispatches).toHaveLength(2);
+    expect(["i-1", "i-2"].map(id => placement.countInFlight(id))).toEqual([0, 0]);
+});
+
+test("the slot of a request is released when sending it throws", async () => {
+    const { timers, placement, serve } = createForwarding({ script: () => createSignedResponse("in stock") });
+    const { summary } = serve({}, { rawHeaders: undefined as never });
+    await expect(timers.runUntilSettled(summary, LIMIT_MS)).rejects.toThrow(TypeError);
+    expect(["i-1", "i-2"].map(id => placement.countInFlight(id))).toEqual([0, 0]);
+});
+
+test("events whose identifiers are not numbers are relayed once each", async () => {
+    const createEvent = (id: string) => ({ kind: "chunk", text: `id: ${id}\ndata: piece\n\n` }) as const;
+    const { timers, serve } = createForwarding({
+        script: (instance, count) =>
+            count === 1
+                ? [createSignedHead(), createEvent("a"), createEvent("b"), { kind: "fail", mayHaveRun: true }]
+                : [createSignedHead(), createEvent("b"), createEvent("c"), { kind: "end" }],
+    });
+    const { summary, view } = serve(STREAM);
+    await timers.runUntilSettled(summary, LIMIT_MS);
+    expect(view.body).toBe(["a", "b", "c"].map(id => createEvent(id).text).join(""));
+    expect(view.isComplete).toBe(true);
+});
