Repeat the registration of a VM until the platform accepts it

Cause: the result of the registration was ignored, and the client of the platform's list ignored the status. A VM that started while the store was down was never listed, so that no other VM called it. Change: registration is repeated every one to two seconds; failures of registration and of reading the list are logged.

--- a/packages/wigeonpulley/src/membership/membership-service.ts
+++ b/packages/wigeonpulley/src/membership/membership-service.ts
@@ -65,6 +65,9 @@
     readonly region: string;
 }
 
+/** Delay before a failed registration is repeated, in milliseconds; up to twice as long at random. */
+const REGISTRATION_RETRY_MS = 1_000;
+
 /** Members called in each gossip round. */
 const GOSSIP_FANOUT = 2;
 
@@ -83,6 +86,7 @@
     /** Derived from the live members; cleared whenever they change. */
     private liveCache: readonly VmListEntry[] | undefined;
     private readonly ownerCache = new Map<string, VmListEntry>();
+    private readonly abortController = new AbortController();
 
     private constructor(private readonly options: MembershipOptions) {
         this.incarnation = BigInt(Math.floor(options.timers.readWallClock()));
@@ -96,14 +100,14 @@
         return new MembershipService(options);
     }
 
-    /** Registers this VM and starts to gossip. */
+    /** Registers this VM and starts to gossip; resolves when the platform's list has been read, or could not be. */
     async start(): Promise<void> {
-        const { timers, heartbeatMs, vmListPollMs, vmList, self } = this.options;
+        const { timers, heartbeatMs, vmListPollMs } = this.options;
         this.cancelTimers.push(
             timers.scheduleRepeating(heartbeatMs, () => this.gossipWithMembers(GOSSIP_FANOUT)),
             timers.scheduleRepeating(vmListPollMs, () => void this.readVmList()),
         );
-        await vmList.register(self);
+        void this.registerSelf();
         await this.readVmList();
         this.gossipWithMembers(GOSSIP_FANOUT);
     }
@@ -113,11 +117,15 @@
         this.updateSelf({ leaving: true });
         this.notifyIfChanged();
         this.gossipWithMembers(GOSSIP_FANOUT);
-        await this.options.vmList.register({ ...this.options.self, state: "leaving" });
+        const outcome = await this.options.vmList.register({ ...this.options.self, state: "leaving" });
+        if (outcome.isErr()) {
+            this.options.logger.writeError(outcome.error);
+        }
     }
 
     /** Stops the timers. */
     stop(): void {
+        this.abortController.abort();
         this.cancelTimers.forEach(cancel => cancel());
     }
 
@@ -277,10 +285,26 @@
         this.notifyIfChanged();
     }
 
+    /** Repeats the registration until the platform accepts it: no VM calls one that isn't listed. */
+    private async registerSelf(): Promise<void> {
+        const { timers, random, logger, vmList, self } = this.options;
+        const { signal } = this.abortController;
+        while (!signal.aborted && !this.self.leaving) {
+            const outcome = await vmList.register(self);
+            if (outcome.isOk()) {
+                return;
+            }
+            logger.writeError(outcome.error);
+            await timers.sleep(REGISTRATION_RETRY_MS * (1 + random.pickFraction()), signal);
+        }
+    }
+
     private async readVmList(): Promise<void> {
         const listing = await this.options.vmList.read();
         if (listing.isErr()) {
-            return; // The last known list stays in use.
+            // The last known list stays in use.
+            this.options.logger.writeError(listing.error);
+            return;
         }
         this.leavingEndpoints = new Set(
             listing.value.endpoints.filter(endpoint => endpoint.state === "leaving").map(endpoint =>
--- a/packages/wigeonpulley/src/platform/http-platform.ts
+++ b/packages/wigeonpulley/src/platform/http-platform.ts
@@ -8,6 +8,7 @@
 
 const REQUEST_TIMEOUT_MS = 2_000;
 const HTTP_OK = 200;
+const HTTP_REDIRECT = 300;
 const HTTP_TOO_MANY_REQUESTS = 429;
 const HTTP_UNAVAILABLE = 503;
 
@@ -118,10 +119,14 @@
     override async read(): Promise<Result<VmListSnapshot, SchedulerError>> {
         try {
             const response = await request(`${this.baseUrl}/vms`, { dispatcher: this.agent });
+            if (response.statusCode !== HTTP_OK) {
+                await response.body.dump();
+                return Err(this.createError(`status ${response.statusCode}`));
+            }
             return Ok(vmListSchema.parse(await response.body.json()));
         }
         catch (cause) {
-            return Err(this.createError(cause));
+            return Err(this.createError(describeCause(cause)));
         }
     }
 
@@ -134,17 +139,16 @@
                 body: JSON.stringify(entry),
             });
             await response.body.dump();
-            return Ok.EMPTY;
+            return response.statusCode >= HTTP_OK && response.statusCode < HTTP_REDIRECT
+                ? Ok.EMPTY
+                : Err(this.createError(`status ${response.statusCode}`));
         }
         catch (cause) {
-            return Err(this.createError(cause));
+            return Err(this.createError(describeCause(cause)));
         }
     }
 
-    private createError(cause: unknown): SchedulerError {
-        return SchedulerError.create("PeerUnavailable", {
-            peer: "the list of VMs",
-            reason: describeCause(cause),
-        });
+    private createError(reason: string): SchedulerError {
+        return SchedulerError.create("PeerUnavailable", { peer: "the list of VMs", reason });
     }
 }
