Decide a claim by the caller's deadline, and clean up repeated releases

Cause: the verdict on a claim was awaited for two seconds whatever the deadline. A release that was appended twice kept its place in the insertion order with a later offset, which stopped the clean-up of those after it. Result: one test for each failed before and passes.

--- a/packages/wigeonpulley/src/claims/claim-fold.ts
+++ b/packages/wigeonpulley/src/claims/claim-fold.ts
@@ -178,6 +178,8 @@
     }
 
     private applyRelease(key: string, nonce: string, offset: number): void {
+        // Clean-up relies on insertion order being offset order, also when a release is appended a second time.
+        this.released.delete(nonce);
         this.released.set(nonce, offset);
         if (this.held.get(key)?.nonce === nonce) {
             this.held.delete(key);
--- a/packages/wigeonpulley/src/claims/claim-service.ts
+++ b/packages/wigeonpulley/src/claims/claim-service.ts
@@ -163,6 +163,7 @@
             follower,
             handle,
             epoch.value,
+            Math.min(deadlineAt, this.options.timers.now() + VERDICT_TIMEOUT_MS),
             () => this.waitForHolder(follower, handle.key, digest, deadlineAt),
         );
     }
@@ -172,16 +173,19 @@
         follower: PartitionFollower,
         handle: ClaimHandle,
         epoch: number,
+        timeoutAt: number,
         waitForHolder: () => Promise<Result<ClaimDecision, SchedulerError>>,
     ): Promise<Result<ClaimDecision, SchedulerError>> {
         const { timers, logger } = this.options;
-        const timeoutAt = timers.now() + VERDICT_TIMEOUT_MS;
         let lastError = SchedulerError.create("LogUnavailable", {
             operation: "read of a claim",
             reason: "the claim did not become readable",
         });
         while (timers.now() < timeoutAt) {
-            const read = await follower.refresh();
+            const read = await Promise.race([
+                follower.refresh(),
+                timers.sleep(timeoutAt - timers.now()).then(() => Err(lastError)),
+            ]);
             const verdict = read.isErr() ? read : follower.findVerdict(handle.nonce, epoch);
             if (verdict.isErr()) {
                 lastError = verdict.error;
@@ -197,7 +201,7 @@
                         return Err(lastError);
                 }
             }
-            await timers.sleep(RETRY_DELAY_MS);
+            await timers.sleep(Math.min(RETRY_DELAY_MS, timeoutAt - timers.now()));
         }
         void this.release(handle);
         return Err(lastError);
--- a/packages/wigeonpulley/test/claims/claim-fold.test.ts
+++ b/packages/wigeonpulley/test/claims/claim-fold.test.ts
@@ -1,6 +1,6 @@
 /** Guards against a second dispatch of a key: records may arrive as duplicates, late, or after their release. */
 import { fc, test } from "@fast-check/vitest";
-import { expect } from "vitest";
+import { expect, test as plainTest } from "vitest";
 import { ClaimFold, type LogRecord, type PartitionRecord } from "wigeonpulley";
 import { UNIT_PROPERTY } from "../fixtures/properties.js";
 
@@ -85,3 +85,27 @@
         ["key-0", "key-1"].forEach(key => expect(second.findHolder(key)).toEqual(first.findHolder(key)));
     },
 );
+
+plainTest(
+    "clean-up reaches every dropped release, also when an earlier one was appended a second time",
+    () => {
+        const fold = ClaimFold.create(0);
+        const createRelease = (nonce: string): PartitionRecord => ({ kind: "release", key: "key-0", nonce });
+        createLog([createRelease("nonce-1"), createRelease("nonce-2"), createRelease("nonce-1")]).forEach(
+            record => fold.apply(record, () => true)
+        );
+        fold.removeBefore(2);
+        const claimant = { vm: "vm-1", incarnation: "1" };
+        ["nonce-1", "nonce-2"].forEach((nonce, index) =>
+            fold.apply(
+                {
+                    offset: 3 + index,
+                    value: { kind: "claim", key: nonce, digest: "digest", nonce, claimant },
+                },
+                () => true,
+            )
+        );
+        expect(fold.findVerdict("nonce-1")?.kind).toBe("released");
+        expect(fold.findVerdict("nonce-2")?.kind).toBe("effective");
+    },
+);
--- a/packages/wigeonpulley/test/gateway/idempotency.test.ts
+++ b/packages/wigeonpulley/test/gateway/idempotency.test.ts
@@ -227,3 +227,13 @@
     expectKeysRunAtMostOnce(system);
     system.close();
 });
+
+plainTest("a caller whose claim does not become readable is refused at its deadline", async () => {
+    const system = await TestSystem.create();
+    system.platform.chooseAppendFault = stream => stream.startsWith("claims") ? "lost-request" : "none";
+    const startedAt = system.timers.now();
+    const served = await serveRequest(system, "vm-1", { ...createOrderRequest("order-1"), deadlineMs: 700 });
+    expect(served.isErr() && served.error.name).toBe("LogUnavailable");
+    expect(system.timers.now() - startedAt).toBeLessThanOrEqual(750);
+    system.close();
+});
