Mend refusals of durable tickets, a limit in an error, and an invalid configuration of a peer

Cause: a durable ticket was refused in a shed window, although durable tiers wait; TooManyStreams named the number of open requests as its limit; fetching a configuration threw on a body that does not fit the schema. Also: the settings checksFencing and deduplicatesKeys are read by no code; their descriptions say so now. They stay, since configurations in use name them.

--- a/packages/wigeonpulley/src/config/configuration.ts
+++ b/packages/wigeonpulley/src/config/configuration.ts
@@ -43,10 +43,10 @@
         maximum: z.number().int().positive().default(64),
     }).prefault({}).describe("Bounds of the adaptive concurrency limit, in requests."),
     checksFencing: z.boolean().default(false).describe(
-        "True when it refuses rollout orders with an outdated fencing number.",
+        "True when it refuses rollout orders with an outdated fencing number. Has no effect yet: no rollout orders are sent to endpoints.",
     ),
     deduplicatesKeys: z.boolean().default(false).describe(
-        "True when it deduplicates idempotency keys itself.",
+        "True when it deduplicates idempotency keys itself. Has no effect: claims decide for every endpoint.",
     ),
 });
 
--- a/packages/wigeonpulley/src/gateway/gateway.ts
+++ b/packages/wigeonpulley/src/gateway/gateway.ts
@@ -216,7 +216,7 @@
             evict: () => eviction.abort(),
         });
         if (openRequest === undefined) {
-            const limit = openRequests.count;
+            const limit = openRequests.computeLimit({ isDurable: tier.durable });
             return Err(
                 SchedulerError.create("TooManyStreams", { limit }, { retryAfterMs: DEFAULT_RETRY_AFTER_MS }),
             );
--- a/packages/wigeonpulley/src/gateway/open-requests.ts
+++ b/packages/wigeonpulley/src/gateway/open-requests.ts
@@ -51,8 +51,7 @@
      * tier of the new request; returns undefined if there is none.
      */
     tryAdmit(request: AdmissionRequest): OpenRequest | undefined {
-        const room = this.limits.openRequests - (request.isDurable ? 0 : this.limits.reservedForDurable);
-        if (this.open.size >= room && !this.evictBelow(request.tier)) {
+        if (this.open.size >= this.computeLimit(request) && !this.evictBelow(request.tier)) {
             return undefined;
         }
         this.open.add(request);
@@ -63,6 +62,11 @@
         };
     }
 
+    /** Number of open requests from which a request is admitted only in place of another one. */
+    computeLimit({ isDurable }: Pick<AdmissionRequest, "isDurable">): number {
+        return this.limits.openRequests - (isDurable ? 0 : this.limits.reservedForDurable);
+    }
+
     /** Resolves as soon as no request is open. */
     waitUntilIdle(): Promise<void> {
         return new Promise(resolve => {
--- a/packages/wigeonpulley/src/peers/connect-peer-transport.ts
+++ b/packages/wigeonpulley/src/peers/connect-peer-transport.ts
@@ -111,8 +111,8 @@
             peer,
             client => client.fetchConfiguration({ known: known + 1 }, { timeoutMs: CALL_TIMEOUT_MS }),
         );
-        return response.map(({ versionJson }) =>
-            versionJson === "" ? undefined : configurationVersionSchema.parse(JSON.parse(versionJson))
+        return response.andThen(({ versionJson }) =>
+            versionJson === "" ? Ok(undefined) : parseConfigurationVersion(peer, versionJson)
         );
     }
 
@@ -177,6 +177,19 @@
     }
 }
 
+const parseConfigurationVersion = (
+    peer: VmListEntry,
+    json: string,
+): Result<ConfigurationVersion, SchedulerError> => {
+    try {
+        return Ok(configurationVersionSchema.parse(JSON.parse(json)));
+    }
+    catch (cause) {
+        const reason = `invalid configuration: ${describeCause(cause)}`;
+        return Err(SchedulerError.create("PeerUnavailable", { peer: peer.name, reason }));
+    }
+};
+
 /** Server that other VMs call. */
 export class PeerServer {
     private readonly sessions = new Set<ServerHttp2Session>();
--- a/packages/wigeonpulley/src/scheduling/group-scheduler.ts
+++ b/packages/wigeonpulley/src/scheduling/group-scheduler.ts
@@ -235,7 +235,7 @@
             this.settleRefused(waiter, RefusalReason.DEADLINE_UNATTAINABLE);
             return;
         }
-        if (isUnattainable || now < (this.shedUntilByTier[tier] ?? 0)) {
+        if (isUnattainable || (!durable && now < (this.shedUntilByTier[tier] ?? 0))) {
             this.shed(waiter);
             return;
         }
--- a/packages/wigeonpulley/test/gateway/open-requests.test.ts
+++ b/packages/wigeonpulley/test/gateway/open-requests.test.ts
@@ -79,3 +79,24 @@
     expectRefusalsNotRun(system);
     system.close();
 });
+
+plainTest("a refusal by the limit of open requests names the limit, not their number", async () => {
+    const system = await TestSystem.create({
+        vmCount: 1,
+        settings: { limits: { openRequests: 2, reservedForDurable: 1 } },
+    });
+    const { gateway } = system.getVm("vm-1").vm;
+    const caller = getTestCaller(system);
+    for (let index = 0; index < 2; index += 1) {
+        void gateway.serve(caller, createChatRequest({ kind: "quote", tokens: 1_000 }));
+    }
+    await system.timers.advance(1);
+    const refused = await system.timers.runUntilSettled(
+        gateway.serve(caller, createChatRequest({ kind: "check" })),
+        10,
+    );
+    expect(refused.isErr() && refused.error.message).toBe(
+        "This VM has reached its limit of 1 open requests.",
+    );
+    system.close();
+});
--- a/packages/wigeonpulley/test/scheduling/group-scheduler.test.ts
+++ b/packages/wigeonpulley/test/scheduling/group-scheduler.test.ts
@@ -118,3 +118,12 @@
         expect(fixture.scheduler.countFreeSlots()).toBe(1);
     },
 );
+
+plainTest("a durable ticket is not refused while lower tiers are shed", async () => {
+    const fixture = createSchedulerFixture(1);
+    void submitTicket(fixture, createTestTicket("running", { answerTokens: 600 }));
+    void submitTicket(fixture, createTestTicket("too late", { tier: 0, remainingMs: 5_000 }));
+    void submitTicket(fixture, createTestTicket("quote", { tier: 1, durable: true }));
+    await fixture.timers.advance(10);
+    expect(fixture.refused).toEqual(["too late"]);
+});
