Start a VM faster: open its port first, load compiled code, and serve before joining the others

Change: a launcher opens the port for callers before it loads the daemon from a bundle with V8's code cache; the bundle leaves out what the daemon doesn't use of undici, prom-client, hdr-histogram-js and zod; zod generates no parsers; the store's first reads start before the other servers, and a VM joins the others once it can serve; a request that arrives before the first configuration waits for it, at most an eighth of its deadline and one second.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -41,4 +41,8 @@
             "no-restricted-syntax": ["error", { selector: "Literal[raw='null']", message: "Use undefined." }],
         },
     },
+    {
+        files: ["scripts/slim/*.cjs"],
+        rules: { "@typescript-eslint/no-require-imports": "off" },
+    },
 );
--- a/packages/stand-ins/src/engine/engine-server.ts
+++ b/packages/stand-ins/src/engine/engine-server.ts
@@ -2,7 +2,7 @@
 import fastify, { type FastifyInstance, type FastifyReply } from "fastify";
 import { Readable } from "node:stream";
 import { parseChatBody, SystemTimerService } from "wigeonpulley";
-import { z } from "zod";
+import * as z from "zod";
 import { type EngineOptions, type EngineRun, SimulatedEngine } from "./simulated-engine.js";
 
 const HTTP_BAD_REQUEST = 400;
--- a/packages/stand-ins/src/platform/platform-server.ts
+++ b/packages/stand-ins/src/platform/platform-server.ts
@@ -1,7 +1,7 @@
 /** HTTP server of the in-memory platform, for tests with real processes. */
 import fastify, { type FastifyInstance } from "fastify";
 import { SystemTimerService, type VmListEntry, vmListEntrySchema } from "wigeonpulley";
-import { z } from "zod";
+import * as z from "zod";
 import { type LogFault, SimulatedPlatform } from "./simulated-platform.js";
 import { SimulatedWeightStore } from "./simulated-weight-store.js";
 
--- a/packages/wigeonpulley/src/claims/claim-fold.ts
+++ b/packages/wigeonpulley/src/claims/claim-fold.ts
@@ -2,7 +2,7 @@
  * Computes the claims on idempotency keys by folding one partition's stream.
  * Every reader of the same prefix reaches the same verdicts, whoever appended the records and however late.
  */
-import { z } from "zod";
+import * as z from "zod";
 import type { LogRecord } from "../platform/index.js";
 
 /** Holder of a claim: the gateway of one incarnation of a VM. */
--- a/packages/wigeonpulley/src/cli/docs/schema-table.ts
+++ b/packages/wigeonpulley/src/cli/docs/schema-table.ts
@@ -1,5 +1,5 @@
 /** Formats the options of zod schemas as Markdown tables. */
-import { z } from "zod";
+import * as z from "zod";
 
 const schemaNodeSchema = z.looseObject({
     type: z.string().optional(),
--- a/packages/wigeonpulley/src/cli/operator-client.ts
+++ b/packages/wigeonpulley/src/cli/operator-client.ts
@@ -1,7 +1,7 @@
 /** Client of the operator API of running VMs, and of the platform's log. */
 import { Err, Ok, type Result } from "ts-results-es";
 import { request } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 import { describeCause, SchedulerError } from "../errors/index.js";
 import { HttpPlatformLog } from "../platform/index.js";
 import { SystemTimerService } from "../time/index.js";
--- a/packages/wigeonpulley/src/config/config-fold.ts
+++ b/packages/wigeonpulley/src/config/config-fold.ts
@@ -2,7 +2,7 @@
  * Computes the active configuration as a fold over the configuration stream of the log.
  * All readers of the same prefix compute the same version, whichever operators appended.
  */
-import { z } from "zod";
+import * as z from "zod";
 import type { LogRecord } from "../platform/index.js";
 import { configurationSchema } from "./configuration.js";
 
--- a/packages/wigeonpulley/src/config/configuration.ts
+++ b/packages/wigeonpulley/src/config/configuration.ts
@@ -1,5 +1,5 @@
 /** Schema of the configuration that operators publish: tiers, models, endpoints, callers, selectors and maintenance. */
-import { z } from "zod";
+import * as z from "zod";
 import { ipUrlSchema, labelsSchema } from "./field-schemas.js";
 
 const nameSchema = z.string().regex(
--- a/packages/wigeonpulley/src/config/field-schemas.ts
+++ b/packages/wigeonpulley/src/config/field-schemas.ts
@@ -1,5 +1,5 @@
 /** Schemas of fields that both the settings and the configuration use: labels and URLs. */
-import { z } from "zod";
+import * as z from "zod";
 
 /** Maximum length of a label's name or value, in characters. */
 const MAX_LABEL_LENGTH = 63;
--- a/packages/wigeonpulley/src/config/settings.ts
+++ b/packages/wigeonpulley/src/config/settings.ts
@@ -1,5 +1,5 @@
 /** Schema and defaults of the settings of one process, which are read from a JSON file. */
-import { z } from "zod";
+import * as z from "zod";
 import { ipUrlSchema } from "./field-schemas.js";
 
 const portSchema = z.number().int().min(0).max(65_535);
--- a/packages/wigeonpulley/src/discovery/instance-directory.ts
+++ b/packages/wigeonpulley/src/discovery/instance-directory.ts
@@ -26,6 +26,10 @@
     private storeLostAt: number | undefined;
     private storeRecoveredAt = Number.NEGATIVE_INFINITY;
     private hasSnapshot = false;
+    private setLoaded: () => void = () => undefined;
+    private readonly loaded = new Promise<void>(resolve => {
+        this.setLoaded = resolve;
+    });
 
     private constructor(private readonly timers: TimerService, private readonly logger: EventLogger) {}
 
@@ -60,6 +64,12 @@
         }
         changes.forEach(change => this.applyChange(change));
         this.notify();
+        this.setLoaded();
+    }
+
+    /** Resolves once a snapshot has been applied. */
+    waitUntilLoaded(): Promise<void> {
+        return this.loaded;
     }
 
     /** Applies single changes in their order. */
--- a/packages/wigeonpulley/src/discovery/instance.ts
+++ b/packages/wigeonpulley/src/discovery/instance.ts
@@ -1,5 +1,5 @@
 /** Schema of an instance: one incarnation of an endpoint's process, as it registers itself. */
-import { z } from "zod";
+import * as z from "zod";
 
 /** Schema of an instance. */
 export const instanceSchema = z.object({
--- a/packages/wigeonpulley/src/endpoints/endpoint-client.ts
+++ b/packages/wigeonpulley/src/endpoints/endpoint-client.ts
@@ -1,6 +1,6 @@
 /** Interface through which gateways and schedulers call endpoints. */
 import type { Result } from "ts-results-es";
-import { z } from "zod";
+import * as z from "zod";
 import type { Endpoint } from "../config/index.js";
 import type { SchedulerError } from "../errors/index.js";
 import type { ConsumedPermit, DispatchPermit } from "./dispatch-permit.js";
--- a/packages/wigeonpulley/src/endpoints/http-endpoint-client.ts
+++ b/packages/wigeonpulley/src/endpoints/http-endpoint-client.ts
@@ -3,7 +3,7 @@
 import { Readable } from "node:stream";
 import { Err, Ok, type Result } from "ts-results-es";
 import { Agent, type Dispatcher, request as sendRequest } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 import type { Endpoint } from "../config/index.js";
 import { describeCause, SchedulerError } from "../errors/index.js";
 import { isConnectFailure } from "../platform/index.js";
--- a/packages/wigeonpulley/src/errors/problem-body.ts
+++ b/packages/wigeonpulley/src/errors/problem-body.ts
@@ -1,5 +1,5 @@
 /** The application/problem+json body of a failure (RFC 9457). */
-import { z } from "zod";
+import * as z from "zod";
 import type { SchedulerError } from "./scheduler-error.js";
 
 const MILLISECONDS_PER_SECOND = 1000;
--- a/packages/wigeonpulley/src/forwarding/admission-check.ts
+++ b/packages/wigeonpulley/src/forwarding/admission-check.ts
@@ -6,6 +6,7 @@
 import { Err, Ok, type Result } from "ts-results-es";
 import { SchedulerError } from "../errors/index.js";
 import type { ActiveConfiguration, Route, RouteTable, Workspace } from "../routing/index.js";
+import type { TimerService } from "../time/index.js";
 import type { RequestMetadata } from "./header-codec.js";
 
 /** Dependencies of the check. */
@@ -13,6 +14,7 @@
     readonly activeConfiguration: ActiveConfiguration;
     /** Ages of the configuration above which no key is admitted, and above which nothing is refused as unknown. */
     readonly getAgeLimits: () => { readonly maxAgeForKeysMs: number; readonly maxAgeForUnknownMs: number; };
+    readonly timers: TimerService;
     /** Reads the configuration immediately; resolves when the read has ended, also when it failed. */
     readonly refreshConfiguration: () => Promise<void>;
 }
@@ -35,6 +37,13 @@
 /** Retry-After of requests that this VM itself can't serve, whatever their route. */
 const RETRY_AFTER_MS = 500;
 
+/**
+ * Time for which a request waits for the first configuration of a VM that has just started: a share of the caller's
+ * deadline, and at most one second.
+ */
+const MAX_START_WAIT_SHARE = 0.125;
+const MAX_START_WAIT_MS = 1_000;
+
 /** Admission check of one VM. */
 export class AdmissionCheck {
     private constructor(private readonly options: AdmissionCheckOptions) {}
@@ -45,13 +54,17 @@
     }
 
     /**
-     * Finds the route and workspace. Refreshes the configuration before refusing a request because of its age.
+     * Finds the route and workspace. Waits a moment for the first configuration, and refreshes the configuration before
+     * refusing a request because of its age.
      * Fails with ConfigurationUnavailable, ConfigurationStale, NoRoute or UnknownCaller.
      */
     async admit(
         target: RequestTarget,
         metadata: RequestMetadata,
     ): Promise<Result<AdmittedRequest, SchedulerError>> {
+        if (this.options.activeConfiguration.routeTable === undefined) {
+            await this.waitForConfiguration(metadata.deadlineMs);
+        }
         const first = this.match(target, metadata);
         if (first.isOk() || first.error.name !== "ConfigurationStale") {
             return first;
@@ -60,6 +73,14 @@
         return this.match(target, metadata);
     }
 
+    private async waitForConfiguration(deadlineMs = 0): Promise<void> {
+        const { activeConfiguration, timers } = this.options;
+        const limit = new AbortController();
+        const waitMs = Math.min(MAX_START_WAIT_MS, deadlineMs * MAX_START_WAIT_SHARE);
+        await Promise.race([activeConfiguration.waitUntilLoaded(), timers.sleep(waitMs, limit.signal)]);
+        limit.abort();
+    }
+
     private match(
         { host, path }: RequestTarget,
         { key }: RequestMetadata,
--- a/packages/wigeonpulley/src/forwarding/front-server.ts
+++ b/packages/wigeonpulley/src/forwarding/front-server.ts
@@ -5,7 +5,7 @@
  */
 import * as Option from "fp-ts/lib/Option.js";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import type { Socket } from "node:net";
+import type { Server as NetServer, Socket } from "node:net";
 import { Err, Ok, type Result } from "ts-results-es";
 import { SchedulerError } from "../errors/index.js";
 import type { EventLogger } from "../logging/index.js";
@@ -41,6 +41,8 @@
 
 /** Interval at which Node checks connections for request heads that exceed their timeout. */
 const CONNECTION_CHECK_INTERVAL_MS = 500;
+/** Connections that the operating system accepts while this process is busy. */
+const BACKLOG = 1_024;
 /** Limit until the first configuration is active. Node's own limit is larger than any configured one. */
 const INITIAL_MAX_HEADER_BYTES = 16_384;
 /** Retry-After of requests that this VM itself can't serve, whatever their route. */
@@ -78,14 +80,20 @@
         return new FrontServer(options);
     }
 
-    /** Starts to listen; rejects when the address can't be bound. */
-    listen(): Promise<void> {
+    /**
+     * Starts to listen; rejects when the address can't be bound. Takes over the connections of a `listener` that already
+     * listens on the address and has accepted none.
+     */
+    listen(listener?: NetServer): Promise<void> {
+        const { host, port } = this.options;
         return new Promise((resolve, reject) => {
             this.server.once("error", reject);
-            this.server.listen(
-                { port: this.options.port, host: this.options.host, backlog: 1_024 },
-                () => resolve(),
-            );
+            if (listener === undefined) {
+                this.server.listen({ port, host, backlog: BACKLOG }, resolve);
+            }
+            else {
+                this.server.listen(listener, BACKLOG, resolve);
+            }
         });
     }
 
--- a/packages/wigeonpulley/src/gateway/caller-request.ts
+++ b/packages/wigeonpulley/src/gateway/caller-request.ts
@@ -1,6 +1,6 @@
 /** Parses callers' requests into the fields that scheduling and dispatch need. */
 import { Err, Ok, type Result } from "ts-results-es";
-import { z } from "zod";
+import * as z from "zod";
 import { formatProblems, type Labels, labelsSchema } from "../config/index.js";
 import { SchedulerError } from "../errors/index.js";
 import { hashText } from "../hashing/index.js";
--- a/packages/wigeonpulley/src/gateway/chat-completion.ts
+++ b/packages/wigeonpulley/src/gateway/chat-completion.ts
@@ -1,5 +1,5 @@
 /** Merges a streamed chat completion into one body, for callers that do not stream. */
-import { z } from "zod";
+import * as z from "zod";
 import { END_OF_STREAM } from "../endpoints/index.js";
 
 const chunkSchema = z.looseObject({
--- a/packages/wigeonpulley/src/gateway/http-server.ts
+++ b/packages/wigeonpulley/src/gateway/http-server.ts
@@ -4,7 +4,7 @@
 import { timingSafeEqual } from "node:crypto";
 import { Readable } from "node:stream";
 import { Err, Ok, type Result } from "ts-results-es";
-import { z } from "zod";
+import * as z from "zod";
 import { type Caller, findCaller, hashKey, type Settings } from "../config/index.js";
 import { computeRetryAfterSeconds, createProblemBody, SchedulerError } from "../errors/index.js";
 import type { MetricsRegistry } from "../metrics/index.js";
--- a/packages/wigeonpulley/src/gateway/resume-token-signer.ts
+++ b/packages/wigeonpulley/src/gateway/resume-token-signer.ts
@@ -4,7 +4,7 @@
  */
 import * as Option from "fp-ts/lib/Option.js";
 import { createHmac, timingSafeEqual } from "node:crypto";
-import { z } from "zod";
+import * as z from "zod";
 
 /** A key that signs and verifies tokens. */
 export interface SigningKey {
--- a/packages/wigeonpulley/src/platform/http-platform.ts
+++ b/packages/wigeonpulley/src/platform/http-platform.ts
@@ -1,7 +1,7 @@
 /** HTTP clients of the platform's log and of its list of VMs. Another wire format needs only another file like this one. */
 import { Err, Ok, type Result } from "ts-results-es";
 import { Agent, request } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 import { describeCause, SchedulerError } from "../errors/index.js";
 import { type LogPage, PlatformLog } from "./platform-log.js";
 import { VmList, type VmListEntry, vmListSchema, type VmListSnapshot } from "./vm-list.js";
--- a/packages/wigeonpulley/src/platform/vm-list.ts
+++ b/packages/wigeonpulley/src/platform/vm-list.ts
@@ -1,6 +1,6 @@
 /** Interface of the platform's list of VMs, which lags behind the actual state. */
 import type { Result } from "ts-results-es";
-import { z } from "zod";
+import * as z from "zod";
 import type { SchedulerError } from "../errors/index.js";
 
 /** One VM of the system, as a row of the list. */
--- a/packages/wigeonpulley/src/reports/request-log-line.ts
+++ b/packages/wigeonpulley/src/reports/request-log-line.ts
@@ -1,5 +1,5 @@
 /** Parses the log lines of a VM that tell how requests ended. */
-import { z } from "zod";
+import * as z from "zod";
 
 /** Result of a request from its caller's point of view. */
 export type RequestResult =
--- a/packages/wigeonpulley/src/rollouts/rollout-order.ts
+++ b/packages/wigeonpulley/src/rollouts/rollout-order.ts
@@ -1,5 +1,5 @@
 /** Orders of operators to move a service to another version, and the states of such rollouts. */
-import { z } from "zod";
+import * as z from "zod";
 
 /** Order to move a service's requests to the endpoints of another version. */
 export const rolloutOrderSchema = z.object({
--- a/packages/wigeonpulley/src/routed-vm/daemon.ts
+++ b/packages/wigeonpulley/src/routed-vm/daemon.ts
@@ -1,4 +1,5 @@
 /** Runs one VM for routed traffic as a process: starts its servers, joins the system and shuts down gracefully. */
+import type { Server } from "node:net";
 import { UndiciTransport } from "../forwarding/index.js";
 import { ConsolaSink, EventLogger } from "../logging/index.js";
 import { MetricsRegistry } from "../metrics/index.js";
@@ -32,6 +33,8 @@
     readonly peerKey: string;
     /** Creates the adapter of the deployment's platform. */
     readonly createAdapter: (timers: TimerService) => PlatformAdapter;
+    /** Already listens on the address for callers; without it, the VM opens the address itself. */
+    readonly callerListener?: Server | undefined;
 }
 
 /** Starts a VM with the given settings. Resolves when all of its servers listen and it has joined the system. */
@@ -61,11 +64,14 @@
         }, timers),
     });
     const stop = createStop(vm);
-    const operatorServer = await startOperatorServer(vm, settings, metrics, stop);
     const peerServer = PeerServer.create(vm, peerKey);
     const [peerHost = "", peerPort = "0"] = settings.listen.peers.split(":");
-    await peerServer.listen({ host: peerHost, port: Number(peerPort) });
-    await vm.start();
+    const [operatorServer] = await Promise.all([
+        startOperatorServer(vm, settings, metrics, stop),
+        vm.startServing(options.callerListener),
+        peerServer.listen({ host: peerHost, port: Number(peerPort) }),
+    ]);
+    await vm.join();
     logger.write("VmStarted", {
         vm: settings.name,
         callers: settings.listen.callers,
--- a/packages/wigeonpulley/src/routed-vm/routed-settings.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-settings.ts
@@ -1,5 +1,5 @@
 /** Settings of a VM that serves routed traffic, read from a JSON file. */
-import { z } from "zod";
+import * as z from "zod";
 
 const addressSchema = z.string().regex(
     /^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/,
--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -1,4 +1,5 @@
 /** Wires the parts of a VM for routed traffic: configuration, instances, placement, quotas, rollouts and forwarding. */
+import type { Server } from "node:net";
 import { type Instance, InstanceDirectory } from "../discovery/index.js";
 import { AdmissionCheck, type EndpointTransport, Forwarder, FrontServer } from "../forwarding/index.js";
 import type { MemberDigest } from "../gen/wigeonpulley/peer/v1/peer_pb.js";
@@ -45,6 +46,8 @@
 const CONTENDED_GOSSIP_FANOUT = 2;
 const PEER_TIMEOUT_MS = 2_000;
 const VM_LIST_POLL_MS = 8_000;
+/** Longest time for which a VM that has just started waits for its configuration before it joins the others. */
+const MAX_JOIN_DELAY_MS = 1_000;
 /** Time for the load balancer to notice that a VM is not ready, in milliseconds: two checks at one a second. */
 const READINESS_PROPAGATION_MS = 2_600;
 const MS_PER_S = 1_000;
@@ -116,10 +119,23 @@
         return new RoutedVm(options);
     }
 
-    /** Starts reading the store, listening for callers and gossiping with the other VMs. */
-    async start(): Promise<void> {
+    /** Starts reading the store and serving callers; `listener` may already listen on their address. */
+    async startServing(listener?: Server): Promise<void> {
         this.subscriptions.start();
-        await this.frontServer.listen();
+        await this.frontServer.listen(listener);
+    }
+
+    /**
+     * Joins the other VMs and gossips with them. Callers that waited for this VM to start go first: joining starts when
+     * it can serve them, or after a short time.
+     */
+    async join(): Promise<void> {
+        const limit = new AbortController();
+        await Promise.race([
+            Promise.all([this.activeConfiguration.waitUntilLoaded(), this.directory.waitUntilLoaded()]),
+            this.options.timers.sleep(MAX_JOIN_DELAY_MS, limit.signal),
+        ]);
+        limit.abort();
         await this.membership.start();
         this.cancelContendedGossip = this.options.timers.scheduleRepeating(
             CONTENDED_GOSSIP_INTERVAL_MS,
@@ -319,6 +335,7 @@
             ),
             admission: AdmissionCheck.create({
                 activeConfiguration: this.activeConfiguration,
+                timers,
                 getAgeLimits: () => ({
                     maxAgeForKeysMs: this.bounds.keyRevokeMs * KEY_AGE_SHARE,
                     maxAgeForUnknownMs: this.bounds.applyMs * UNKNOWN_AGE_SHARE,
--- a/packages/wigeonpulley/src/routing/active-configuration.ts
+++ b/packages/wigeonpulley/src/routing/active-configuration.ts
@@ -25,6 +25,10 @@
     /** Monotonic time at which a clock jump was detected, in milliseconds; no earlier reading can be trusted. */
     private jumpedAt = Number.NEGATIVE_INFINITY;
     private readonly listeners: ConfigurationListener[] = [];
+    private setLoaded: () => void = () => undefined;
+    private readonly loaded = new Promise<void>(resolve => {
+        this.setLoaded = resolve;
+    });
 
     private constructor(private readonly timers: TimerService, private readonly logger: EventLogger) {
         this.clockOffsetMs = timers.readWallClock() - timers.now();
@@ -55,6 +59,12 @@
             workspaces: configuration.workspaces?.length ?? 0,
         });
         this.listeners.forEach(listener => listener(table));
+        this.setLoaded();
+    }
+
+    /** Resolves when there is a configuration. */
+    waitUntilLoaded(): Promise<void> {
+        return this.loaded;
     }
 
     /** Records that a read sent at `sentAt` found nothing newer than what has been applied. */
--- a/packages/wigeonpulley/src/routing/routing-configuration.ts
+++ b/packages/wigeonpulley/src/routing/routing-configuration.ts
@@ -1,5 +1,5 @@
 /** Schema of the configuration that operators publish for routed traffic: routes, services, workspaces and limits. */
-import { z } from "zod";
+import * as z from "zod";
 
 const millisecondsSchema = z.number().positive();
 
--- a/packages/wigeonpulley/test/claims/claim-fold.test.ts
+++ b/packages/wigeonpulley/test/claims/claim-fold.test.ts
@@ -92,7 +92,7 @@
         const fold = ClaimFold.create(0);
         const createRelease = (nonce: string): PartitionRecord => ({ kind: "release", key: "key-0", nonce });
         createLog([createRelease("nonce-1"), createRelease("nonce-2"), createRelease("nonce-1")]).forEach(
-            record => fold.apply(record, () => true)
+            record => fold.apply(record, () => true),
         );
         fold.removeBefore(2);
         const claimant = { vm: "vm-1", incarnation: "1" };
--- a/packages/wigeonpulley/test/routing/freshness-model.test.ts
+++ b/packages/wigeonpulley/test/routing/freshness-model.test.ts
@@ -122,6 +122,7 @@
         const follower = this.createFollower();
         this.admissionCheck = AdmissionCheck.create({
             activeConfiguration: this.activeConfiguration,
+            timers: configurationClock,
             getAgeLimits: () => ({ maxAgeForKeysMs: MAX_KEY_AGE_MS, maxAgeForUnknownMs: 0.8 * APPLY_MS }),
             refreshConfiguration: () => follower.refresh(),
         });
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,16 +1,48 @@
-// Bundles the platform's daemon into one file under target/, because one file loads faster than separate modules.
+// Bundles the platform's daemon under target/: a small launcher, the daemon in one file, and the cache of its compiled code.
 import { build } from "esbuild";
+import { execFileSync } from "node:child_process";
+import { readFileSync } from "node:fs";
+import { fileURLToPath } from "node:url";
 
-await build({
-    entryPoints: ["platform/src/main.ts"],
-    outfile: "target/wigeonpulley.cjs",
+/** Replaces the indexes of some libraries by the few of their modules that the daemon uses (scripts/slim). */
+const slimPlugin = {
+    name: "slim",
+    setup: pluginBuild =>
+        pluginBuild.onResolve({ filter: /^(undici|prom-client|hdr-histogram-js)$/ }, ({ path }) => ({
+            path: fileURLToPath(new URL(`slim/${path}.cjs`, import.meta.url)),
+        })),
+};
+
+const options = {
     bundle: true,
     platform: "node",
     target: "node20",
     format: "cjs",
-    alias: { wigeonpulley: "./packages/wigeonpulley/src/index.ts" },
-    minify: false,
-    sourcemap: false,
+    charset: "ascii",
+    legalComments: "none",
+    minifyWhitespace: true,
+    minifySyntax: true,
     logLevel: "warning",
+};
+
+await build({ ...options, entryPoints: ["platform/src/launcher.ts"], outfile: "target/wigeonpulley.cjs" });
+await build({
+    ...options,
+    entryPoints: ["platform/src/main.ts"],
+    outfile: "target/daemon.cjs",
+    alias: { wigeonpulley: "./packages/wigeonpulley/src/index.ts" },
+    plugins: [slimPlugin],
     define: { "import.meta.url": "undefined" },
+    banner: { js: "(function(exports,require,module,__filename,__dirname){" },
+    footer: { js: "})" },
 });
+
+// V8 accepts a cache only with the options with which it was written.
+const [, nodeOptions = ""] = /^run = "node (.*)target\//m.exec(readFileSync("deploy/system.toml", "utf8"))
+    ?? [];
+execFileSync(process.execPath, [
+    ...nodeOptions.split(" ").filter(option => option !== ""),
+    "scripts/write-code-cache.mjs",
+    "target/daemon.cjs",
+    "target/daemon.cache",
+], { stdio: "inherit" });
