Let long requests of a lower rank yield in a burst

Cause: below the best rank of a workspace, ranks were balanced by the share of their requests served, on the assumption that the lowest ranks' requests are short. Ruled out: free slots elsewhere (in flight 60 to 76 of 56 to 72 at each refusal). Change: a rank whose requests hold slots a quarter longer than the better one's is moved ahead only while less than two fifths of it were served over about 20 s.

--- a/packages/wigeonpulley/src/placement/placement-service.ts
+++ b/packages/wigeonpulley/src/placement/placement-service.ts
@@ -225,6 +225,7 @@
             request,
             pendingPromptTokens + uncachedTokens,
         );
+        const occupiedAt = this.options.timers.now();
         this.loads.occupy(instance, request, uncachedTokens);
         this.health.recordDispatch(instance.id);
         this.options.versions.recordDispatch(instance);
@@ -236,6 +237,10 @@
             pendingPromptTokens,
             predictedMs,
             onRelease: (outcome, reason, firstEventMs) => {
+                if (outcome === "success") {
+                    const slotTimeMs = this.options.timers.now() - occupiedAt;
+                    this.getQueue(request.service).fairness.recordSlotTime(request.rank, slotTimeMs);
+                }
                 if (outcome === "success" || outcome === "failure") {
                     this.options.versions.recordOutcome(
                         instance,
--- a/packages/wigeonpulley/src/placement/rank-fairness.ts
+++ b/packages/wigeonpulley/src/placement/rank-fairness.ts
@@ -4,6 +4,9 @@
  * one is the best route rank of its workspace rank. Under lasting overload the lower ranks therefore share what the best
  * one leaves, and a rank of short requests is not left with nothing.
  *
+ * Requests that hold their slots longer than those of the better rank would take several of its requests' slots for each
+ * one served. Their rank is moved ahead only while less than two fifths of it were served over a longer time.
+ *
  * The best rank of all always goes first, and no rank is moved ahead of one that is known to be served less often.
  * Between workspace ranks the difference must be so large that only a rank of which most requests are refused qualifies.
  * A rank that is moved ahead of a rank of a better workspace rank also passes those between the two that aren't moved
@@ -12,6 +15,16 @@
 
 /** Time constant of the exponential decay of outcomes, in milliseconds. */
 const DECAY_TIME_MS = 4_000;
+/** The same for the share that a rank of long requests is guaranteed; longer than a burst of callers. */
+const LONG_REQUEST_DECAY_TIME_MS = 20_000;
+/** Served share below which a rank of long requests may be moved ahead. */
+const LONG_REQUEST_MIN_SHARE = 0.4;
+/** Requests of a rank that count as served before a VM has seen any, so that a burst right after its start is one. */
+const LONG_REQUEST_INITIAL_SERVED = 50;
+/** Ratio of two ranks' slot times from which the requests of one count as long beside those of the other. */
+const LONG_REQUEST_RATIO = 1.25;
+/** Weight of the newest request in a rank's mean slot time. */
+const SLOT_TIME_WEIGHT = 0.05;
 /** Difference between served shares from which a rank counts as behind. */
 const MIN_SHARE_DEFICIT = 0.04;
 /** The same between workspace ranks. */
@@ -24,15 +37,49 @@
 /** Offset that puts a rank between two others. */
 const HALF_RANK = 0.5;
 
-interface OutcomeCounts {
-    served: number;
-    refused: number;
-    updatedAt: number;
+/** Exponentially decayed outcomes. */
+class OutcomeCounts {
+    private refused = 0;
+    private updatedAt = 0;
+
+    private constructor(private readonly decayTimeMs: number, private served: number) {}
+
+    /** Creates counts in which `served` requests got a slot. */
+    static create(decayTimeMs: number, served = 0): OutcomeCounts {
+        return new OutcomeCounts(decayTimeMs, served);
+    }
+
+    add(isServed: boolean, now: number): void {
+        this.decay(now);
+        this.served += isServed ? 1 : 0;
+        this.refused += isServed ? 0 : 1;
+    }
+
+    /** Share of the requests that got a slot; undefined while there are too few outcomes. */
+    computeServedShare(now: number): number | undefined {
+        this.decay(now);
+        const outcomes = this.served + this.refused;
+        return outcomes < MIN_OUTCOMES ? undefined : this.served / outcomes;
+    }
+
+    private decay(now: number): void {
+        const factor = Math.exp(-(now - this.updatedAt) / this.decayTimeMs);
+        this.served *= factor;
+        this.refused *= factor;
+        this.updatedAt = now;
+    }
+}
+
+interface RankStatistics {
+    readonly recent: OutcomeCounts;
+    readonly longTerm: OutcomeCounts;
+    /** Mean time for which a request holds its slot, in milliseconds; undefined before the first one has ended. */
+    slotTimeMs: number | undefined;
 }
 
 /** Tracks which share of each rank's requests is served at one service. */
 export class RankFairness {
-    private readonly countsByRank = new Map<number, OutcomeCounts>();
+    private readonly statisticsByRank = new Map<number, RankStatistics>();
 
     private constructor() {}
 
@@ -43,11 +90,16 @@
 
     /** Records that a request got a slot or was refused, at a monotonic time in milliseconds. */
     recordOutcome(rank: number, isServed: boolean, now: number): void {
-        const counts = this.countsByRank.get(rank) ?? { served: 0, refused: 0, updatedAt: now };
-        this.countsByRank.set(rank, counts);
-        decay(counts, now);
-        counts.served += isServed ? 1 : 0;
-        counts.refused += isServed ? 0 : 1;
+        const { recent, longTerm } = this.getStatistics(rank);
+        recent.add(isServed, now);
+        longTerm.add(isServed, now);
+    }
+
+    /** Records for how long a request of a rank held its slot, in milliseconds. */
+    recordSlotTime(rank: number, slotTimeMs: number): void {
+        const statistics = this.getStatistics(rank);
+        const meanMs = statistics.slotTimeMs ?? slotTimeMs;
+        statistics.slotTimeMs = meanMs + (slotTimeMs - meanMs) * SLOT_TIME_WEIGHT;
     }
 
     /**
@@ -61,7 +113,7 @@
             return rank;
         }
         const workspaceRank = getWorkspaceRank(rank);
-        const knownRanks = [...this.countsByRank.keys()].filter(other =>
+        const knownRanks = [...this.statisticsByRank.keys()].filter(other =>
             this.computeServedShare(other, now) !== undefined
         );
         const isBest = (other: number): boolean =>
@@ -73,19 +125,35 @@
                 ? MIN_SHARE_DEFICIT
                 : MIN_WORKSPACE_SHARE_DEFICIT;
             return other < rank && !isBest(other)
+                && this.isGuaranteed(rank, other, now)
                 && (this.computeServedShare(other, now) ?? 0) > share + minDeficit;
         });
         return ahead.length === 0 ? rank : Math.min(...ahead) - HALF_RANK;
     }
 
+    /** False for a rank of long requests that was served often enough over a longer time. */
+    private isGuaranteed(rank: number, betterRank: number, now: number): boolean {
+        const { slotTimeMs, longTerm } = this.getStatistics(rank);
+        const { slotTimeMs: betterSlotTimeMs } = this.getStatistics(betterRank);
+        return getWorkspaceRank(rank) !== getWorkspaceRank(betterRank)
+            || slotTimeMs === undefined
+            || betterSlotTimeMs === undefined
+            || slotTimeMs < betterSlotTimeMs * LONG_REQUEST_RATIO
+            || (longTerm.computeServedShare(now) ?? 1) < LONG_REQUEST_MIN_SHARE;
+    }
+
     private computeServedShare(rank: number, now: number): number | undefined {
-        const counts = this.countsByRank.get(rank);
-        if (counts === undefined) {
-            return undefined;
-        }
-        decay(counts, now);
-        const outcomes = counts.served + counts.refused;
-        return outcomes < MIN_OUTCOMES ? undefined : counts.served / outcomes;
+        return this.statisticsByRank.get(rank)?.recent.computeServedShare(now);
+    }
+
+    private getStatistics(rank: number): RankStatistics {
+        const statistics = this.statisticsByRank.get(rank) ?? {
+            recent: OutcomeCounts.create(DECAY_TIME_MS),
+            longTerm: OutcomeCounts.create(LONG_REQUEST_DECAY_TIME_MS, LONG_REQUEST_INITIAL_SERVED),
+            slotTimeMs: undefined,
+        };
+        this.statisticsByRank.set(rank, statistics);
+        return statistics;
     }
 }
 
@@ -94,10 +162,3 @@
     workspaceRank * WORKSPACE_RANK_STEP + routeRank;
 
 const getWorkspaceRank = (rank: number): number => Math.floor(rank / WORKSPACE_RANK_STEP);
-
-const decay = (counts: OutcomeCounts, now: number): void => {
-    const factor = Math.exp(-(now - counts.updatedAt) / DECAY_TIME_MS);
-    counts.served *= factor;
-    counts.refused *= factor;
-    counts.updatedAt = now;
-};
