--- a/packages/wigeonpulley/src/forwarding/admission-check.ts
+++ b/packages/wigeonpulley/src/forwarding/admission-check.ts
@@ -5,15 +5,14 @@
 import * as Option from "fp-ts/lib/Option.js";
 import { Err, Ok, type Result } from "ts-results-es";
 import { SchedulerError } from "../errors/index.js";
-import type { ActiveConfiguration, Route, RouteTable, Workspace } from "../routing/index.js";
+import type { ActiveConfiguration, AgeLimits, Route, RouteTable, Workspace } from "../routing/index.js";
 import type { TimerService } from "../time/index.js";
 import type { RequestMetadata } from "./header-codec.js";
 
 /** Dependencies of the check. */
 export interface AdmissionCheckOptions {
     readonly activeConfiguration: ActiveConfiguration;
-    /** Ages of the configuration above which no key is admitted, and above which nothing is refused as unknown. */
-    readonly getAgeLimits: () => { readonly maxAgeForKeysMs: number; readonly maxAgeForUnknownMs: number; };
+    readonly getAgeLimits: () => AgeLimits;
     readonly timers: TimerService;
     /** Reads the configuration immediately; resolves when the read has ended, also when it failed. */
     readonly refreshConfiguration: () => Promise<void>;
--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -12,7 +12,7 @@
 import { SharedQuotaLimiter, SharedRetryBudget } from "../quotas/index.js";
 import type { RandomSource } from "../random/index.js";
 import { RolloutService, RolloutStateStore } from "../rollouts/index.js";
-import { ActiveConfiguration } from "../routing/index.js";
+import { ActiveConfiguration, computeAgeLimits } from "../routing/index.js";
 import { StoreVmList } from "../store/index.js";
 import type { CancelTimer, TimerService } from "../time/index.js";
 import type { PlatformAdapter } from "./platform-adapter.js";
@@ -32,10 +32,6 @@
     readonly peers: GossipTransport;
 }
 
-/** Share of `keyRevokeMs` at which an unconfirmed configuration is too old to admit requests with a key. */
-const KEY_AGE_SHARE = 0.6;
-/** Share of `applyMs` at which an unconfirmed configuration is too old to refuse a route or key as unknown. */
-const UNKNOWN_AGE_SHARE = 0.85;
 /** Interval of the regular gossip, in milliseconds. */
 const HEARTBEAT_MS = 500;
 /**
@@ -336,10 +332,7 @@
             admission: AdmissionCheck.create({
                 activeConfiguration: this.activeConfiguration,
                 timers,
-                getAgeLimits: () => ({
-                    maxAgeForKeysMs: this.bounds.keyRevokeMs * KEY_AGE_SHARE,
-                    maxAgeForUnknownMs: this.bounds.applyMs * UNKNOWN_AGE_SHARE,
-                }),
+                getAgeLimits: () => computeAgeLimits(this.bounds),
                 refreshConfiguration: () => this.subscriptions.refreshOperatorRecords(),
             }),
         });
--- a/packages/wigeonpulley/src/routing/index.ts
+++ b/packages/wigeonpulley/src/routing/index.ts
@@ -3,6 +3,7 @@
  * Decides nothing about endpoints, order or load.
  */
 export { ActiveConfiguration, type ConfigurationListener } from "./active-configuration.js";
+export { type AgeBounds, type AgeLimits, computeAgeLimits } from "./age-limits.js";
 export { RouteTable, selectTarget } from "./route-table.js";
 export {
     type CallerLimits,
--- a/packages/wigeonpulley/test/placement/rank-fairness.test.ts
+++ b/packages/wigeonpulley/test/placement/rank-fairness.test.ts
@@ -36,17 +36,25 @@
         ]),
     });
 
-test.each([1, 2, 3])("long requests of the lowest rank yield to a better rank in a burst (seed %i)", async seed => {
-    const results = await simulateBurst(10 * SECONDS, 20 * SECONDS, seed);
-    expect(computeResultShare(results, 1, "on-time")).toBeGreaterThan(0.9);
-    expect(computeResultShare(results, 2, "refused")).toBeLessThan(0.5);
-});
+test.each([1, 2, 3])(
+    "long requests of the lowest rank yield to a better rank in a burst (seed %i)",
+    async seed => {
+        const results = await simulateBurst(10 * SECONDS, 20 * SECONDS, seed);
+        expect(computeResultShare(results, 1, "on-time")).toBeGreaterThan(0.9);
+        expect(computeResultShare(results, 2, "refused")).toBeLessThan(0.5);
+    },
+);
 
-test.each([1, 2, 3])("under lasting overload two fifths of the long requests are served (seed %i)", async seed => {
-    const results = await simulateBurst(0, 60 * SECONDS, seed);
-    expect(computeResultShare(results, 2, "refused")).toBeLessThan(0.6);
-    expect(computeResultShare(results, 1, "refused")).toBeLessThan(computeResultShare(results, 2, "refused"));
-});
+test.each([1, 2, 3])(
+    "under lasting overload two fifths of the long requests are served (seed %i)",
+    async seed => {
+        const results = await simulateBurst(0, 60 * SECONDS, seed);
+        expect(computeResultShare(results, 2, "refused")).toBeLessThan(0.6);
+        expect(computeResultShare(results, 1, "refused")).toBeLessThan(
+            computeResultShare(results, 2, "refused"),
+        );
+    },
+);
 
 test("a rank of long requests is moved ahead only when too few of it were served over a longer time", () => {
     const fairness = RankFairness.create();
--- a/packages/wigeonpulley/test/routing/freshness-model.test.ts
+++ b/packages/wigeonpulley/test/routing/freshness-model.test.ts
@@ -5,6 +5,7 @@
     AdmissionCheck,
     type CancelTimer,
     ClockReading,
+    computeAgeLimits,
     EventLogger,
     MemorySink,
     SeededRandom,
@@ -18,9 +19,10 @@
 import { createRoutingConfiguration } from "../fixtures/routing-fixture.js";
 import { SuspendableClock } from "../fixtures/suspendable-clock.js";
 
-/** Published bounds `keyRevokeMs`, `applyMs` and `contactMs`, and the age that a VM allows itself within the first. */
+/** Published bounds `keyRevokeMs`, `applyMs` and `contactMs`. */
 const KEY_REVOKE_MS = 5_000;
-const MAX_KEY_AGE_MS = 0.6 * KEY_REVOKE_MS;
+/** Time after the loss of the store for which the platform expects keys to be admitted. */
+const EXPECTED_ADMISSION_MS = 0.6 * KEY_REVOKE_MS;
 const APPLY_MS = 2_500;
 const CONTACT_MS = 4_000;
 const REQUEST_INTERVAL_MS = 250;
@@ -93,6 +95,8 @@
     hasVersionDecreased: boolean;
     /** True when a VM that reaches the store refused a key that was never revoked. */
     isRefusedWhileConnected: boolean;
+    /** Time from the loss of the store to the first refusal, in milliseconds. */
+    earliestRefusalAfterLossMs: number;
 }
 
 class FreshnessModel {
@@ -104,7 +108,9 @@
         latestAdmissionAfterRevokeMs: Number.NEGATIVE_INFINITY,
         hasVersionDecreased: false,
         isRefusedWhileConnected: false,
+        earliestRefusalAfterLossMs: Number.POSITIVE_INFINITY,
     };
+    private storeLostAt = Number.POSITIVE_INFINITY;
     private readonly admissionCheck: AdmissionCheck;
     private condition = HEALTHY;
     private version = 0;
@@ -123,7 +129,7 @@
         this.admissionCheck = AdmissionCheck.create({
             activeConfiguration: this.activeConfiguration,
             timers: configurationClock,
-            getAgeLimits: () => ({ maxAgeForKeysMs: MAX_KEY_AGE_MS, maxAgeForUnknownMs: 0.8 * APPLY_MS }),
+            getAgeLimits: () => computeAgeLimits({ keyRevokeMs: KEY_REVOKE_MS, applyMs: APPLY_MS }),
             refreshConfiguration: () => follower.refresh(),
         });
         follower.start();
@@ -192,6 +198,9 @@
         switch (event.kind) {
             case "store":
                 this.condition = event.condition;
+                if (event.condition.mode !== "well") {
+                    this.storeLostAt = Math.min(this.storeLostAt, this.simulationClock.now());
+                }
                 return;
             case "suspend":
                 return this.clock.suspend(event.forMs);
@@ -228,6 +237,12 @@
                 now - this.revokedAt,
             );
         }
+        if (admitted.isErr() && now >= this.storeLostAt) {
+            this.observation.earliestRefusalAfterLossMs = Math.min(
+                this.observation.earliestRefusalAfterLossMs,
+                now - this.storeLostAt,
+            );
+        }
         const isConnected = this.condition === HEALTHY && now - this.lastFaultAt > CONTACT_MS;
         this.observation.isRefusedWhileConnected ||= admitted.isErr() && this.revokedAt === undefined
             && isConnected;
@@ -248,6 +263,17 @@
     },
 );
 
+test.each([4_000, 4_500, 5_000, 5_500])(
+    "a key is admitted for as long as the platform expects when the store is lost at %i ms",
+    async lostAtMs => {
+        const { earliestRefusalAfterLossMs } = await FreshnessModel.simulate([
+            [lostAtMs / STEP_MS, { kind: "store", condition: { ...HEALTHY, mode: "refusing" } }],
+        ], "none");
+        expect(earliestRefusalAfterLossMs).toBeGreaterThanOrEqual(EXPECTED_ADMISSION_MS);
+        expect(earliestRefusalAfterLossMs).toBeLessThan(KEY_REVOKE_MS);
+    },
+);
+
 test.each<Mutant>(["confirmed when the response arrives", "monotonic clock alone"])(
     "the model detects a configuration age that is wrong: %s",
     async mutant => {
