Confirm the configuration by refreshes and by the other VMs, and reserve one slot in twelve over small instances

Cause: a long poll of 1.4 s confirms nothing until it ends, and then only from its sending, so that the age at the loss of the store was up to 2.8 s, and keys were refused sooner than the platform expects. Change: a VM refreshes the operators' records when its configuration is about a second old, and long polls for 4 s; VMs pass the age of their confirmation on with the digests they answer, and count it from the sending of their own digest; after a failure the store is asked without waiting. The hash of an instance rounds its part of the reservation up or down.

--- a/packages/wigeonpulley/src/membership/index.ts
+++ b/packages/wigeonpulley/src/membership/index.ts
@@ -4,6 +4,7 @@
  */
 export { isNewerState, type MemberRecord, MemberTable } from "./member-table.js";
 export {
+    ConfigurationFreshness,
     type Member,
     type MembershipOptions,
     MembershipService,
--- a/packages/wigeonpulley/src/membership/membership-service.ts
+++ b/packages/wigeonpulley/src/membership/membership-service.ts
@@ -17,7 +17,7 @@
 import type { GossipTransport } from "../peers/index.js";
 import type { VmList, VmListEntry } from "../platform/index.js";
 import type { RandomSource } from "../random/index.js";
-import type { CancelTimer, TimerService } from "../time/index.js";
+import { type CancelTimer, ClockReading, type TimerService } from "../time/index.js";
 import { isNewerState, MemberTable, resolveEntry } from "./member-table.js";
 
 /** Load reports that VMs send with their digests. */
@@ -29,6 +29,15 @@
     abstract applyReports(reports: readonly CarriedReport[]): void;
 }
 
+/** Confirmations of the configuration, which VMs pass on so that not each of them depends on its own way to the store. */
+export abstract class ConfigurationFreshness {
+    /** Time since this VM's configuration was last known to be the newest, in milliseconds; infinite if it never was. */
+    abstract getAgeMs(): number;
+
+    /** Records that a version was the newest at the time of a reading. */
+    abstract confirm(version: number, reading: ClockReading): void;
+}
+
 /** Options of the service. */
 export interface MembershipOptions {
     readonly self: VmListEntry;
@@ -39,6 +48,8 @@
     readonly transport: GossipTransport;
     /** Reports sent with the digests; none when absent. */
     readonly reports?: ReportGossip;
+    /** Confirmations of the configuration sent with the digests; none when absent. */
+    readonly freshness?: ConfigurationFreshness;
     /** Interval between gossip rounds. */
     readonly heartbeatMs: number;
     /** Time within which a suspected VM can deny the suspicion. */
@@ -71,6 +82,9 @@
 /** Members called in each gossip round. */
 const GOSSIP_FANOUT = 2;
 
+/** Age from which a confirmation of the configuration is of no use to any VM. */
+const MAX_CONFIGURATION_AGE_MS = 60_000;
+
 /** Maximum number of changes in one digest; bounds its size to about 700 bytes. */
 const MAX_DIGEST_CHANGES = 24;
 
@@ -239,19 +253,34 @@
     }
 
     private async gossipWithMember(peer: VmListEntry): Promise<void> {
-        const startedAt = this.options.timers.now();
+        const startedAt = ClockReading.create(this.options.timers);
         const response = await this.options.transport.exchangeDigests(peer, this.createDigest());
         if (response.isOk()) {
             this.merge(response.value);
+            this.confirmConfiguration(response.value, startedAt);
         }
         else {
-            this.suspect(peer, startedAt);
+            this.suspect(peer, startedAt.monotonicMs);
+        }
+    }
+
+    /**
+     * Applies the peer's confirmation. The peer stated the age after `startedAt`, so counting it from there never
+     * underestimates the age; a digest that the peer sent by itself may have been on its way for any time.
+     */
+    private confirmConfiguration(digest: MemberDigest, startedAt: ClockReading): void {
+        const state = digest.members.find(({ name }) => name === digest.sender);
+        if (state !== undefined && state.configuration > 0 && digest.configurationAgeMs > 0) {
+            const reading = startedAt.createEarlier(digest.configurationAgeMs - 1);
+            this.options.freshness?.confirm(state.configuration - 1, reading);
         }
     }
 
     private createDigest(): MemberDigest {
         this.updateConfiguration();
+        const ageMs = Math.ceil(this.options.freshness?.getAgeMs() ?? Number.POSITIVE_INFINITY);
         return create(MemberDigestSchema, {
+            configurationAgeMs: ageMs < MAX_CONFIGURATION_AGE_MS ? ageMs + 1 : 0,
             sender: this.options.self.name,
             members: [this.self, ...this.table.consumeChanges(MAX_DIGEST_CHANGES)],
             reports: [...this.options.reports?.createReports(this.incarnation) ?? []],
--- a/packages/wigeonpulley/src/placement/instance-chooser.ts
+++ b/packages/wigeonpulley/src/placement/instance-chooser.ts
@@ -56,11 +56,11 @@
 
     /**
      * Returns the cheapest instance with a free slot; a canary request goes to the canary version if one of its
-     * instances can take it. `computeLimit` maps a number of slots to an in-flight limit.
+     * instances can take it. `computeLimit` returns the in-flight limit of an instance.
      */
     choose(
         request: PlacementRequest,
-        computeLimit: (slots: number) => number,
+        computeLimit: (instance: Instance) => number,
     ): InstanceChoice | ChoiceFailure {
         if (request.isCanary) {
             const { versions } = this.options;
@@ -78,7 +78,7 @@
 
     private chooseAmong(
         request: PlacementRequest,
-        computeLimit: (slots: number) => number,
+        computeLimit: (instance: Instance) => number,
         isSuitable: (instance: Instance) => boolean,
     ): InstanceChoice | ChoiceFailure {
         const { directory, loads } = this.options;
@@ -89,7 +89,7 @@
         let freeSlots = 0;
         for (const instance of directory.list()) {
             const free = isSuitable(instance) && this.isCandidate(instance, request)
-                ? computeLimit(instance.slots) - this.countInFlight(instance)
+                ? computeLimit(instance) - this.countInFlight(instance)
                 : 0;
             if (free <= 0) {
                 continue;
--- a/packages/wigeonpulley/src/placement/placement-service.ts
+++ b/packages/wigeonpulley/src/placement/placement-service.ts
@@ -197,7 +197,7 @@
         const now = this.options.timers.now();
         const choice = this.chooser.choose(
             request,
-            slots => reservation.computeInFlightLimit(effectiveRank, slots, now),
+            instance => reservation.computeInFlightLimit(effectiveRank, instance, now),
         );
         if (typeof choice === "string") {
             return choice;
--- a/packages/wigeonpulley/src/rollouts/rollout-service.ts
+++ b/packages/wigeonpulley/src/rollouts/rollout-service.ts
@@ -104,6 +104,13 @@
         }
     }
 
+    /** True while an instance of a version is known for which no order could have been read yet. */
+    get hasUnconfirmedVersion(): boolean {
+        return [...this.versions.values()].some(versions =>
+            [...versions.values()].some(seenAt => seenAt !== "accepted")
+        );
+    }
+
     /** Records that a read of the orders that started at `sentAt` has completed and that its result was applied. */
     recordOrdersRead(sentAt: ClockReading): void {
         for (const versions of this.versions.values()) {
--- a/packages/wigeonpulley/src/routed-vm/index.ts
+++ b/packages/wigeonpulley/src/routed-vm/index.ts
@@ -3,6 +3,7 @@
  * shuts down.
  */
 export { type RoutedDaemonOptions, type RunningRoutedDaemon, startRoutedDaemon } from "./daemon.js";
+export { GossipedFreshness } from "./gossiped-freshness.js";
 export { OperatorServer, type OperatorServerOptions } from "./operator-server.js";
 export { type OperatorRecord, PlatformAdapter } from "./platform-adapter.js";
 export { ReportService } from "./report-service.js";
--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -15,6 +15,7 @@
 import { ActiveConfiguration, computeAgeLimits } from "../routing/index.js";
 import { StoreVmList } from "../store/index.js";
 import type { CancelTimer, TimerService } from "../time/index.js";
+import { GossipedFreshness } from "./gossiped-freshness.js";
 import type { PlatformAdapter } from "./platform-adapter.js";
 import { ReportService } from "./report-service.js";
 import type { Bounds, RoutedSettings } from "./routed-settings.js";
@@ -287,6 +288,7 @@
                 rollouts: this.rollouts,
                 reports: this.reports,
             }),
+            freshness: GossipedFreshness.create(this.activeConfiguration),
             heartbeatMs: HEARTBEAT_MS,
             peerTimeoutMs: PEER_TIMEOUT_MS,
             vmListPollMs: VM_LIST_POLL_MS,
--- a/packages/wigeonpulley/src/routed-vm/store-subscriptions.ts
+++ b/packages/wigeonpulley/src/routed-vm/store-subscriptions.ts
@@ -4,7 +4,7 @@
 import type { RandomSource } from "../random/index.js";
 import type { RolloutService } from "../rollouts/index.js";
 import type { ActiveConfiguration } from "../routing/index.js";
-import { type KeyedRecord, TopicFollower } from "../store/index.js";
+import { FreshnessKeeper, type KeyedRecord, TopicFollower } from "../store/index.js";
 import type { TimerService } from "../time/index.js";
 import type { PlatformAdapter } from "./platform-adapter.js";
 
@@ -19,11 +19,8 @@
     readonly rollouts: RolloutService;
 }
 
-/**
- * Long-poll time of the operators' records, in milliseconds. A longer poll needs fewer reads, but the age of the
- * configuration that it confirms counts from the sending of the read.
- */
-const OPERATOR_LONG_POLL_MS = 1_400;
+/** Long-poll time of the operators' records, in milliseconds. */
+const OPERATOR_LONG_POLL_MS = 4_000;
 /** Pause between reads of the instances, in milliseconds; their records change too often for a long poll. */
 const INSTANCE_PAUSE_MS = 1_000;
 
@@ -31,10 +28,17 @@
 export class StoreSubscriptions {
     private readonly operatorFollower: TopicFollower;
     private readonly instanceFollower: TopicFollower;
+    private readonly freshnessKeeper: FreshnessKeeper;
 
     private constructor(private readonly options: StoreSubscriptionsOptions) {
         this.operatorFollower = this.createOperatorFollower();
         this.instanceFollower = this.createInstanceFollower();
+        this.freshnessKeeper = FreshnessKeeper.create({
+            ...options,
+            getAgeMs: () => options.activeConfiguration.getAgeMs(),
+            isConfirmationAwaited: () => options.rollouts.hasUnconfirmedVersion,
+            refresh: () => this.operatorFollower.refreshWhenAvailable(),
+        });
     }
 
     /** Creates subscriptions that have read nothing. */
@@ -46,12 +50,14 @@
     start(): void {
         this.operatorFollower.start();
         this.instanceFollower.start();
+        this.freshnessKeeper.start();
     }
 
     /** Stops reading. */
     stop(): void {
         this.operatorFollower.stop();
         this.instanceFollower.stop();
+        this.freshnessKeeper.stop();
     }
 
     /** Reads the operators' records at once. Resolves when the read has ended, even if it failed. */
--- a/packages/wigeonpulley/src/routing/active-configuration.ts
+++ b/packages/wigeonpulley/src/routing/active-configuration.ts
@@ -76,6 +76,13 @@
         }
     }
 
+    /** Records that a version was the newest at the time of a reading; has no effect on another active version. */
+    confirmVersion(version: number, reading: ClockReading): void {
+        if (version === this.table?.configuration.version) {
+            this.confirm(reading);
+        }
+    }
+
     /** Tables of the active configuration; undefined before the first one. */
     get routeTable(): RouteTable | undefined {
         return this.table;
--- a/packages/wigeonpulley/src/store/topic-follower.ts
+++ b/packages/wigeonpulley/src/store/topic-follower.ts
@@ -48,6 +48,7 @@
     private storeLostAt: ClockReading | undefined;
     private readonly abortController = new AbortController();
     private ongoingRefresh: Promise<void> | undefined;
+    private lossWaiters: ((hasResponded: false) => void)[] = [];
 
     private constructor(private readonly options: TopicFollowerOptions) {}
 
@@ -74,10 +75,20 @@
         return this.ongoingRefresh;
     }
 
+    /** Reads immediately unless the topic was never read or the store did not respond last time. */
+    refreshWhenAvailable(): void {
+        if (this.nextOffset !== undefined && this.storeLostAt === undefined) {
+            void this.refresh();
+        }
+    }
+
     private async run(): Promise<void> {
         const { timers, longPollMs, pauseMs } = this.options;
         while (!this.abortController.signal.aborted) {
-            const hasResponded = await this.readOnce(longPollMs);
+            // After a failure the first response matters, not the next record.
+            const waitMs = this.storeLostAt === undefined ? longPollMs : 0;
+            // A refresh may find out that the store does not respond while a long poll still waits for it.
+            const hasResponded = await Promise.race([this.readOnce(waitMs), this.waitForLoss()]);
             await timers.sleep(
                 hasResponded ? pauseMs : this.computeRetryDelayMs(),
                 this.abortController.signal,
@@ -137,6 +148,7 @@
                 reason: batch.error.message,
             });
             this.options.listener.handleStoreLost();
+            this.lossWaiters.splice(0).forEach(resolve => resolve(false));
         }
     }
 
@@ -150,6 +162,15 @@
         }
     }
 
+    /** Resolves with false when the store stops responding; never while it is known not to. */
+    private waitForLoss(): Promise<false> {
+        return new Promise(resolve => {
+            if (this.storeLostAt === undefined) {
+                this.lossWaiters = [resolve];
+            }
+        });
+    }
+
     private computeRetryDelayMs(): number {
         const maxDelayMs = Math.min(
             MAX_RETRY_DELAY_MS,
--- a/packages/wigeonpulley/src/time/clock-reading.ts
+++ b/packages/wigeonpulley/src/time/clock-reading.ts
@@ -10,6 +10,11 @@
         return new ClockReading(timers.now(), timers.readWallClock());
     }
 
+    /** Returns the reading that the clocks showed `ms` milliseconds before, if none of them was set since. */
+    createEarlier(ms: number): ClockReading {
+        return new ClockReading(this.monotonicMs - ms, this.wallMs - ms);
+    }
+
     /**
      * Returns the time since this reading, in milliseconds: the larger advance of the two clocks. Suspending the
      * machine stops the monotonic clock but not the wall clock; the wall clock may be set back.
--- a/packages/wigeonpulley/test/placement/rank-queue.test.ts
+++ b/packages/wigeonpulley/test/placement/rank-queue.test.ts
@@ -26,6 +26,8 @@
 const listNames = (queue: RankQueue<NamedRequest>, now: number): readonly string[] =>
     queue.listInDispatchOrder(now).map(({ name }) => name);
 
+const createSlots = (slots: number, id = "i-1") => ({ id, slots });
+
 test("requests are ordered by rank before arrival", () => {
     const queue = createQueue(createRequest("b", 1, 0), createRequest("c", 2, 0), createRequest("a", 0, 50));
     expect(listNames(queue, 100)).toEqual(["a", "b", "c"]);
@@ -54,7 +56,7 @@
 test("on a full engine the best rank finds a slot that the lower ranks left free", () => {
     const reservation = RankReservation.create();
     [0, 1, 2].forEach(rank => reservation.recordRequest(rank, 1_000));
-    const limits = [0, 1, 2].map(rank => reservation.computeInFlightLimit(rank, 12, 1_500));
+    const limits = [0, 1, 2].map(rank => reservation.computeInFlightLimit(rank, createSlots(12), 1_500));
     expect(limits).toEqual([14, 11, 11]);
 });
 
@@ -62,13 +64,29 @@
     const reservation = RankReservation.create();
     reservation.recordRequest(0, 0);
     reservation.recordRequest(2, 5_000);
-    expect(reservation.computeInFlightLimit(2, 12, 5_000)).toBe(13);
+    expect(reservation.computeInFlightLimit(2, createSlots(12), 5_000)).toBe(13);
 });
 
+test.each([2, 6, 9, 10, 18])(
+    "lower ranks leave one slot in twelve free over instances of %i slots",
+    slots => {
+        const reservation = RankReservation.create();
+        [0, 1].forEach(rank => reservation.recordRequest(rank, 0));
+        const count = 600;
+        const limits = Array.from(
+            { length: count },
+            (unused, index) => reservation.computeInFlightLimit(1, createSlots(slots, `i-${index}`), 0),
+        );
+        const reserved = count * slots - limits.reduce((sum, limit) => sum + limit, 0);
+        expect(reserved / (count * slots)).toBeGreaterThan(1 / 14);
+        expect(reserved / (count * slots)).toBeLessThan(1 / 10);
+    },
+);
+
 test("an instance with one slot stays usable for every rank", () => {
     const reservation = RankReservation.create();
     [0, 1, 2, 3].forEach(rank => reservation.recordRequest(rank, 0));
-    expect(reservation.computeInFlightLimit(3, 1, 0)).toBe(1);
+    expect(reservation.computeInFlightLimit(3, createSlots(1), 0)).toBe(1);
 });
 
 test("under lasting overload a starved rank goes before a better one until it has caught up, never before the best", () => {
--- a/packages/wigeonpulley/test/routing/freshness-model.test.ts
+++ b/packages/wigeonpulley/test/routing/freshness-model.test.ts
@@ -7,6 +7,7 @@
     ClockReading,
     computeAgeLimits,
     EventLogger,
+    FreshnessKeeper,
     MemorySink,
     SeededRandom,
     TimerService,
@@ -133,6 +134,13 @@
             refreshConfiguration: () => follower.refresh(),
         });
         follower.start();
+        FreshnessKeeper.create({
+            timers: this.clock,
+            random: SeededRandom.create(1),
+            getAgeMs: () => this.activeConfiguration.getAgeMs(),
+            isConfirmationAwaited: () => false,
+            refresh: () => follower.refreshWhenAvailable(),
+        }).start();
         this.clock.scheduleRepeating(REQUEST_INTERVAL_MS, () => void this.sendRequest());
     }
 
@@ -163,7 +171,7 @@
             timers: this.clock,
             random: SeededRandom.create(1),
             logger: EventLogger.create(MemorySink.create()),
-            longPollMs: 1_400,
+            longPollMs: 4_000,
             pauseMs: 0,
             listener: {
                 applySnapshot: records => records.forEach(({ value }) => this.applyRecord(value)),
@@ -283,8 +291,8 @@
             FreshnessModel.simulate([
                 [10, { kind: "store", condition: slow }],
                 [step, { kind: "suspend", forMs: 5_900 }],
+                [step + 1, { kind: "store", condition: { ...slow, mode: "losing answers" } }],
                 [step + 1, { kind: "revoke" }],
-                [step + 2, { kind: "store", condition: { ...slow, mode: "losing answers" } }],
             ], mutant)
         ));
         expect(Math.max(...outcomes.map(({ latestAdmissionAfterRevokeMs }) => latestAdmissionAfterRevokeMs)))
