--- a/packages/wigeonpulley/src/forwarding/forwarder.ts
+++ b/packages/wigeonpulley/src/forwarding/forwarder.ts
@@ -204,6 +204,7 @@
         const canRetry = isNotRun
             ? progress.notRunSends <= MAX_NOT_RUN_RETRIES
             : isRetryable(request.route) && progress.attempts < request.route.maxAttempts
+                // A response that has started can be continued only as a stream.
                 && (!writer.hasStarted || progress.relay.hasStarted);
         if (canRetry && this.options.retryBudget.tryRetry(request.service)) {
             this.options.logger.write("RequestRepeated", {
--- a/packages/wigeonpulley/src/store/topic-follower.ts
+++ b/packages/wigeonpulley/src/store/topic-follower.ts
@@ -162,7 +162,7 @@
         }
     }
 
-    /** Resolves with false when the store stops responding; never while it is known not to. */
+    /** Resolves with false as soon as any read finds that the store stopped responding; never if that is known already. */
     private waitForLoss(): Promise<false> {
         return new Promise(resolve => {
             if (this.storeLostAt === undefined) {
