--- a/packages/wigeonpulley/src/placement/rank-fairness.ts
+++ b/packages/wigeonpulley/src/placement/rank-fairness.ts
@@ -125,14 +125,14 @@
                 ? MIN_SHARE_DEFICIT
                 : MIN_WORKSPACE_SHARE_DEFICIT;
             return other < rank && !isBest(other)
-                && this.isGuaranteed(rank, other, now)
+                && this.canBeMovedAhead(rank, other, now)
                 && (this.computeServedShare(other, now) ?? 0) > share + minDeficit;
         });
         return ahead.length === 0 ? rank : Math.min(...ahead) - HALF_RANK;
     }
 
-    /** False for a rank of long requests that was served often enough over a longer time. */
-    private isGuaranteed(rank: number, betterRank: number, now: number): boolean {
+    /** False for a rank of long requests that was served often enough over a longer time to yield to the better rank. */
+    private canBeMovedAhead(rank: number, betterRank: number, now: number): boolean {
         const { slotTimeMs, longTerm } = this.getStatistics(rank);
         const { slotTimeMs: betterSlotTimeMs } = this.getStatistics(betterRank);
         return getWorkspaceRank(rank) !== getWorkspaceRank(betterRank)
