Log which prompt blocks were running when an instance closes a connection

Change: event 508 names request, instance, relayed events and prompt blocks. Failures of an exchange say whether the endpoint closed the connection, as against timeouts, refused connections and this VM's own aborts.

--- a/packages/wigeonpulley/src/forwarding/attempt.ts
+++ b/packages/wigeonpulley/src/forwarding/attempt.ts
@@ -1,4 +1,5 @@
 /** One attempt: a request sent to one instance, and the relay of its response to the caller. */
+import type { EventLogger } from "../logging/index.js";
 import type { Placement, RequestOutcome } from "../placement/index.js";
 import type { TimerService } from "../time/index.js";
 import {
@@ -28,6 +29,8 @@
         readonly kind: "failed";
         readonly reason: string;
         readonly status: number;
+        /** True when the endpoint closed the connection before its response was complete. */
+        readonly isConnectionLost: boolean;
         /** Sends the endpoint's own error response to the caller; undefined when there is none. */
         readonly forwardResponse: (() => void) | undefined;
     };
@@ -35,6 +38,7 @@
 /** Dependencies of an attempt. */
 export interface AttemptOptions {
     readonly timers: TimerService;
+    readonly logger: EventLogger;
     readonly codec: HeaderCodec;
     readonly transport: EndpointTransport;
     readonly request: RoutedRequest;
@@ -65,12 +69,15 @@
 export class Attempt {
     private readonly exchange: EndpointExchange;
     private readonly startedAt: number;
+    /** Events that earlier attempts had relayed. */
+    private readonly eventsBefore: number;
     private progressAt: number;
     private isFinished = false;
 
     private constructor(private readonly options: AttemptOptions) {
         this.startedAt = options.timers.now();
         this.progressAt = this.startedAt;
+        this.eventsBefore = options.relay.eventCount;
         this.exchange = this.send();
     }
 
@@ -86,6 +93,7 @@
         this.abortWhenSilent();
         try {
             const outcome = await this.relayResponse();
+            this.logConnectionLoss(outcome);
             placement.release(this.computeRequestOutcome(outcome), "reason" in outcome ? outcome.reason : "");
             return outcome;
         }
@@ -162,11 +170,10 @@
         const { relay, writer, placement, timers } = this.options;
         let hasStarted = false;
         let isEventGapRecorded = false;
-        const eventsBefore = relay.eventCount;
         for (;;) {
             const chunk = await this.exchange.readChunk();
             if (isExchangeFailure(chunk)) {
-                return createFailedOutcome(chunk.reason);
+                return createFailedOutcome(chunk.reason, chunk.isConnectionLost);
             }
             if (chunk === undefined) {
                 break;
@@ -178,9 +185,9 @@
                 relay.startResponse(head);
             }
             await relay.push(chunk);
-            if (!isEventGapRecorded && relay.eventCount - eventsBefore >= EARLY_EVENT_COUNT) {
+            if (!isEventGapRecorded && this.relayedEvents >= EARLY_EVENT_COUNT) {
                 isEventGapRecorded = true;
-                placement.recordEvents(relay.eventCount - eventsBefore);
+                placement.recordEvents(this.relayedEvents);
             }
         }
         if (!hasStarted) {
@@ -190,7 +197,7 @@
             return createFailedOutcome("the stream ended within an event");
         }
         writer.finish();
-        placement.recordEvents(relay.eventCount - eventsBefore);
+        placement.recordEvents(this.relayedEvents);
         return { kind: "answered", status: head.status };
     }
 
@@ -205,7 +212,7 @@
         for (;;) {
             const chunk = await this.exchange.readChunk();
             if (isExchangeFailure(chunk)) {
-                return createFailedOutcome(chunk.reason);
+                return createFailedOutcome(chunk.reason, chunk.isConnectionLost);
             }
             if (chunk === undefined) {
                 break;
@@ -226,6 +233,7 @@
                 kind: "failed",
                 reason: `status ${head.status}`,
                 status: head.status,
+                isConnectionLost: false,
                 forwardResponse: sendResponse,
             };
         }
@@ -240,7 +248,7 @@
         for (;;) {
             const chunk = await this.exchange.readChunk();
             if (isExchangeFailure(chunk)) {
-                return createFailedOutcome(chunk.reason);
+                return createFailedOutcome(chunk.reason, chunk.isConnectionLost);
             }
             if (chunk === undefined) {
                 writer.finish();
@@ -251,6 +259,25 @@
         }
     }
 
+    /** Number of events that this attempt has relayed. */
+    private get relayedEvents(): number {
+        return this.options.relay.eventCount - this.eventsBefore;
+    }
+
+    private logConnectionLoss(outcome: AttemptOutcome): void {
+        if (outcome.kind !== "failed" || !outcome.isConnectionLost) {
+            return;
+        }
+        const { logger, request, placement } = this.options;
+        logger.write("InstanceConnectionLost", {
+            id: request.metadata.attemptId,
+            instance: placement.instance.id,
+            reason: outcome.reason,
+            events: this.relayedEvents,
+            promptBlocks: request.metadata.promptBlocks.map(({ id }) => id).join(","),
+        });
+    }
+
     /** Aborts the exchange of a retryable request when the instance sends nothing for too long. */
     private abortWhenSilent(): void {
         const { timers, request } = this.options;
@@ -276,8 +303,10 @@
         timers.schedule(limitMs, check);
     }
 
-    private createExchangeOutcome({ mayHaveRun, reason }: ExchangeFailure): AttemptOutcome {
-        return mayHaveRun ? createFailedOutcome(reason) : { kind: "not-run", reason, isFull: false };
+    private createExchangeOutcome({ mayHaveRun, isConnectionLost, reason }: ExchangeFailure): AttemptOutcome {
+        return mayHaveRun
+            ? createFailedOutcome(reason, isConnectionLost)
+            : { kind: "not-run", reason, isFull: false };
     }
 
     /** Returns the outcome that placement records; undefined when a cancelled request says nothing about the instance. */
@@ -299,10 +328,11 @@
     }
 }
 
-const createFailedOutcome = (reason: string): AttemptOutcome => ({
+const createFailedOutcome = (reason: string, isConnectionLost = false): AttemptOutcome => ({
     kind: "failed",
     reason,
     status: 0,
+    isConnectionLost,
     forwardResponse: undefined,
 });
 
--- a/packages/wigeonpulley/src/forwarding/endpoint-transport.ts
+++ b/packages/wigeonpulley/src/forwarding/endpoint-transport.ts
@@ -25,6 +25,8 @@
 export interface ExchangeFailure {
     /** False when the request provably never left this VM. */
     readonly mayHaveRun: boolean;
+    /** True when the endpoint closed or reset the connection after the request was sent. */
+    readonly isConnectionLost: boolean;
     readonly reason: string;
 }
 
--- a/packages/wigeonpulley/src/forwarding/undici-transport.ts
+++ b/packages/wigeonpulley/src/forwarding/undici-transport.ts
@@ -14,6 +14,8 @@
 import type { ParsedHeaders } from "./header-codec.js";
 
 const FIRST_FINAL_STATUS = 200;
+/** Codes of errors that end a connection from the endpoint's side, as undici and Node.js report them. */
+const CONNECTION_LOST_CODES = new Set(["UND_ERR_SOCKET", "ECONNRESET", "EPIPE"]);
 /** Buffered bytes of a response above which reading from the endpoint pauses until a slow caller catches up. */
 const HIGH_WATER_MARK_BYTES = 65_536;
 
@@ -88,7 +90,8 @@
         while (this.head === undefined && this.failure === undefined) {
             await this.waitForChange();
         }
-        return this.head ?? this.failure ?? { mayHaveRun: true, reason: "no answer" };
+        return this.head ?? this.failure
+            ?? { mayHaveRun: true, isConnectionLost: false, reason: "no answer" };
     }
 
     override async readChunk(): Promise<Buffer | undefined | ExchangeFailure> {
@@ -112,7 +115,7 @@
 
     override abort(reason: string): void {
         if (!this.isComplete) {
-            this.fail(reason);
+            this.fail(reason, false);
         }
     }
 
@@ -142,7 +145,7 @@
             },
             onResponseEnd: () => {
                 if (this.connection.failure !== undefined) {
-                    this.fail(describeCause(this.connection.failure));
+                    this.fail(describeCause(this.connection.failure), true);
                 }
                 else if (this.failure === undefined) {
                     this.isComplete = true;
@@ -150,13 +153,14 @@
                     this.notify();
                 }
             },
-            onResponseError: (controller, cause) => this.fail(describeCause(cause)),
+            onResponseError: (controller, cause) => this.fail(describeCause(cause), isConnectionLoss(cause)),
         };
     }
 
-    private fail(reason: string): void {
+    private fail(reason: string, isConnectionLost: boolean): void {
         if (this.failure === undefined && !this.isComplete) {
-            this.failure = { mayHaveRun: this.controller !== undefined, reason };
+            const mayHaveRun = this.controller !== undefined;
+            this.failure = { mayHaveRun, isConnectionLost: mayHaveRun && isConnectionLost, reason };
             this.releaseOnce(false);
             this.notify();
         }
@@ -180,3 +184,6 @@
         this.wake = undefined;
     }
 }
+
+const isConnectionLoss = (cause: Error): boolean =>
+    "code" in cause && typeof cause.code === "string" && CONNECTION_LOST_CODES.has(cause.code);
--- a/packages/wigeonpulley/src/logging/event-catalogue.ts
+++ b/packages/wigeonpulley/src/logging/event-catalogue.ts
@@ -242,6 +242,15 @@
         "info",
         ({ instance }) => `instance ${instance} is trusted again`,
     ),
+    InstanceConnectionLost: defineEvent<
+        { id: string; instance: string; reason: string; events: number; promptBlocks: string; }
+    >(
+        508,
+        "info",
+        ({ id, instance, reason, events, promptBlocks }) =>
+            `instance ${instance} closed the connection of request ${id} after ${events} events (${reason}); `
+            + `prompt blocks: ${promptBlocks}`,
+    ),
     RolloutOrdered: defineEvent<{ service: string; version: string; durationMs: number; }>(
         701,
         "info",
