--- a/packages/wigeonpulley/src/forwarding/endpoint-transport.ts
+++ b/packages/wigeonpulley/src/forwarding/endpoint-transport.ts
@@ -19,6 +19,8 @@
     readonly status: number;
     readonly statusText: string;
     readonly headers: ParsedHeaders;
+    /** True when the body has neither a length nor chunks, so that only the end of the connection ends it. */
+    readonly endsWithConnection: boolean;
 }
 
 /** Why an exchange failed. */
--- a/packages/wigeonpulley/src/forwarding/undici-transport.ts
+++ b/packages/wigeonpulley/src/forwarding/undici-transport.ts
@@ -131,7 +131,13 @@
             },
             onResponseStart: (controller, status, headers, statusText) => {
                 if (status >= FIRST_FINAL_STATUS) {
-                    this.head = { status, statusText: statusText ?? "", headers: headers as ParsedHeaders };
+                    this.head = {
+                        status,
+                        statusText: statusText ?? "",
+                        headers: headers as ParsedHeaders,
+                        endsWithConnection: headers["content-length"] === undefined
+                            && headers["transfer-encoding"] === undefined,
+                    };
                     this.notify();
                 }
             },
--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -63,6 +63,7 @@
     readonly directory: InstanceDirectory;
     readonly placement: PlacementService;
     readonly membership: MembershipService;
+    readonly forwarder: Forwarder;
     readonly frontServer: FrontServer;
     readonly quotaLimiter: SharedQuotaLimiter;
     readonly rollouts: RolloutService;
@@ -108,6 +109,7 @@
             directory: this.directory,
             rollouts: this.rollouts,
         });
+        this.forwarder = this.createForwarder();
         this.frontServer = this.createFrontServer();
     }
 
@@ -116,9 +118,14 @@
         return new RoutedVm(options);
     }
 
+    /** Starts reading the store. */
+    startReading(): void {
+        this.subscriptions.start();
+    }
+
     /** Starts reading the store and serving callers; `listener` may already listen on their address. */
     async startServing(listener?: Server): Promise<void> {
-        this.subscriptions.start();
+        this.startReading();
         await this.frontServer.listen(listener);
     }
 
@@ -296,19 +303,31 @@
         });
     }
 
-    private createFrontServer(): FrontServer {
-        const { settings, timers, random, logger, metrics, adapter, transport } = this.options;
-        const { listen, memoryMb, mostDescriptors } = settings;
-        const [host = "", port = "0"] = listen.callers.split(":");
-        const retryBudget = SharedRetryBudget.create({
+    private createForwarder(): Forwarder {
+        const { timers, logger, adapter, transport } = this.options;
+        return Forwarder.create({
             timers,
-            getLimits: () => ({
-                ratio: this.bounds.repeatRatio,
-                extra: this.bounds.repeatExtra,
-                windowMs: this.bounds.repeatWindowS * MS_PER_S,
+            logger,
+            codec: adapter.headerCodec,
+            transport,
+            placement: this.placement,
+            versions: this.rollouts,
+            retryBudget: SharedRetryBudget.create({
+                timers,
+                getLimits: () => ({
+                    ratio: this.bounds.repeatRatio,
+                    extra: this.bounds.repeatExtra,
+                    windowMs: this.bounds.repeatWindowS * MS_PER_S,
+                }),
+                countVms: () => this.membership.listMembers().length,
             }),
-            countVms: () => this.membership.listMembers().length,
         });
+    }
+
+    private createFrontServer(): FrontServer {
+        const { settings, timers, random, logger, metrics, adapter } = this.options;
+        const { listen, memoryMb, mostDescriptors } = settings;
+        const [host = "", port = "0"] = listen.callers.split(":");
         return FrontServer.create({
             timers,
             random,
@@ -316,15 +335,7 @@
             metrics,
             codec: adapter.headerCodec,
             activeConfiguration: this.activeConfiguration,
-            forwarder: Forwarder.create({
-                timers,
-                logger,
-                codec: adapter.headerCodec,
-                transport,
-                placement: this.placement,
-                versions: this.rollouts,
-                retryBudget,
-            }),
+            forwarder: this.forwarder,
             quotaLimiter: this.quotaLimiter,
             host,
             port: Number(port),
