Quarantine prompt blocks under which engines crash

Cause: instances are judged by their failures, requests never. A request that ends its engine looks like any request of a failing instance, so the next one with the same block is placed at the next engine. The class of the fault is a poison request that a load balancer carries through its whole pool.

Ruled out: engines that end under load (2 to 5 requests on 12 slots) and repeats (the route has one attempt).

Change: the new domain quarantine/ keeps for each shared block which instances closed a connection before the response had begun properly, and when a request with the block was last answered. Three instances without an answer (six, over two seconds, for a block that was answered lately) quarantine the block for ten minutes; an answer ends that. Requests with the block get 503 with a Retry-After and are not sent. VMs share losses, answers and quarantines with their digests, and quarantines outlast them in a topic of the store, which is read with a long poll of 20 s. An answer only counts when it was asked for, so that a delayed report can't make it look newer than a crash. A resumable request is not retried after a loss while one of its blocks is suspicious.

An unframed response that ends within an event, or before its first one, counts as lost with its connection.

Why this works: the evidence of all VMs is complete within two gossip rounds, a second before a VM decides, and the bound of the platform is four seconds.

--- a/packages/wigeonpulley/src/errors/error-catalogue.ts
+++ b/packages/wigeonpulley/src/errors/error-catalogue.ts
@@ -257,6 +257,15 @@
         status: 429,
         notRun: true,
     }),
+    PromptQuarantined: defineError<{ block: string; }>({
+        title: "A part of the prompt is quarantined.",
+        message: ({ block }) =>
+            `Engines crashed under requests with prompt block ${block}; the request did not run.`,
+        hint:
+            "Send no request with this block before the time in Retry-After; operators find its crashes in the logs.",
+        status: 503,
+        notRun: true,
+    }),
     InvalidPlatformEntry: defineError<{ entry: string; reason: string; }>({
         title: "An entry of the platform can't be read.",
         message: ({ entry, reason }) => `The entry ${entry} can't be read: ${reason}`,
--- a/packages/wigeonpulley/src/forwarding/attempt.ts
+++ b/packages/wigeonpulley/src/forwarding/attempt.ts
@@ -1,6 +1,7 @@
 /** One attempt: a request sent to one instance, and the relay of its response to the caller. */
 import type { EventLogger } from "../logging/index.js";
 import type { Placement, RequestOutcome } from "../placement/index.js";
+import type { PromptQuarantine } from "../quarantine/index.js";
 import type { TimerService } from "../time/index.js";
 import {
     type EndpointExchange,
@@ -45,6 +46,7 @@
     readonly writer: ResponseWriter;
     readonly relay: StreamRelay;
     readonly placement: Placement;
+    readonly quarantine: PromptQuarantine;
 }
 
 /** Longest response that is buffered before it is sent to the caller; a longer one is relayed as it arrives. */
@@ -58,6 +60,11 @@
 const UNRESPONSIVE_MS = 1_500;
 /** Events after which a stream reports its event gap to the latency model without waiting for its end. */
 const EARLY_EVENT_COUNT = 8;
+/**
+ * Events of an engine's response that clear the blocks of its prompt. An engine that crashes under a block crashes as it
+ * begins to answer.
+ */
+const CLEARING_EVENT_COUNT = 4;
 const HTTP_OK = 200;
 const HTTP_REDIRECT = 300;
 const HTTP_SERVER_ERROR = 500;
@@ -73,6 +80,7 @@
     private readonly eventsBefore: number;
     private progressAt: number;
     private isFinished = false;
+    private isPromptCleared = false;
 
     private constructor(private readonly options: AttemptOptions) {
         this.startedAt = options.timers.now();
@@ -93,7 +101,7 @@
         this.abortWhenSilent();
         try {
             const outcome = await this.relayResponse();
-            this.logConnectionLoss(outcome);
+            this.recordConnectionLoss(outcome);
             placement.release(this.computeRequestOutcome(outcome), "reason" in outcome ? outcome.reason : "");
             return outcome;
         }
@@ -185,16 +193,25 @@
                 relay.startResponse(head);
             }
             await relay.push(chunk);
+            if (this.relayedEvents >= CLEARING_EVENT_COUNT) {
+                this.clearPrompt();
+            }
             if (!isEventGapRecorded && this.relayedEvents >= EARLY_EVENT_COUNT) {
                 isEventGapRecorded = true;
                 placement.recordEvents(this.relayedEvents);
             }
         }
+        if (!hasStarted && head.endsWithConnection && !this.isResumed) {
+            return createFailedOutcome("the connection ended before the first event", true);
+        }
         if (!hasStarted) {
             relay.startResponse(head);
         }
         if (!relay.isBetweenEvents) {
-            return createFailedOutcome("the stream ended within an event");
+            return createFailedOutcome("the stream ended within an event", head.endsWithConnection);
+        }
+        if (!head.endsWithConnection) {
+            this.clearPrompt();
         }
         writer.finish();
         placement.recordEvents(this.relayedEvents);
@@ -226,6 +243,9 @@
         }
         placement.recordFirstEvent();
         placement.recordResponse();
+        if (!head.endsWithConnection) {
+            this.clearPrompt();
+        }
         const hasBody = request.method !== "HEAD" && !BODILESS_STATUSES.has(head.status);
         const sendResponse = (): void => writer.sendComplete(head, Buffer.concat(chunks), hasBody);
         if (head.status >= HTTP_SERVER_ERROR) {
@@ -259,16 +279,33 @@
         }
     }
 
+    /** True when the endpoint was asked to go on after an event, so that no event may be left. */
+    private get isResumed(): boolean {
+        const { relay, request } = this.options;
+        return relay.lastEventId !== undefined || request.metadata.lastEventId !== undefined;
+    }
+
     /** Number of events that this attempt has relayed. */
     private get relayedEvents(): number {
         return this.options.relay.eventCount - this.eventsBefore;
     }
 
-    private logConnectionLoss(outcome: AttemptOutcome): void {
+    /** Records that the instance answers the request, which shows that its prompt does no harm. */
+    private clearPrompt(): void {
+        if (!this.isPromptCleared) {
+            this.isPromptCleared = true;
+            this.options.quarantine.recordAnswer(this.options.request.metadata.promptBlocks);
+        }
+    }
+
+    private recordConnectionLoss(outcome: AttemptOutcome): void {
         if (outcome.kind !== "failed" || !outcome.isConnectionLost) {
             return;
         }
-        const { logger, request, placement } = this.options;
+        const { logger, request, placement, quarantine } = this.options;
+        if (!this.isPromptCleared) {
+            quarantine.recordLoss(request.metadata.promptBlocks, placement.instance);
+        }
         logger.write("InstanceConnectionLost", {
             id: request.metadata.attemptId,
             instance: placement.instance.id,
--- a/packages/wigeonpulley/src/forwarding/forwarder.ts
+++ b/packages/wigeonpulley/src/forwarding/forwarder.ts
@@ -5,6 +5,7 @@
 import { SchedulerError } from "../errors/index.js";
 import type { EventLogger } from "../logging/index.js";
 import type { Placement, PlacementService, VersionPolicy } from "../placement/index.js";
+import type { PromptQuarantine } from "../quarantine/index.js";
 import type { TimerService } from "../time/index.js";
 import type { RetryBudget } from "./admission-limits.js";
 import { Attempt, type AttemptOutcome } from "./attempt.js";
@@ -30,6 +31,7 @@
     readonly placement: PlacementService;
     readonly versions: VersionPolicy;
     readonly retryBudget: RetryBudget;
+    readonly quarantine: PromptQuarantine;
 }
 
 /** How a request ended. */
@@ -108,7 +110,8 @@
             isCanary: this.options.versions.chooseCanary(request.service),
         };
         for (;;) {
-            const placement = await this.acquire(request, progress);
+            const placement = this.findQuarantineError(request, progress)
+                ?? await this.acquireUnlessQuarantined(request, progress);
             if (placement instanceof SchedulerError) {
                 return this.finishWithError(
                     writer,
@@ -124,6 +127,34 @@
         }
     }
 
+    /** Waits for an instance; a block may be quarantined meanwhile. */
+    private async acquireUnlessQuarantined(
+        request: RoutedRequest,
+        progress: RequestProgress,
+    ): Promise<Placement | SchedulerError> {
+        const placement = await this.acquire(request, progress);
+        const error = this.findQuarantineError(request, progress);
+        if (placement instanceof SchedulerError || error === undefined) {
+            return placement;
+        }
+        placement.release(undefined, error.message);
+        return error;
+    }
+
+    private findQuarantineError(
+        { metadata }: RoutedRequest,
+        progress: RequestProgress,
+    ): SchedulerError | undefined {
+        const quarantined = this.options.quarantine.findQuarantined(metadata.promptBlocks);
+        if (quarantined === undefined) {
+            return undefined;
+        }
+        const { block, remainingMs: retryAfterMs } = quarantined;
+        const error = SchedulerError.create("PromptQuarantined", { block }, { retryAfterMs });
+        progress.reason = error.message;
+        return error;
+    }
+
     private async acquire(
         request: RoutedRequest,
         progress: RequestProgress,
@@ -205,7 +236,9 @@
             ? progress.notRunSends <= MAX_NOT_RUN_RETRIES
             : isRetryable(request.route) && progress.attempts < request.route.maxAttempts
                 // A response that has started can be continued only as a stream.
-                && (!writer.hasStarted || progress.relay.hasStarted);
+                && (!writer.hasStarted || progress.relay.hasStarted)
+                && !(outcome.isConnectionLost
+                    && this.options.quarantine.isSuspicious(request.metadata.promptBlocks));
         if (canRetry && this.options.retryBudget.tryRetry(request.service)) {
             this.options.logger.write("RequestRepeated", {
                 id: request.metadata.attemptId,
@@ -244,7 +277,9 @@
         if (cancelReason !== undefined) {
             return this.createCancelError(cancelReason, progress);
         }
-        return progress.attempts === 0 || isRetryable(request.route) && !progress.relay.eventCount
+        const canRefuse = error.name !== "PromptQuarantined" && isRetryable(request.route)
+            && !progress.relay.eventCount;
+        return progress.attempts === 0 || canRefuse
             ? error
             : this.createFailure(progress, error.message);
     }
--- a/packages/wigeonpulley/src/logging/event-catalogue.ts
+++ b/packages/wigeonpulley/src/logging/event-catalogue.ts
@@ -251,6 +251,18 @@
             `instance ${instance} closed the connection of request ${id} after ${events} events (${reason}); `
             + `prompt blocks: ${promptBlocks}`,
     ),
+    PromptBlockQuarantined: defineEvent<{ block: string; instances: number; ageMs: number; }>(
+        509,
+        "warn",
+        ({ block, instances, ageMs }) =>
+            `prompt block ${block} is quarantined: ${instances} instances closed connections under it, the last one ${ageMs} ms `
+            + `ago (0 instances: learned from another VM or the store)`,
+    ),
+    PromptBlockReleased: defineEvent<{ block: string; reason: string; }>(
+        510,
+        "warn",
+        ({ block, reason }) => `prompt block ${block} is no longer quarantined: ${reason}`,
+    ),
     RolloutOrdered: defineEvent<{ service: string; version: string; durationMs: number; }>(
         701,
         "info",
--- a/packages/wigeonpulley/src/membership/index.ts
+++ b/packages/wigeonpulley/src/membership/index.ts
@@ -9,5 +9,6 @@
     type MembershipOptions,
     MembershipService,
     type OwnerLocation,
+    PromptBlockGossip,
     ReportGossip,
 } from "./membership-service.js";
--- a/packages/wigeonpulley/src/membership/membership-service.ts
+++ b/packages/wigeonpulley/src/membership/membership-service.ts
@@ -11,6 +11,7 @@
     MemberDigestSchema,
     type MemberState,
     MemberStateSchema,
+    type PromptBlockReport,
 } from "../gen/wigeonpulley/peer/v1/peer_pb.js";
 import { chooseByRendezvous } from "../hashing/index.js";
 import type { EventLogger } from "../logging/index.js";
@@ -38,6 +39,15 @@
     abstract confirm(version: number, reading: ClockReading): void;
 }
 
+/** Evidence about prompt blocks that VMs send with their digests. */
+export abstract class PromptBlockGossip {
+    /** Returns what the other VMs should know. */
+    abstract createReports(): readonly PromptBlockReport[];
+
+    /** Applies received reports; `askedAt` is the monotonic time of asking for them, undefined if they came unasked. */
+    abstract applyReports(reports: readonly PromptBlockReport[], askedAt: number | undefined): void;
+}
+
 /** Options of the service. */
 export interface MembershipOptions {
     readonly self: VmListEntry;
@@ -50,6 +60,8 @@
     readonly reports?: ReportGossip;
     /** Confirmations of the configuration sent with the digests; none when absent. */
     readonly freshness?: ConfigurationFreshness;
+    /** Evidence about prompt blocks sent with the digests; none when absent. */
+    readonly promptBlocks?: PromptBlockGossip;
     /** Interval between gossip rounds. */
     readonly heartbeatMs: number;
     /** Time within which a suspected VM can deny the suspicion. */
@@ -224,7 +236,7 @@
 
     /** Merges a peer's digest and returns this VM's. */
     handleDigest(digest: MemberDigest): MemberDigest {
-        this.merge(digest);
+        this.merge(digest, undefined);
         return this.createDigest();
     }
 
@@ -256,7 +268,7 @@
         const startedAt = ClockReading.create(this.options.timers);
         const response = await this.options.transport.exchangeDigests(peer, this.createDigest());
         if (response.isOk()) {
-            this.merge(response.value);
+            this.merge(response.value, startedAt.monotonicMs);
             this.confirmConfiguration(response.value, startedAt);
         }
         else {
@@ -284,6 +296,7 @@
             sender: this.options.self.name,
             members: [this.self, ...this.table.consumeChanges(MAX_DIGEST_CHANGES)],
             reports: [...this.options.reports?.createReports(this.incarnation) ?? []],
+            promptBlocks: [...this.options.promptBlocks?.createReports() ?? []],
         });
     }
 
@@ -298,7 +311,8 @@
         this.self = create(MemberStateSchema, { ...this.self, ...change, revision: this.self.revision + 1 });
     }
 
-    private merge(digest: MemberDigest): void {
+    /** Merges a digest; `askedAt` is the monotonic time of asking for it, undefined if it came unasked. */
+    private merge(digest: MemberDigest, askedAt: number | undefined): void {
         const now = this.options.timers.now();
         for (const state of digest.members) {
             if (state.name !== this.options.self.name) {
@@ -311,6 +325,7 @@
         }
         this.table.recordContact(digest.sender, now);
         this.options.reports?.applyReports(digest.reports);
+        this.options.promptBlocks?.applyReports(digest.promptBlocks, askedAt);
         this.notifyIfChanged();
     }
 
--- /dev/null
+++ b/packages/wigeonpulley/src/quarantine/quarantine-store.ts
@@ -0,0 +1,158 @@
+/** Keeps quarantines in the store, so that they outlast the VMs and reach those that no other VM can reach. */
+import { Err, Ok, type Result } from "ts-results-es";
+import * as z from "zod";
+import { SchedulerError } from "../errors/index.js";
+import type { EventLogger } from "../logging/index.js";
+import type { RandomSource } from "../random/index.js";
+import { type KeyedRecord, type KeyedStore, TopicFollower } from "../store/index.js";
+import type { TimerService } from "../time/index.js";
+import type { PromptQuarantine } from "./prompt-quarantine.js";
+import { QUARANTINE_MS } from "./suspect-block.js";
+
+/** Dependencies of the store. */
+export interface QuarantineStoreOptions {
+    readonly vm: string;
+    readonly timers: TimerService;
+    readonly random: RandomSource;
+    readonly logger: EventLogger;
+    readonly store: KeyedStore;
+    readonly quarantine: PromptQuarantine;
+}
+
+/** Long-poll time, in milliseconds; records change rarely. */
+const LONG_POLL_MS = 20_000;
+/** Pause after each read, in milliseconds. */
+const PAUSE_MS = 250;
+/** Longest random delay before a write, in milliseconds: usually another VM has written by then. */
+const MAX_WRITE_DELAY_MS = 600;
+const RETRY_DELAY_MS = 1_500;
+/** Time after which the record of an ended quarantine is removed, in milliseconds. */
+const MAX_RECORD_AGE_MS = 3 * QUARANTINE_MS;
+
+const recordSchema = z.object({
+    /** Wall-clock time, in milliseconds since 1970-01-01 UTC. */
+    quarantinedSince: z.number(),
+    /** VM that wrote the record. */
+    vm: z.string(),
+});
+
+/** Records of one VM's quarantine. */
+export class QuarantineStore {
+    private readonly follower: TopicFollower;
+    /** Wall-clock time since which each stored block is quarantined, in milliseconds. */
+    private readonly stored = new Map<string, number>();
+    private readonly abortController = new AbortController();
+
+    private constructor(private readonly options: QuarantineStoreOptions) {
+        this.follower = this.createFollower();
+        options.quarantine.subscribe((block, isQuarantined) =>
+            void (isQuarantined ? this.write(block) : this.remove(block))
+        );
+    }
+
+    /** Creates a store that has read nothing. */
+    static create(options: QuarantineStoreOptions): QuarantineStore {
+        return new QuarantineStore(options);
+    }
+
+    /** Starts to follow the records. */
+    start(): void {
+        this.follower.start();
+    }
+
+    /** Stops reading and writing. */
+    stop(): void {
+        this.abortController.abort();
+        this.follower.stop();
+    }
+
+    private createFollower(): TopicFollower {
+        const apply = (records: readonly KeyedRecord[]): void =>
+            records.forEach(record => this.applyRecord(record));
+        return TopicFollower.create({
+            ...this.options,
+            topic: "quarantine",
+            longPollMs: LONG_POLL_MS,
+            pauseMs: PAUSE_MS,
+            listener: {
+                applySnapshot: apply,
+                applyChanges: apply,
+                confirm: () => undefined,
+                handleStoreLost: () => undefined,
+                handleStoreRecovered: () => undefined,
+            },
+        });
+    }
+
+    private applyRecord({ key, value }: KeyedRecord): void {
+        const { timers, logger, quarantine } = this.options;
+        if (value === undefined || value.length === 0) {
+            this.stored.delete(key);
+            quarantine.removeStored(key);
+            return;
+        }
+        const record = parseRecord(key, value);
+        if (record.isErr()) {
+            logger.writeError(record.error);
+            return;
+        }
+        const { quarantinedSince } = record.value;
+        const ageMs = timers.readWallClock() - quarantinedSince;
+        this.stored.set(key, quarantinedSince);
+        if (ageMs > MAX_RECORD_AGE_MS) {
+            void this.remove(key);
+        }
+        else {
+            // The clock of the writer may be ahead of this one.
+            quarantine.applyStored(key, timers.now() - Math.max(0, ageMs));
+        }
+    }
+
+    /** Writes a record unless another VM has written one; repeats a write that failed. */
+    private async write(block: string): Promise<void> {
+        const { vm, timers, random, logger, store } = this.options;
+        const { signal } = this.abortController;
+        const quarantinedSince = timers.readWallClock();
+        const value = Buffer.from(JSON.stringify({ quarantinedSince, vm }));
+        await timers.sleep(random.pickFraction() * MAX_WRITE_DELAY_MS, signal);
+        while (!signal.aborted && !this.isStored(block, quarantinedSince)) {
+            const outcome = await store.put("quarantine", block, value);
+            if (outcome.isOk()) {
+                return;
+            }
+            logger.writeError(outcome.error);
+            await timers.sleep(RETRY_DELAY_MS * (1 + random.pickFraction()), signal);
+        }
+    }
+
+    private isStored(block: string, quarantinedSince: number): boolean {
+        return (this.stored.get(block) ?? Number.NEGATIVE_INFINITY) > quarantinedSince - QUARANTINE_MS / 2;
+    }
+
+    private async remove(block: string): Promise<void> {
+        if (this.stored.delete(block)) {
+            const outcome = await this.options.store.put("quarantine", block, undefined);
+            if (outcome.isErr()) {
+                this.options.logger.writeError(outcome.error);
+            }
+        }
+    }
+}
+
+const parseRecord = (
+    key: string,
+    value: Buffer,
+): Result<z.infer<typeof recordSchema>, SchedulerError> => {
+    const fail = (reason: string): Result<never, SchedulerError> =>
+        Err(SchedulerError.create("InvalidPlatformEntry", { entry: `quarantine/${key}`, reason }));
+    try {
+        const parsed = recordSchema.safeParse(JSON.parse(value.toString()));
+        return parsed.success ? Ok(parsed.data) : fail(parsed.error.issues[0]?.message ?? "");
+    }
+    catch (cause) {
+        if (cause instanceof SyntaxError) {
+            return fail(cause.message);
+        }
+        throw SchedulerError.fromUnknown(cause);
+    }
+};
--- /dev/null
+++ b/packages/wigeonpulley/src/quarantine/suspect-block.ts
@@ -0,0 +1,140 @@
+/** Evidence for and against one prompt block. All times are monotonic, in milliseconds. */
+
+/** Duration of a quarantine, in milliseconds. */
+export const QUARANTINE_MS = 600_000;
+/** Time after a quarantine in which a single lost response renews it, in milliseconds. */
+const PROBATION_MS = 600_000;
+/** Time for which a lost response counts as evidence, in milliseconds. */
+const LOSS_WINDOW_MS = 60_000;
+/** Instances that have to lose responses with a block that nobody has seen answered. */
+const MIN_INSTANCES = 3;
+/**
+ * The same for a block that was answered recently, and the time over which the losses have to be spread: connections to
+ * many instances that break at the same moment say nothing about the prompts.
+ */
+const MIN_INSTANCES_AFTER_ANSWER = 6;
+const MIN_SPREAD_AFTER_ANSWER_MS = 2_000;
+/** Time for other VMs to contradict with an answer before the evidence counts, in milliseconds. */
+const SETTLE_MS = 1_000;
+
+/** One block under suspicion. */
+export class SuspectBlock {
+    /** Time of the first lost response of each instance, by the hash of the instance. */
+    private readonly losses = new Map<number, number>();
+    private lastLostAt = Number.NEGATIVE_INFINITY;
+    /** First of the losses for which the block is or was quarantined. */
+    private quarantinedSince: number | undefined;
+
+    private constructor(private answeredAt: number) {}
+
+    /** Creates a block without losses; `answeredAt` is the time of its last answer, minus infinity if there is none. */
+    static create(answeredAt: number): SuspectBlock {
+        return new SuspectBlock(answeredAt);
+    }
+
+    /** Time of the last known answer; minus infinity if there is none. */
+    get lastAnsweredAt(): number {
+        return this.answeredAt;
+    }
+
+    /** Number of instances that lost a response since the last answer. */
+    get lossCount(): number {
+        return this.losses.size;
+    }
+
+    /** Time of the newest loss. */
+    get newestLossAt(): number {
+        return this.lastLostAt;
+    }
+
+    /** Hashes of instances with the times of their losses. */
+    listLosses(): readonly (readonly [instance: number, lostAt: number])[] {
+        return [...this.losses];
+    }
+
+    /** Time since which the block is quarantined; undefined while it isn't. */
+    getQuarantinedSince(now: number): number | undefined {
+        return this.quarantinedSince !== undefined && now < this.quarantinedSince + QUARANTINE_MS
+            ? this.quarantinedSince
+            : undefined;
+    }
+
+    /** Records a response that an instance lost. */
+    recordLoss(instance: number, lostAt: number): void {
+        this.lastLostAt = Math.max(this.lastLostAt, lostAt);
+        if (lostAt > this.answeredAt) {
+            this.losses.set(instance, Math.min(lostAt, this.losses.get(instance) ?? lostAt));
+        }
+    }
+
+    /** Records an answer; returns true if it ends a quarantine. */
+    recordAnswer(answeredAt: number): boolean {
+        this.answeredAt = Math.max(this.answeredAt, answeredAt);
+        for (const [instance, lostAt] of this.losses) {
+            if (lostAt <= this.answeredAt) {
+                this.losses.delete(instance);
+            }
+        }
+        if (this.quarantinedSince === undefined || this.answeredAt <= this.quarantinedSince) {
+            return false;
+        }
+        this.quarantinedSince = undefined;
+        return true;
+    }
+
+    /** Quarantines the block as another VM or the store does; returns false if it is known or contradicted. */
+    adoptQuarantine(since: number, now: number): boolean {
+        const isKnown = this.getQuarantinedSince(now) !== undefined;
+        if (since <= this.answeredAt || now >= since + QUARANTINE_MS + PROBATION_MS) {
+            return false;
+        }
+        this.quarantinedSince = Math.min(since, this.getQuarantinedSince(now) ?? since);
+        return !isKnown && this.getQuarantinedSince(now) !== undefined;
+    }
+
+    /** Quarantines the block if the evidence suffices; returns true if it was not quarantined before. */
+    evaluate(now: number): boolean {
+        if (this.getQuarantinedSince(now) !== undefined) {
+            return false;
+        }
+        for (const [instance, lostAt] of this.losses) {
+            if (lostAt < now - LOSS_WINDOW_MS) {
+                this.losses.delete(instance);
+            }
+        }
+        const times = [...this.losses.values()].sort((left, right) => left - right);
+        const [first] = times;
+        if (first === undefined || !this.isSufficient(times, now)) {
+            return false;
+        }
+        this.quarantinedSince = first;
+        return true;
+    }
+
+    /** True when another request with the block may be expected to end one more instance. */
+    isSuspicious(now: number): boolean {
+        return this.losses.size > 1 && !this.wasAnsweredRecently(now);
+    }
+
+    /** True when nothing about the block matters any more. */
+    isObsolete(now: number): boolean {
+        return now > this.lastLostAt + LOSS_WINDOW_MS
+            && now > (this.quarantinedSince ?? Number.NEGATIVE_INFINITY) + QUARANTINE_MS + PROBATION_MS;
+    }
+
+    private isSufficient(times: readonly number[], now: number): boolean {
+        if (this.quarantinedSince !== undefined) {
+            return now < this.quarantinedSince + QUARANTINE_MS + PROBATION_MS;
+        }
+        const needed = this.wasAnsweredRecently(now) ? MIN_INSTANCES_AFTER_ANSWER : MIN_INSTANCES;
+        const [first] = times;
+        const decisive = times[needed - 1];
+        return first !== undefined && decisive !== undefined && decisive <= now - SETTLE_MS
+            && (needed === MIN_INSTANCES
+                || (times.at(-1) ?? decisive) - first >= MIN_SPREAD_AFTER_ANSWER_MS);
+    }
+
+    private wasAnsweredRecently(now: number): boolean {
+        return this.answeredAt > now - LOSS_WINDOW_MS;
+    }
+}
--- a/packages/wigeonpulley/src/routed-vm/index.ts
+++ b/packages/wigeonpulley/src/routed-vm/index.ts
@@ -4,6 +4,7 @@
  */
 export { type RoutedDaemonOptions, type RunningRoutedDaemon, startRoutedDaemon } from "./daemon.js";
 export { GossipedFreshness } from "./gossiped-freshness.js";
+export { GossipedQuarantine } from "./gossiped-quarantine.js";
 export { OperatorServer, type OperatorServerOptions } from "./operator-server.js";
 export { type OperatorRecord, PlatformAdapter } from "./platform-adapter.js";
 export { ReportService } from "./report-service.js";
--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -9,6 +9,7 @@
 import { GossipHandler, type GossipTransport } from "../peers/index.js";
 import { PeerLoadReports, PlacementService } from "../placement/index.js";
 import type { VmListEntry } from "../platform/index.js";
+import { PromptQuarantine, QuarantineStore } from "../quarantine/index.js";
 import { SharedQuotaLimiter, SharedRetryBudget } from "../quotas/index.js";
 import type { RandomSource } from "../random/index.js";
 import { RolloutService, RolloutStateStore } from "../rollouts/index.js";
@@ -16,6 +17,7 @@
 import { StoreVmList } from "../store/index.js";
 import type { CancelTimer, TimerService } from "../time/index.js";
 import { GossipedFreshness } from "./gossiped-freshness.js";
+import { GossipedQuarantine } from "./gossiped-quarantine.js";
 import type { PlatformAdapter } from "./platform-adapter.js";
 import { ReportService } from "./report-service.js";
 import type { Bounds, RoutedSettings } from "./routed-settings.js";
@@ -67,6 +69,8 @@
     readonly frontServer: FrontServer;
     readonly quotaLimiter: SharedQuotaLimiter;
     readonly rollouts: RolloutService;
+    readonly quarantine: PromptQuarantine;
+    private readonly quarantineStore: QuarantineStore;
     private readonly reports: PeerLoadReports;
     private readonly subscriptions: StoreSubscriptions;
     private cancelContendedGossip: CancelTimer = () => undefined;
@@ -80,6 +84,13 @@
         this.activeConfiguration = ActiveConfiguration.create(timers, logger);
         this.directory = InstanceDirectory.create(timers, logger);
         this.reports = PeerLoadReports.create(settings.name, timers);
+        this.quarantine = PromptQuarantine.create({ timers, logger });
+        this.quarantineStore = QuarantineStore.create({
+            ...options,
+            vm: settings.name,
+            store: options.adapter.store,
+            quarantine: this.quarantine,
+        });
         this.rollouts = this.createRollouts();
         this.directory.subscribe(() => this.rollouts.recordInstances(this.directory.list()));
         this.placement = PlacementService.create({
@@ -121,6 +132,7 @@
     /** Starts reading the store. */
     startReading(): void {
         this.subscriptions.start();
+        this.quarantineStore.start();
     }
 
     /** Starts reading the store and serving callers; `listener` may already listen on their address. */
@@ -206,6 +218,7 @@
     /** Stops all background tasks at once, without waiting for open requests. */
     stopTasks(): void {
         this.subscriptions.stop();
+        this.quarantineStore.stop();
         this.membership.stop();
         this.cancelContendedGossip();
         this.rollouts.stop();
@@ -236,6 +249,7 @@
             instances: this.directory.list().map(instance => this.describeInstance(instance)),
             queues: this.placement.listQueueLengths(),
             quotas: this.quotaLimiter.listUsage(),
+            quarantinedPromptBlocks: this.quarantine.listQuarantined(),
         };
     }
 
@@ -296,6 +310,7 @@
                 reports: this.reports,
             }),
             freshness: GossipedFreshness.create(this.activeConfiguration),
+            promptBlocks: GossipedQuarantine.create(this.quarantine),
             heartbeatMs: HEARTBEAT_MS,
             peerTimeoutMs: PEER_TIMEOUT_MS,
             vmListPollMs: VM_LIST_POLL_MS,
@@ -312,6 +327,7 @@
             transport,
             placement: this.placement,
             versions: this.rollouts,
+            quarantine: this.quarantine,
             retryBudget: SharedRetryBudget.create({
                 timers,
                 getLimits: () => ({
--- /dev/null
+++ b/packages/wigeonpulley/test/quarantine/prompt-quarantine.test.ts
@@ -0,0 +1,175 @@
+import { expect, test } from "vitest";
+import {
+    EventLogger,
+    MemorySink,
+    PromptQuarantine,
+    QUARANTINE_MS,
+    QuarantineStore,
+    SeededRandom,
+    VirtualTimerService,
+} from "wigeonpulley";
+import { InMemoryKeyedStore } from "../fixtures/in-memory-keyed-store.js";
+import { createInstance } from "../fixtures/raw-endpoint.js";
+import { WaitingKeyedStore } from "../fixtures/waiting-keyed-store.js";
+
+const SETTLE_MS = 1_100;
+
+const createQuarantine = (timers = VirtualTimerService.create()) => {
+    const log = MemorySink.create();
+    const logger = EventLogger.create(log);
+    return { timers, log, logger, quarantine: PromptQuarantine.create({ timers, logger }) };
+};
+
+const createPrompt = (...blocks: readonly string[]): readonly { readonly id: string; }[] =>
+    [...blocks, "own"].map(id => ({ id }));
+
+const recordLosses = (
+    quarantine: PromptQuarantine,
+    blocks: readonly string[],
+    instances: readonly string[],
+): void => instances.forEach(id => quarantine.recordLoss(createPrompt(...blocks), createInstance({ id })));
+
+test("three instances that lose responses with a block that nobody saw answered quarantine it after a settling time", async () => {
+    const { timers, quarantine } = createQuarantine();
+    recordLosses(quarantine, ["a"], ["i-1", "i-2"]);
+    expect(quarantine.isSuspicious(createPrompt("a"))).toBe(true);
+    await timers.advance(SETTLE_MS);
+    expect(quarantine.findQuarantined(createPrompt("a"))).toBeUndefined();
+    recordLosses(quarantine, ["a"], ["i-3"]);
+    expect(quarantine.findQuarantined(createPrompt("a"))).toBeUndefined();
+    await timers.advance(SETTLE_MS);
+    expect(quarantine.findQuarantined(createPrompt("b", "a"))).toMatchObject({ block: "a" });
+});
+
+test("losses at one instance count once, and those of the next incarnation count again", async () => {
+    const { timers, quarantine } = createQuarantine();
+    recordLosses(quarantine, ["a"], ["i-1", "i-1", "i-1", "i-1"]);
+    await timers.advance(SETTLE_MS);
+    expect(quarantine.findQuarantined(createPrompt("a"))).toBeUndefined();
+    [1, 2].forEach(bornMs => quarantine.recordLoss(createPrompt("a"), createInstance({ id: "i-1", bornMs })));
+    await timers.advance(SETTLE_MS);
+    expect(quarantine.findQuarantined(createPrompt("a"))).toMatchObject({ block: "a" });
+});
+
+test("the last block of a prompt is never quarantined", async () => {
+    const { timers, quarantine } = createQuarantine();
+    recordLosses(quarantine, [], ["i-1", "i-2", "i-3", "i-4"]);
+    await timers.advance(SETTLE_MS);
+    expect(quarantine.findQuarantined(createPrompt("own"))).toBeUndefined();
+});
+
+// A VM whose connections break, or the loss of a whole rack, must not ban the prompts that were running.
+test("connections to all instances that break at the same moment quarantine no block that was answered before", async () => {
+    const { timers, quarantine } = createQuarantine();
+    quarantine.recordAnswer(createPrompt("system"));
+    await timers.advance(1_000);
+    recordLosses(quarantine, ["system"], ["i-1", "i-2", "i-3", "i-4", "i-5", "i-6", "i-7", "i-8"]);
+    await timers.advance(10_000);
+    expect(quarantine.findQuarantined(createPrompt("system"))).toBeUndefined();
+});
+
+test("a block that was answered before is quarantined after losses at more instances, spread over a longer time", async () => {
+    const { timers, quarantine } = createQuarantine();
+    quarantine.recordAnswer(createPrompt("a"));
+    for (let index = 1; index <= 6; index += 1) {
+        await timers.advance(500);
+        recordLosses(quarantine, ["a"], [`i-${index}`]);
+    }
+    await timers.advance(SETTLE_MS);
+    expect(quarantine.findQuarantined(createPrompt("a"))).toMatchObject({ block: "a" });
+});
+
+test("an answer clears earlier losses and ends a quarantine", async () => {
+    const { timers, quarantine, log } = createQuarantine();
+    recordLosses(quarantine, ["a"], ["i-1", "i-2", "i-3"]);
+    await timers.advance(SETTLE_MS);
+    expect(quarantine.listQuarantined()).toHaveLength(1);
+    quarantine.recordAnswer(createPrompt("a"));
+    expect(quarantine.findQuarantined(createPrompt("a"))).toBeUndefined();
+    expect(log.events.map(({ name }) => name)).toEqual(["PromptBlockQuarantined", "PromptBlockReleased"]);
+});
+
+test("a quarantine ends with its time; then a single loss renews it", async () => {
+    const { timers, quarantine } = createQuarantine();
+    recordLosses(quarantine, ["a"], ["i-1", "i-2", "i-3"]);
+    await timers.advance(SETTLE_MS);
+    expect(quarantine.findQuarantined(createPrompt("a"))).toBeDefined();
+    await timers.advance(QUARANTINE_MS);
+    expect(quarantine.findQuarantined(createPrompt("a"))).toBeUndefined();
+    recordLosses(quarantine, ["a"], ["i-4"]);
+    expect(quarantine.findQuarantined(createPrompt("a"))).toBeDefined();
+});
+
+test("VMs add up their losses, and an answer at one of them contradicts the losses of the others", async () => {
+    const { timers, quarantine: left } = createQuarantine();
+    const { quarantine: right } = createQuarantine(timers);
+    await timers.advance(1_000);
+    recordLosses(left, ["a", "b"], ["i-1", "i-2"]);
+    recordLosses(right, ["a", "b"], ["i-2", "i-3"]);
+    await timers.advance(100);
+    right.recordAnswer(createPrompt("b"));
+    const askedAt = timers.now();
+    right.applyReports(left.listReports(), undefined);
+    left.applyReports(right.listReports(), askedAt);
+    await timers.advance(SETTLE_MS);
+    for (const quarantine of [left, right]) {
+        expect(quarantine.findQuarantined(createPrompt("a"))).toBeDefined();
+        expect(quarantine.findQuarantined(createPrompt("b"))).toBeUndefined();
+    }
+});
+
+// A report that was on its way for seconds makes an old answer look newer than a crash.
+test("an answer in a report that came unasked releases nothing", async () => {
+    const { timers, quarantine } = createQuarantine();
+    recordLosses(quarantine, ["a"], ["i-1", "i-2", "i-3"]);
+    await timers.advance(SETTLE_MS);
+    const report = { block: "a", losses: [], answeredAgeMs: 0, quarantinedMs: undefined };
+    quarantine.applyReports([report], undefined);
+    expect(quarantine.findQuarantined(createPrompt("a"))).toBeDefined();
+    quarantine.applyReports([report], timers.now());
+    expect(quarantine.findQuarantined(createPrompt("a"))).toBeUndefined();
+});
+
+test("reports are bounded and carry the quarantined blocks first", async () => {
+    const { timers, quarantine } = createQuarantine();
+    recordLosses(quarantine, ["a"], ["i-1", "i-2", "i-3"]);
+    await timers.advance(SETTLE_MS);
+    for (let index = 0; index < 50; index += 1) {
+        recordLosses(quarantine, [`rare-${index}`], ["i-4"]);
+    }
+    const reports = quarantine.listReports();
+    expect(reports).toHaveLength(8);
+    expect(reports[0]).toMatchObject({ block: "a" });
+});
+
+test("a quarantine is written to the store, kept over a restart and ended when its record is removed", async () => {
+    const records = InMemoryKeyedStore.create();
+    const timers = VirtualTimerService.create();
+    const startVm = () => {
+        const { quarantine, logger } = createQuarantine(timers);
+        const store = QuarantineStore.create({
+            vm: "vm-1",
+            timers,
+            random: SeededRandom.create(1),
+            logger,
+            store: WaitingKeyedStore.create(records, timers, () => true),
+            quarantine,
+        });
+        store.start();
+        return { quarantine, store };
+    };
+    const first = startVm();
+    recordLosses(first.quarantine, ["a"], ["i-1", "i-2", "i-3"]);
+    await timers.advance(SETTLE_MS);
+    expect(first.quarantine.findQuarantined(createPrompt("a"))).toBeDefined();
+    await timers.advance(1_000);
+    first.store.stop();
+    const second = startVm();
+    records.write("quarantine", "unreadable", "{");
+    await timers.advance(100);
+    expect(second.quarantine.findQuarantined(createPrompt("a"))).toBeDefined();
+    records.write("quarantine", "a", undefined);
+    await timers.advance(1_000);
+    expect(second.quarantine.findQuarantined(createPrompt("a"))).toBeUndefined();
+    second.store.stop();
+});
