Log the rate limits that instances name

Change: the header is parsed at the boundary, and event 511 tells when the limit that a VM knows of an instance changes. A response without a limit counts only if its request was sent after the limit was last named. No decision changed.

--- a/packages/wigeonpulley/src/discovery/index.ts
+++ b/packages/wigeonpulley/src/discovery/index.ts
@@ -3,4 +3,4 @@
  * Decides nothing about load, health or order.
  */
 export { type DirectoryListener, type InstanceChange, InstanceDirectory } from "./instance-directory.js";
-export { type Instance, instanceSchema, isSameIncarnation } from "./instance.js";
+export { hashIncarnation, type Instance, instanceSchema, isSameIncarnation } from "./instance.js";
--- a/packages/wigeonpulley/src/discovery/instance.ts
+++ b/packages/wigeonpulley/src/discovery/instance.ts
@@ -1,5 +1,6 @@
 /** Schema of an instance: one incarnation of an endpoint's process, as it registers itself. */
 import * as z from "zod";
+import { hashText } from "../hashing/index.js";
 
 /** Schema of an instance. */
 export const instanceSchema = z.object({
@@ -27,3 +28,6 @@
 export const isSameIncarnation = (left: Instance, right: Instance): boolean =>
     left.id === right.id && left.bornMs === right.bornMs && left.host === right.host
     && left.port === right.port;
+
+/** Hashes what tells this incarnation from others, as VMs name it to each other. */
+export const hashIncarnation = ({ id, bornMs }: Instance): number => hashText(`${id} ${bornMs}`);
--- a/packages/wigeonpulley/src/forwarding/attempt.ts
+++ b/packages/wigeonpulley/src/forwarding/attempt.ts
@@ -152,7 +152,7 @@
 
     /** Returns the outcome of a response that must not reach the caller; undefined for one to relay. */
     private checkHead(head: ResponseHead): AttemptOutcome | undefined {
-        const { codec, request } = this.options;
+        const { codec, request, placement } = this.options;
         const metadata = codec.parseResponse(head.status, head.headers);
         if (metadata.attemptId !== undefined && metadata.attemptId !== request.metadata.attemptId) {
             return createFailedOutcome(`the answer belongs to ${metadata.attemptId}`);
@@ -160,6 +160,9 @@
         if (metadata.isMisdirected) {
             return { kind: "not-run", reason: "another instance has the address", isFull: false };
         }
+        if (metadata.isSigned || metadata.isNotRun) {
+            placement.recordRateLimit(metadata.limitPerS);
+        }
         if (metadata.isNotRun) {
             return { kind: "not-run", reason: `status ${head.status}`, isFull: true };
         }
--- a/packages/wigeonpulley/src/forwarding/header-codec.ts
+++ b/packages/wigeonpulley/src/forwarding/header-codec.ts
@@ -46,6 +46,8 @@
     readonly isNotRun: boolean;
     /** True when the request was meant for another instance and therefore did not run. */
     readonly isMisdirected: boolean;
+    /** Requests a second that the endpoint takes from all VMs together; undefined when it names no limit. */
+    readonly limitPerS: number | undefined;
 }
 
 /** Headers by lower-case name, as undici gives them. */
--- a/packages/wigeonpulley/src/logging/event-catalogue.ts
+++ b/packages/wigeonpulley/src/logging/event-catalogue.ts
@@ -263,6 +263,12 @@
         "warn",
         ({ block, reason }) => `prompt block ${block} is no longer quarantined: ${reason}`,
     ),
+    InstanceLimitChanged: defineEvent<{ instance: string; limitPerS: number; beforePerS: number; }>(
+        511,
+        "info",
+        ({ instance, limitPerS, beforePerS }) =>
+            `instance ${instance} takes ${limitPerS} requests a second from all VMs, before ${beforePerS} (-1: no limit)`,
+    ),
     RolloutOrdered: defineEvent<{ service: string; version: string; durationMs: number; }>(
         701,
         "info",
--- a/packages/wigeonpulley/src/placement/placement-service.ts
+++ b/packages/wigeonpulley/src/placement/placement-service.ts
@@ -11,6 +11,7 @@
 import { type ChoiceFailure, type InstanceChoice, InstanceChooser } from "./instance-chooser.js";
 import { InstanceHealth } from "./instance-health.js";
 import { InstanceLoads } from "./instance-loads.js";
+import { InstanceRateLimits } from "./instance-rate-limits.js";
 import type { PeerLoads } from "./peer-loads.js";
 import type { PlacementRequest, WaitCancellation } from "./placement-request.js";
 import { Placement, type ReleaseOutcome } from "./placement.js";
@@ -55,6 +56,7 @@
 /** Queues and dispatches the requests of one VM. */
 export class PlacementService {
     readonly health: InstanceHealth;
+    readonly rateLimits: InstanceRateLimits;
     private readonly queues = new Map<string, ServiceQueue>();
     private readonly loads: InstanceLoads;
     private readonly chooser: InstanceChooser;
@@ -62,6 +64,7 @@
 
     private constructor(private readonly options: PlacementServiceOptions) {
         this.health = InstanceHealth.create(options.timers, options.logger);
+        this.rateLimits = InstanceRateLimits.create(options);
         this.loads = InstanceLoads.create(options.timers, options.peers);
         this.chooser = InstanceChooser.create({ ...options, loads: this.loads, health: this.health });
         options.directory.subscribe(() => this.applyDirectory());
@@ -232,6 +235,7 @@
         return Placement.create({
             timers: this.options.timers,
             loads: this.loads,
+            rateLimits: this.rateLimits,
             instance,
             uncachedTokens,
             pendingPromptTokens,
--- a/packages/wigeonpulley/src/placement/placement.ts
+++ b/packages/wigeonpulley/src/placement/placement.ts
@@ -3,6 +3,7 @@
 import type { TimerService } from "../time/index.js";
 import type { RequestOutcome } from "./instance-health.js";
 import type { InstanceLoads } from "./instance-loads.js";
+import type { InstanceRateLimits } from "./instance-rate-limits.js";
 
 /**
  * How a request ended when its slot is released: "full" when the instance refused it as full, undefined when it tells
@@ -14,6 +15,7 @@
 export interface PlacementOptions {
     readonly timers: TimerService;
     readonly loads: InstanceLoads;
+    readonly rateLimits: InstanceRateLimits;
     readonly instance: Instance;
     /** Prompt tokens of this request that the instance has to prefill, and those pending there before them. */
     readonly uncachedTokens: number;
@@ -50,6 +52,12 @@
         return this.options.predictedMs;
     }
 
+    /** Records the rate limit that the instance named in its response; undefined when it named none. */
+    recordRateLimit(limitPerS: number | undefined): void {
+        const { timers, rateLimits, instance } = this.options;
+        rateLimits.recordResponse(instance, limitPerS, this.startedAt, timers.now());
+    }
+
     /** Records that the first event of the response has arrived. */
     recordFirstEvent(): void {
         if (this.isPrefillPending) {
--- a/packages/wigeonpulley/src/quarantine/prompt-quarantine.ts
+++ b/packages/wigeonpulley/src/quarantine/prompt-quarantine.ts
@@ -3,8 +3,7 @@
  * closed connections before requests with it were answered properly and no request with it was answered since; an answer
  * ends the quarantine. VMs share losses, answers and quarantines, and each of them decides by itself.
  */
-import type { Instance } from "../discovery/index.js";
-import { hashText } from "../hashing/index.js";
+import { hashIncarnation, type Instance } from "../discovery/index.js";
 import type { EventLogger } from "../logging/index.js";
 import type { TimerService } from "../time/index.js";
 import { QUARANTINE_MS, SuspectBlock } from "./suspect-block.js";
@@ -107,11 +106,11 @@
     }
 
     /** Records that an instance closed the connection before it had answered a request properly. */
-    recordLoss(promptBlocks: readonly PromptBlock[], { id, bornMs }: Instance): void {
+    recordLoss(promptBlocks: readonly PromptBlock[], instance: Instance): void {
         const now = this.options.timers.now();
         for (const block of listSharedBlocks(promptBlocks)) {
             const suspect = this.getOrCreateSuspect(block);
-            suspect.recordLoss(hashText(`${id} ${bornMs}`), now);
+            suspect.recordLoss(hashIncarnation(instance), now);
             this.evaluate(block, suspect, now);
         }
     }
