Send evidence with the digests of the membership as one part

Membership only needs one source and receiver for all of it. No change of behaviour: tests of membership and of the quarantine pass as before.

--- a/packages/wigeonpulley/src/membership/index.ts
+++ b/packages/wigeonpulley/src/membership/index.ts
@@ -5,10 +5,11 @@
 export { isNewerState, type MemberRecord, MemberTable } from "./member-table.js";
 export {
     ConfigurationFreshness,
+    type Evidence,
+    EvidenceGossip,
     type Member,
     type MembershipOptions,
     MembershipService,
     type OwnerLocation,
-    PromptBlockGossip,
     ReportGossip,
 } from "./membership-service.js";
--- a/packages/wigeonpulley/src/membership/membership-service.ts
+++ b/packages/wigeonpulley/src/membership/membership-service.ts
@@ -11,7 +11,6 @@
     MemberDigestSchema,
     type MemberState,
     MemberStateSchema,
-    type PromptBlockReport,
 } from "../gen/wigeonpulley/peer/v1/peer_pb.js";
 import { chooseByRendezvous } from "../hashing/index.js";
 import type { EventLogger } from "../logging/index.js";
@@ -39,13 +38,16 @@
     abstract confirm(version: number, reading: ClockReading): void;
 }
 
-/** Evidence about prompt blocks that VMs send with their digests. */
-export abstract class PromptBlockGossip {
+/** Evidence about endpoints and requests that VMs send with their digests. */
+export type Evidence = Pick<MemberDigest, "promptBlocks">;
+
+/** Source and receiver of the evidence. */
+export abstract class EvidenceGossip {
     /** Returns what the other VMs should know. */
-    abstract createReports(): readonly PromptBlockReport[];
+    abstract createEvidence(): Evidence;
 
-    /** Applies received reports; `askedAt` is the monotonic time of asking for them, undefined if they came unasked. */
-    abstract applyReports(reports: readonly PromptBlockReport[], askedAt: number | undefined): void;
+    /** Applies received evidence; `askedAt` is the monotonic time of asking for it, undefined if it came unasked. */
+    abstract applyEvidence(evidence: Evidence, askedAt: number | undefined): void;
 }
 
 /** Options of the service. */
@@ -60,8 +62,8 @@
     readonly reports?: ReportGossip;
     /** Confirmations of the configuration sent with the digests; none when absent. */
     readonly freshness?: ConfigurationFreshness;
-    /** Evidence about prompt blocks sent with the digests; none when absent. */
-    readonly promptBlocks?: PromptBlockGossip;
+    /** Evidence sent with the digests; none when absent. */
+    readonly evidence?: EvidenceGossip;
     /** Interval between gossip rounds. */
     readonly heartbeatMs: number;
     /** Time within which a suspected VM can deny the suspicion. */
@@ -296,7 +298,7 @@
             sender: this.options.self.name,
             members: [this.self, ...this.table.consumeChanges(MAX_DIGEST_CHANGES)],
             reports: [...this.options.reports?.createReports(this.incarnation) ?? []],
-            promptBlocks: [...this.options.promptBlocks?.createReports() ?? []],
+            ...this.options.evidence?.createEvidence(),
         });
     }
 
@@ -325,7 +327,7 @@
         }
         this.table.recordContact(digest.sender, now);
         this.options.reports?.applyReports(digest.reports);
-        this.options.promptBlocks?.applyReports(digest.promptBlocks, askedAt);
+        this.options.evidence?.applyEvidence(digest, askedAt);
         this.notifyIfChanged();
     }
 
--- a/packages/wigeonpulley/src/routed-vm/gossiped-evidence.ts
+++ b/packages/wigeonpulley/src/routed-vm/gossiped-evidence.ts
@@ -1,34 +1,26 @@
 /** Passes evidence about prompt blocks between this VM and the others. */
 import { create } from "@bufbuild/protobuf";
 import { type PromptBlockReport, PromptBlockReportSchema } from "../gen/wigeonpulley/peer/v1/peer_pb.js";
-import { PromptBlockGossip } from "../membership/index.js";
+import { type Evidence, EvidenceGossip } from "../membership/index.js";
 import type { BlockReport, PromptQuarantine } from "../quarantine/index.js";
 
 /** Evidence of one VM. */
-export class GossipedQuarantine extends PromptBlockGossip {
+export class GossipedEvidence extends EvidenceGossip {
     private constructor(private readonly quarantine: PromptQuarantine) {
         super();
     }
 
-    /** Creates the gossip of a quarantine. */
-    static create(quarantine: PromptQuarantine): GossipedQuarantine {
-        return new GossipedQuarantine(quarantine);
+    /** Creates the gossip of what a quarantine knows. */
+    static create(quarantine: PromptQuarantine): GossipedEvidence {
+        return new GossipedEvidence(quarantine);
     }
 
-    override createReports(): readonly PromptBlockReport[] {
-        return this.quarantine.listReports().map(({ block, losses, answeredAgeMs, quarantinedMs }) =>
-            create(PromptBlockReportSchema, {
-                block,
-                instances: losses.map(({ instance }) => instance),
-                lossAgesMs: losses.map(({ ageMs }) => encodeAge(ageMs)),
-                answeredAgeMs: encodeOptionalAge(answeredAgeMs),
-                quarantinedMs: encodeOptionalAge(quarantinedMs),
-            })
-        );
+    override createEvidence(): Evidence {
+        return { promptBlocks: this.quarantine.listReports().map(encodeBlockReport) };
     }
 
-    override applyReports(reports: readonly PromptBlockReport[], askedAt: number | undefined): void {
-        this.quarantine.applyReports(reports.map(decodeReport), askedAt);
+    override applyEvidence({ promptBlocks }: Evidence, askedAt: number | undefined): void {
+        this.quarantine.applyReports(promptBlocks.map(decodeBlockReport), askedAt);
     }
 }
 
@@ -40,7 +32,18 @@
 
 const decodeOptionalAge = (encoded: number): number | undefined => encoded === 0 ? undefined : encoded - 1;
 
-const decodeReport = (report: PromptBlockReport): BlockReport => ({
+const encodeBlockReport = (
+    { block, losses, answeredAgeMs, quarantinedMs }: BlockReport,
+): PromptBlockReport =>
+    create(PromptBlockReportSchema, {
+        block,
+        instances: losses.map(({ instance }) => instance),
+        lossAgesMs: losses.map(({ ageMs }) => encodeAge(ageMs)),
+        answeredAgeMs: encodeOptionalAge(answeredAgeMs),
+        quarantinedMs: encodeOptionalAge(quarantinedMs),
+    });
+
+const decodeBlockReport = (report: PromptBlockReport): BlockReport => ({
     block: report.block,
     losses: report.instances.map((instance, index) => ({ instance, ageMs: report.lossAgesMs[index] ?? 0 })),
     answeredAgeMs: decodeOptionalAge(report.answeredAgeMs),
--- a/packages/wigeonpulley/src/routed-vm/index.ts
+++ b/packages/wigeonpulley/src/routed-vm/index.ts
@@ -3,8 +3,8 @@
  * shuts down.
  */
 export { type RoutedDaemonOptions, type RunningRoutedDaemon, startRoutedDaemon } from "./daemon.js";
+export { GossipedEvidence } from "./gossiped-evidence.js";
 export { GossipedFreshness } from "./gossiped-freshness.js";
-export { GossipedQuarantine } from "./gossiped-quarantine.js";
 export { OperatorServer, type OperatorServerOptions } from "./operator-server.js";
 export { type OperatorRecord, PlatformAdapter } from "./platform-adapter.js";
 export { ReportService } from "./report-service.js";
--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -16,8 +16,8 @@
 import { ActiveConfiguration, computeAgeLimits } from "../routing/index.js";
 import { StoreVmList } from "../store/index.js";
 import type { CancelTimer, TimerService } from "../time/index.js";
+import { GossipedEvidence } from "./gossiped-evidence.js";
 import { GossipedFreshness } from "./gossiped-freshness.js";
-import { GossipedQuarantine } from "./gossiped-quarantine.js";
 import type { PlatformAdapter } from "./platform-adapter.js";
 import { ReportService } from "./report-service.js";
 import type { Bounds, RoutedSettings } from "./routed-settings.js";
@@ -310,7 +310,7 @@
                 reports: this.reports,
             }),
             freshness: GossipedFreshness.create(this.activeConfiguration),
-            promptBlocks: GossipedQuarantine.create(this.quarantine),
+            evidence: GossipedEvidence.create(this.quarantine),
             heartbeatMs: HEARTBEAT_MS,
             peerTimeoutMs: PEER_TIMEOUT_MS,
             vmListPollMs: VM_LIST_POLL_MS,
