Keep the rate limits that instances name, over all VMs together

Cause: the limit was forwarded to callers with the other headers and nothing kept it; the log lines of event 511 show it as soon as it is read. The class of the fault is backpressure that is answered to one caller and has to be obeyed by all.

Ruled out: limits that each VM keeps by itself, and VMs that learn them late or forget them: the rate at both instances was the same before and after.

Change: a VM sends an instance with a limit only what its part of the limit allows. A VM that sees most of the others dead counts them all, as it is probably cut off itself. Limits and their ends are gossiped; an end counts only from the time of asking, and a response ends a limit only if its request was sent after the limit was last named. Incarnations are hashed once for each entry of the directory.

--- a/packages/wigeonpulley/src/discovery/instance.ts
+++ b/packages/wigeonpulley/src/discovery/instance.ts
@@ -29,5 +29,11 @@
     left.id === right.id && left.bornMs === right.bornMs && left.host === right.host
     && left.port === right.port;
 
+const incarnationHashes = new WeakMap<Instance, number>();
+
 /** Hashes what tells this incarnation from others, as VMs name it to each other. */
-export const hashIncarnation = ({ id, bornMs }: Instance): number => hashText(`${id} ${bornMs}`);
+export const hashIncarnation = (instance: Instance): number => {
+    const hash = incarnationHashes.get(instance) ?? hashText(`${instance.id} ${instance.bornMs}`);
+    incarnationHashes.set(instance, hash);
+    return hash;
+};
--- a/packages/wigeonpulley/src/logging/event-catalogue.ts
+++ b/packages/wigeonpulley/src/logging/event-catalogue.ts
@@ -263,11 +263,14 @@
         "warn",
         ({ block, reason }) => `prompt block ${block} is no longer quarantined: ${reason}`,
     ),
-    InstanceLimitChanged: defineEvent<{ instance: string; limitPerS: number; beforePerS: number; }>(
+    InstanceLimitChanged: defineEvent<
+        { instance: string; incarnation: number; limitPerS: number; beforePerS: number; }
+    >(
         511,
         "info",
-        ({ instance, limitPerS, beforePerS }) =>
-            `instance ${instance} takes ${limitPerS} requests a second from all VMs, before ${beforePerS} (-1: no limit)`,
+        ({ instance, incarnation, limitPerS, beforePerS }) =>
+            `instance ${instance} (incarnation ${incarnation}) takes ${limitPerS} requests a second from all VMs, before `
+            + `${beforePerS} (-1: no limit); without a name, another VM reported it`,
     ),
     RolloutOrdered: defineEvent<{ service: string; version: string; durationMs: number; }>(
         701,
--- a/packages/wigeonpulley/src/membership/membership-service.ts
+++ b/packages/wigeonpulley/src/membership/membership-service.ts
@@ -39,7 +39,7 @@
 }
 
 /** Evidence about endpoints and requests that VMs send with their digests. */
-export type Evidence = Pick<MemberDigest, "promptBlocks">;
+export type Evidence = Pick<MemberDigest, "promptBlocks" | "instanceLimits">;
 
 /** Source and receiver of the evidence. */
 export abstract class EvidenceGossip {
--- a/packages/wigeonpulley/src/placement/index.ts
+++ b/packages/wigeonpulley/src/placement/index.ts
@@ -6,7 +6,11 @@
 export { InstanceHealth, type RequestOutcome } from "./instance-health.js";
 export { createFirstEventRegression, InstanceLatencyModel } from "./instance-latency-model.js";
 export { InstancePrefixIndex, type PromptBlock } from "./instance-prefix-index.js";
-export { InstanceRateLimits, type InstanceRateLimitsOptions } from "./instance-rate-limits.js";
+export {
+    InstanceRateLimits,
+    type InstanceRateLimitsOptions,
+    type LimitReport,
+} from "./instance-rate-limits.js";
 export { PeerLoadReports } from "./peer-load-reports.js";
 export { NoPeerLoads, PeerLoads } from "./peer-loads.js";
 export { type PlacementRequest, type WaitCancellation } from "./placement-request.js";
--- a/packages/wigeonpulley/src/placement/instance-chooser.ts
+++ b/packages/wigeonpulley/src/placement/instance-chooser.ts
@@ -3,6 +3,7 @@
 import type { InstanceHealth } from "./instance-health.js";
 import type { InstanceLatencyModel } from "./instance-latency-model.js";
 import type { InstanceLoads } from "./instance-loads.js";
+import type { InstanceRateLimits } from "./instance-rate-limits.js";
 import type { PeerLoads } from "./peer-loads.js";
 import type { PlacementRequest } from "./placement-request.js";
 import type { VersionPolicy } from "./version-policy.js";
@@ -13,6 +14,7 @@
     readonly peers: PeerLoads;
     readonly loads: InstanceLoads;
     readonly health: InstanceHealth;
+    readonly rateLimits: InstanceRateLimits;
     readonly versions: VersionPolicy;
     readonly dataCentre: string;
     readonly region: string;
@@ -155,13 +157,14 @@
     }
 
     private isCandidate(instance: Instance, request: PlacementRequest): boolean {
-        const { health, loads, versions } = this.options;
+        const { health, loads, rateLimits, versions } = this.options;
         return instance.service === request.service
             && instance.state === "ready"
             && !request.excludedInstances.has(instance.id)
             && versions.canUse(instance, request.isCanary)
             && health.canUse(instance.id)
-            && !loads.isFull(instance.id);
+            && !loads.isFull(instance.id)
+            && rateLimits.canSend(instance);
     }
 
     /** Expected time to the first event or response when `tokens` have to be prefilled first, in milliseconds. */
--- a/packages/wigeonpulley/src/placement/placement-service.ts
+++ b/packages/wigeonpulley/src/placement/placement-service.ts
@@ -11,7 +11,7 @@
 import { type ChoiceFailure, type InstanceChoice, InstanceChooser } from "./instance-chooser.js";
 import { InstanceHealth } from "./instance-health.js";
 import { InstanceLoads } from "./instance-loads.js";
-import { InstanceRateLimits } from "./instance-rate-limits.js";
+import type { InstanceRateLimits } from "./instance-rate-limits.js";
 import type { PeerLoads } from "./peer-loads.js";
 import type { PlacementRequest, WaitCancellation } from "./placement-request.js";
 import { Placement, type ReleaseOutcome } from "./placement.js";
@@ -28,6 +28,7 @@
     readonly logger: EventLogger;
     readonly directory: InstanceDirectory;
     readonly peers: PeerLoads;
+    readonly rateLimits: InstanceRateLimits;
     readonly versions: VersionPolicy;
     readonly dataCentre: string;
     readonly region: string;
@@ -56,7 +57,6 @@
 /** Queues and dispatches the requests of one VM. */
 export class PlacementService {
     readonly health: InstanceHealth;
-    readonly rateLimits: InstanceRateLimits;
     private readonly queues = new Map<string, ServiceQueue>();
     private readonly loads: InstanceLoads;
     private readonly chooser: InstanceChooser;
@@ -64,7 +64,6 @@
 
     private constructor(private readonly options: PlacementServiceOptions) {
         this.health = InstanceHealth.create(options.timers, options.logger);
-        this.rateLimits = InstanceRateLimits.create(options);
         this.loads = InstanceLoads.create(options.timers, options.peers);
         this.chooser = InstanceChooser.create({ ...options, loads: this.loads, health: this.health });
         options.directory.subscribe(() => this.applyDirectory());
@@ -230,12 +229,13 @@
         );
         const occupiedAt = this.options.timers.now();
         this.loads.occupy(instance, request, uncachedTokens);
+        this.options.rateLimits.recordDispatch(instance);
         this.health.recordDispatch(instance.id);
         this.options.versions.recordDispatch(instance);
         return Placement.create({
             timers: this.options.timers,
             loads: this.loads,
-            rateLimits: this.rateLimits,
+            rateLimits: this.options.rateLimits,
             instance,
             uncachedTokens,
             pendingPromptTokens,
@@ -309,6 +309,7 @@
         const ids = new Set(this.options.directory.list().map(instance => instance.id));
         this.health.retain(ids);
         this.loads.retain(ids);
+        this.options.rateLimits.retain(this.options.directory.list());
         this.dispatchAllQueues();
     }
 
--- a/packages/wigeonpulley/src/placement/placement.ts
+++ b/packages/wigeonpulley/src/placement/placement.ts
@@ -54,8 +54,8 @@
 
     /** Records the rate limit that the instance named in its response; undefined when it named none. */
     recordRateLimit(limitPerS: number | undefined): void {
-        const { timers, rateLimits, instance } = this.options;
-        rateLimits.recordResponse(instance, limitPerS, this.startedAt, timers.now());
+        const { rateLimits, instance } = this.options;
+        rateLimits.recordResponse(instance, limitPerS, this.startedAt);
     }
 
     /** Records that the first event of the response has arrived. */
--- a/packages/wigeonpulley/src/routed-vm/gossiped-evidence.ts
+++ b/packages/wigeonpulley/src/routed-vm/gossiped-evidence.ts
@@ -1,26 +1,39 @@
-/** Passes evidence about prompt blocks between this VM and the others. */
+/** Passes evidence about prompt blocks and rate limits of instances between this VM and the others. */
 import { create } from "@bufbuild/protobuf";
-import { type PromptBlockReport, PromptBlockReportSchema } from "../gen/wigeonpulley/peer/v1/peer_pb.js";
+import {
+    type InstanceLimitReport,
+    InstanceLimitReportSchema,
+    type PromptBlockReport,
+    PromptBlockReportSchema,
+} from "../gen/wigeonpulley/peer/v1/peer_pb.js";
 import { type Evidence, EvidenceGossip } from "../membership/index.js";
+import type { InstanceRateLimits, LimitReport } from "../placement/index.js";
 import type { BlockReport, PromptQuarantine } from "../quarantine/index.js";
 
 /** Evidence of one VM. */
 export class GossipedEvidence extends EvidenceGossip {
-    private constructor(private readonly quarantine: PromptQuarantine) {
+    private constructor(
+        private readonly quarantine: PromptQuarantine,
+        private readonly rateLimits: InstanceRateLimits,
+    ) {
         super();
     }
 
-    /** Creates the gossip of what a quarantine knows. */
-    static create(quarantine: PromptQuarantine): GossipedEvidence {
-        return new GossipedEvidence(quarantine);
+    /** Creates the gossip of what a quarantine and the limits of instances know. */
+    static create(quarantine: PromptQuarantine, rateLimits: InstanceRateLimits): GossipedEvidence {
+        return new GossipedEvidence(quarantine, rateLimits);
     }
 
     override createEvidence(): Evidence {
-        return { promptBlocks: this.quarantine.listReports().map(encodeBlockReport) };
+        return {
+            promptBlocks: this.quarantine.listReports().map(encodeBlockReport),
+            instanceLimits: this.rateLimits.listReports().map(encodeLimitReport),
+        };
     }
 
-    override applyEvidence({ promptBlocks }: Evidence, askedAt: number | undefined): void {
+    override applyEvidence({ promptBlocks, instanceLimits }: Evidence, askedAt: number | undefined): void {
         this.quarantine.applyReports(promptBlocks.map(decodeBlockReport), askedAt);
+        this.rateLimits.applyReports(instanceLimits.map(decodeLimitReport), askedAt);
     }
 }
 
@@ -49,3 +62,19 @@
     answeredAgeMs: decodeOptionalAge(report.answeredAgeMs),
     quarantinedMs: decodeOptionalAge(report.quarantinedMs),
 });
+
+const encodeLimitReport = ({ instance, limitPerS, ageMs }: LimitReport): InstanceLimitReport =>
+    create(InstanceLimitReportSchema, {
+        instance,
+        limitPerS: limitPerS ?? 0,
+        hasEnded: limitPerS === undefined,
+        ageMs: encodeAge(ageMs),
+    });
+
+const decodeLimitReport = (
+    { instance, limitPerS, hasEnded, ageMs }: InstanceLimitReport,
+): LimitReport => ({
+    instance,
+    limitPerS: hasEnded ? undefined : limitPerS,
+    ageMs,
+});
--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -7,7 +7,7 @@
 import { MembershipService } from "../membership/index.js";
 import type { MetricsRegistry } from "../metrics/index.js";
 import { GossipHandler, type GossipTransport } from "../peers/index.js";
-import { PeerLoadReports, PlacementService } from "../placement/index.js";
+import { InstanceRateLimits, PeerLoadReports, PlacementService } from "../placement/index.js";
 import type { VmListEntry } from "../platform/index.js";
 import { PromptQuarantine, QuarantineStore } from "../quarantine/index.js";
 import { SharedQuotaLimiter, SharedRetryBudget } from "../quotas/index.js";
@@ -71,6 +71,7 @@
     readonly rollouts: RolloutService;
     readonly quarantine: PromptQuarantine;
     private readonly quarantineStore: QuarantineStore;
+    private readonly rateLimits: InstanceRateLimits;
     private readonly reports: PeerLoadReports;
     private readonly subscriptions: StoreSubscriptions;
     private cancelContendedGossip: CancelTimer = () => undefined;
@@ -93,12 +94,19 @@
         });
         this.rollouts = this.createRollouts();
         this.directory.subscribe(() => this.rollouts.recordInstances(this.directory.list()));
+        this.rateLimits = InstanceRateLimits.create({
+            self: settings.name,
+            timers,
+            logger,
+            listVms: () => this.listSendingVms(),
+        });
         this.placement = PlacementService.create({
             timers,
             random: options.random,
             logger,
             directory: this.directory,
             peers: this.reports,
+            rateLimits: this.rateLimits,
             versions: this.rollouts,
             dataCentre: settings.dataCentre,
             region: settings.region,
@@ -253,6 +261,16 @@
         };
     }
 
+    /**
+     * Returns the VMs that share the limits of instances: the live ones, unless most seem dead. Then this VM is probably
+     * cut off, and the others go on.
+     */
+    private listSendingVms(): readonly string[] {
+        const members = this.membership.listMembers();
+        const live = members.filter(({ isLive, isLeaving }) => isLive && !isLeaving);
+        return (live.length * 2 < members.length ? members : live).map(({ entry }) => entry.name);
+    }
+
     private describeInstance(instance: Instance): unknown {
         return {
             id: instance.id,
@@ -310,7 +328,7 @@
                 reports: this.reports,
             }),
             freshness: GossipedFreshness.create(this.activeConfiguration),
-            evidence: GossipedEvidence.create(this.quarantine),
+            evidence: GossipedEvidence.create(this.quarantine, this.rateLimits),
             heartbeatMs: HEARTBEAT_MS,
             peerTimeoutMs: PEER_TIMEOUT_MS,
             vmListPollMs: VM_LIST_POLL_MS,
--- a/packages/wigeonpulley/test/placement/long-prompts.test.ts
+++ b/packages/wigeonpulley/test/placement/long-prompts.test.ts
@@ -13,6 +13,7 @@
     SeededRandom,
     VirtualTimerService,
 } from "wigeonpulley";
+import { createRateLimits } from "../fixtures/rate-limits.js";
 import { createInstance } from "../fixtures/raw-endpoint.js";
 
 /**
@@ -58,6 +59,7 @@
         logger,
         directory,
         peers: NoPeerLoads.create(),
+        rateLimits: createRateLimits(timers, logger),
         versions: AnyVersionPolicy.create(),
         dataCentre: "south-1",
         region: "south",
