Test over real sockets which connections count as lost, and unframed streams

The verdict on prompt blocks rests on telling an endpoint's close or reset from garbage, timeouts and this VM's own aborts, and framed responses from those that end with their connection. 13 new cases; no change of behaviour.

--- a/packages/wigeonpulley/test/forwarding/forwarder.test.ts
+++ b/packages/wigeonpulley/test/forwarding/forwarder.test.ts
@@ -283,3 +283,31 @@
     expect(view.body).toBe(["a", "b", "c"].map(id => createEvent(id).text).join(""));
     expect(view.isComplete).toBe(true);
 });
+
+const UNFRAMED_HEAD = { ...createSignedHead(), endsWithConnection: true } as const;
+
+test("an unframed stream that ends within an event is broken off, and so is one that ends before its first event", async () => {
+    for (
+        const steps of [
+            [UNFRAMED_HEAD, createStreamEvent(1), { kind: "chunk", text: "id: 2\ndata: cut" }, {
+                kind: "end",
+            }],
+            [UNFRAMED_HEAD, { kind: "end" }],
+        ] as const
+    ) {
+        const { timers, serve } = createForwarding({ script: () => steps });
+        const { summary, view } = serve({ ...STREAM, isResumable: false });
+        await timers.runUntilSettled(summary, LIMIT_MS);
+        expect(view.isComplete && view.status === 200).toBe(false);
+        expect(view.body).not.toContain("cut");
+    }
+});
+
+test("an unframed stream that ends after an event is complete", async () => {
+    const { timers, serve } = createForwarding({
+        script: () => [UNFRAMED_HEAD, createStreamEvent(1), { kind: "end" }],
+    });
+    const { summary, view } = serve(STREAM);
+    await timers.runUntilSettled(summary, LIMIT_MS);
+    expect(view).toMatchObject({ status: 200, isComplete: true });
+});
--- a/packages/wigeonpulley/test/forwarding/undici-transport.test.ts
+++ b/packages/wigeonpulley/test/forwarding/undici-transport.test.ts
@@ -1,3 +1,4 @@
+import type { Socket } from "node:net";
 import { afterEach, expect, test } from "vitest";
 import {
     type EndpointExchange,
@@ -32,21 +33,22 @@
     readonly body: string;
     readonly failure: string | undefined;
     readonly mayHaveRun: boolean;
+    readonly isConnectionLost: boolean;
 }
 
 const readResponse = async (exchange: EndpointExchange): Promise<ReceivedResponse> => {
     const head = await exchange.readHead();
     if (isExchangeFailure(head)) {
-        return { head: undefined, body: "", failure: head.reason, mayHaveRun: head.mayHaveRun };
+        return { ...head, head: undefined, body: "", failure: head.reason };
     }
     let body = "";
     for (;;) {
         const chunk = await exchange.readChunk();
         if (chunk === undefined) {
-            return { head, body, failure: undefined, mayHaveRun: true };
+            return { head, body, failure: undefined, mayHaveRun: true, isConnectionLost: false };
         }
         if (isExchangeFailure(chunk)) {
-            return { head, body, failure: chunk.reason, mayHaveRun: chunk.mayHaveRun };
+            return { ...chunk, head, body, failure: chunk.reason };
         }
         body += chunk.toString();
     }
@@ -137,3 +139,53 @@
     });
     await closed;
 });
+
+const CHUNKED_HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+test.each([
+    ["closed before the response", (socket: Socket) => void socket.end()],
+    ["reset before the response", (socket: Socket) => void socket.resetAndDestroy()],
+    ["closed in a chunked response", (socket: Socket) => void socket.end(`${CHUNKED_HEAD}2\r\nok\r\n`)],
+    [
+        "closed in a response with a length",
+        (socket: Socket) => void socket.end("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"),
+    ],
+    ["reset in a response without a length", (socket: Socket) => {
+        socket.write("HTTP/1.1 200 OK\r\n\r\nhalf", () => setTimeout(() => socket.resetAndDestroy(), 20));
+    }],
+])("a connection that the endpoint has %s is lost", async (name, respond) => {
+    const endpoint = await start(respond);
+    expect(await readResponse(createTransport().send(endpoint.instance, GET))).toMatchObject({
+        isConnectionLost: true,
+    });
+});
+
+test.each([
+    ["bytes that are no response", "no response\r\n\r\n"],
+    ["a chunk that is none", `${CHUNKED_HEAD}zz\r\n`],
+])("a connection with %s is not lost but failed", async (name, bytes) => {
+    const endpoint = await start(socket => void socket.write(bytes));
+    const response = await readResponse(createTransport().send(endpoint.instance, GET));
+    expect(response.failure).toBeDefined();
+    expect(response.isConnectionLost).toBe(false);
+});
+
+test("a connection that this VM aborts is not lost by the endpoint", async () => {
+    const endpoint = await start(socket => void socket.write(CHUNKED_HEAD));
+    const exchange = createTransport().send(endpoint.instance, GET);
+    setTimeout(() => exchange.abort("timeout"), 50);
+    expect(await readResponse(exchange)).toMatchObject({ failure: "timeout", isConnectionLost: false });
+});
+
+test.each([
+    ["a length", COMPLETE_RESPONSE, false],
+    ["chunks", `${CHUNKED_HEAD}2\r\nok\r\n0\r\n\r\n`, false],
+    ["neither", "HTTP/1.1 200 OK\r\n\r\nok", true],
+])(
+    "a response with %s tells whether it ends with its connection",
+    async (name, bytes, endsWithConnection) => {
+        const endpoint = await start(socket => void socket.end(bytes));
+        const { head } = await readResponse(createTransport().send(endpoint.instance, GET));
+        expect(head).toMatchObject({ endsWithConnection });
+    },
+);
