Judge a block anew after its quarantine and probation have ended

Found by reading, no caller has seen it: a quarantine that had ended stayed in the block's record. After the probation it kept the block from ever being quarantined again while losses went on, and when the store's record of it was read once more it ended the quarantine that had renewed it.

Cause: the record of the last quarantine was taken for the current state. Change: whether it is active or on probation is computed from its time. Both cases have a test; they failed before.

--- a/packages/wigeonpulley/src/quarantine/prompt-quarantine.ts
+++ b/packages/wigeonpulley/src/quarantine/prompt-quarantine.ts
@@ -72,10 +72,9 @@
         }
         const now = this.options.timers.now();
         for (const block of listSharedBlocks(promptBlocks)) {
-            const suspect = this.suspects.get(block);
-            const since = suspect === undefined ? undefined : this.evaluate(block, suspect, now);
-            if (since !== undefined) {
-                return { block, remainingMs: since + QUARANTINE_MS - now };
+            const quarantined = this.findQuarantinedBlock(block, now);
+            if (quarantined !== undefined) {
+                return quarantined;
             }
         }
         return undefined;
@@ -83,7 +82,8 @@
 
     /** Returns all quarantined blocks. */
     listQuarantined(): readonly QuarantinedBlock[] {
-        return [...this.suspects.keys()].flatMap(id => this.findQuarantined([{ id }, { id: "" }]) ?? []);
+        const now = this.options.timers.now();
+        return [...this.suspects.keys()].flatMap(block => this.findQuarantinedBlock(block, now) ?? []);
     }
 
     /** True when one more request with these blocks may end one more instance, though the evidence isn't sufficient yet. */
@@ -166,10 +166,20 @@
         }
     }
 
+    private findQuarantinedBlock(block: string, now: number): QuarantinedBlock | undefined {
+        const suspect = this.suspects.get(block);
+        const since = suspect === undefined ? undefined : this.evaluate(block, suspect, now);
+        return since === undefined ? undefined : { block, remainingMs: since + QUARANTINE_MS - now };
+    }
+
     private adopt(block: string, since: number): void {
         const { timers, logger } = this.options;
         if (this.getOrCreateSuspect(block).adoptQuarantine(since, timers.now())) {
-            logger.write("PromptBlockQuarantined", { block, instances: 0, ageMs: timers.now() - since });
+            logger.write("PromptBlockQuarantined", {
+                block,
+                instances: 0,
+                ageMs: Math.round(timers.now() - since),
+            });
         }
     }
 
--- a/packages/wigeonpulley/src/quarantine/suspect-block.ts
+++ b/packages/wigeonpulley/src/quarantine/suspect-block.ts
@@ -54,7 +54,7 @@
 
     /** Time since which the block is quarantined; undefined while it isn't. */
     getQuarantinedSince(now: number): number | undefined {
-        return this.quarantinedSince !== undefined && now < this.quarantinedSince + QUARANTINE_MS
+        return this.quarantinedSince !== undefined && isActive(this.quarantinedSince, now)
             ? this.quarantinedSince
             : undefined;
     }
@@ -84,12 +84,13 @@
 
     /** Quarantines the block as another VM or the store does; returns false if it is known or contradicted. */
     adoptQuarantine(since: number, now: number): boolean {
-        const isKnown = this.getQuarantinedSince(now) !== undefined;
-        if (since <= this.answeredAt || now >= since + QUARANTINE_MS + PROBATION_MS) {
+        const current = this.getQuarantinedSince(now);
+        // The end of an earlier quarantine must not end the current one.
+        if (since <= this.answeredAt || (current !== undefined && !isActive(since, now))) {
             return false;
         }
-        this.quarantinedSince = Math.min(since, this.getQuarantinedSince(now) ?? since);
-        return !isKnown && this.getQuarantinedSince(now) !== undefined;
+        this.quarantinedSince = Math.min(since, current ?? since);
+        return current === undefined && isActive(since, now);
     }
 
     /** Quarantines the block if the evidence suffices; returns true if it was not quarantined before. */
@@ -119,12 +120,13 @@
     /** True when nothing about the block matters any more. */
     isObsolete(now: number): boolean {
         return now > this.lastLostAt + LOSS_WINDOW_MS
-            && now > (this.quarantinedSince ?? Number.NEGATIVE_INFINITY) + QUARANTINE_MS + PROBATION_MS;
+            && this.getQuarantinedSince(now) === undefined
+            && !this.isOnProbation(now);
     }
 
     private isSufficient(times: readonly number[], now: number): boolean {
-        if (this.quarantinedSince !== undefined) {
-            return now < this.quarantinedSince + QUARANTINE_MS + PROBATION_MS;
+        if (this.isOnProbation(now)) {
+            return true;
         }
         const needed = this.wasAnsweredRecently(now) ? MIN_INSTANCES_AFTER_ANSWER : MIN_INSTANCES;
         const [first] = times;
@@ -134,7 +136,14 @@
                 || (times.at(-1) ?? decisive) - first >= MIN_SPREAD_AFTER_ANSWER_MS);
     }
 
+    private isOnProbation(now: number): boolean {
+        return this.quarantinedSince !== undefined && !isActive(this.quarantinedSince, now)
+            && now < this.quarantinedSince + QUARANTINE_MS + PROBATION_MS;
+    }
+
     private wasAnsweredRecently(now: number): boolean {
         return this.answeredAt > now - LOSS_WINDOW_MS;
     }
 }
+
+const isActive = (quarantinedSince: number, now: number): boolean => now < quarantinedSince + QUARANTINE_MS;
--- a/packages/wigeonpulley/test/quarantine/prompt-quarantine.test.ts
+++ b/packages/wigeonpulley/test/quarantine/prompt-quarantine.test.ts
@@ -100,6 +100,32 @@
     expect(quarantine.findQuarantined(createPrompt("a"))).toBeDefined();
 });
 
+test("after the probation a block is judged like any other again", async () => {
+    const { timers, quarantine } = createQuarantine();
+    recordLosses(quarantine, ["a"], ["i-1", "i-2", "i-3"]);
+    await timers.advance(SETTLE_MS);
+    expect(quarantine.listQuarantined()).toHaveLength(1);
+    await timers.advance(3 * QUARANTINE_MS);
+    recordLosses(quarantine, ["a"], ["i-4", "i-5"]);
+    await timers.advance(SETTLE_MS);
+    expect(quarantine.listQuarantined()).toEqual([]);
+    recordLosses(quarantine, ["a"], ["i-6"]);
+    await timers.advance(SETTLE_MS);
+    expect(quarantine.listQuarantined()).toHaveLength(1);
+});
+
+// The store's record of the first quarantine is read again after the quarantine was renewed.
+test("an earlier quarantine that has ended doesn't end the one that renewed it", async () => {
+    const { timers, quarantine } = createQuarantine();
+    recordLosses(quarantine, ["a"], ["i-1", "i-2", "i-3"]);
+    await timers.advance(SETTLE_MS);
+    expect(quarantine.listQuarantined()).toHaveLength(1);
+    await timers.advance(QUARANTINE_MS);
+    recordLosses(quarantine, ["a"], ["i-4"]);
+    quarantine.applyStored("a", 0);
+    expect(quarantine.listQuarantined()).toHaveLength(1);
+});
+
 test("VMs add up their losses, and an answer at one of them contradicts the losses of the others", async () => {
     const { timers, quarantine: left } = createQuarantine();
     const { quarantine: right } = createQuarantine(timers);
