--- a/packages/wigeonpulley/src/logging/event-catalogue.ts
+++ b/packages/wigeonpulley/src/logging/event-catalogue.ts
@@ -200,13 +200,14 @@
             instances: number;
             inFlight: number;
             places: number;
+            limited: number;
         }
     >(
         410,
         "info",
-        ({ id, service, waitedMs, ahead, instances, inFlight, places }) =>
+        ({ id, service, waitedMs, ahead, instances, inFlight, places, limited }) =>
             `request ${id} got no slot in ${waitedMs} ms: ${ahead} requests ahead, ${instances} instances of ${service} `
-            + `have ${inFlight} requests in flight on ${places} slots`,
+            + `have ${inFlight} requests in flight on ${places} slots, ${limited} of them take none now by their rate limit`,
     ),
     RequestRepeated: defineEvent<
         { id: string; instance: string; reason: string; attempts: number; lastEventId: string; }
--- a/packages/wigeonpulley/src/placement/placement-service.ts
+++ b/packages/wigeonpulley/src/placement/placement-service.ts
@@ -302,6 +302,7 @@
             instances: usable.length,
             inFlight: usable.reduce((sum, instance) => sum + this.chooser.countInFlight(instance), 0),
             places: usable.reduce((sum, { slots }) => sum + slots, 0),
+            limited: usable.filter(instance => !this.options.rateLimits.canSend(instance)).length,
         });
     }
 
