--- a/packages/wigeonpulley/test/quarantine/prompt-quarantine.test.ts
+++ b/packages/wigeonpulley/test/quarantine/prompt-quarantine.test.ts
@@ -13,6 +13,7 @@
 import { WaitingKeyedStore } from "../fixtures/waiting-keyed-store.js";
 
 const SETTLE_MS = 1_100;
+const LOSS_WINDOW_MS = 60_000;
 
 const createQuarantine = (timers = VirtualTimerService.create()) => {
     const log = MemorySink.create();
@@ -122,6 +123,9 @@
     expect(quarantine.listQuarantined()).toHaveLength(1);
     await timers.advance(QUARANTINE_MS);
     recordLosses(quarantine, ["a"], ["i-4"]);
+    expect(quarantine.listQuarantined()).toHaveLength(1);
+    // The loss that renewed it is no evidence any more.
+    await timers.advance(2 * LOSS_WINDOW_MS);
     quarantine.applyStored("a", 0);
     expect(quarantine.listQuarantined()).toHaveLength(1);
 });
