Never displace a quarantined block by others under suspicion

Found by reading: the list of suspects is bounded by dropping the oldest, and the oldest may be a block in quarantine, whose requests would be sent again.

Change: quarantined blocks stay.

--- a/packages/wigeonpulley/src/quarantine/prompt-quarantine.ts
+++ b/packages/wigeonpulley/src/quarantine/prompt-quarantine.ts
@@ -102,7 +102,12 @@
             this.answeredAt.set(block, now);
             this.applyAnswer(block, now, true);
         }
-        evictOldest(this.answeredAt, MAX_ANSWERED_BLOCKS);
+        for (const block of this.answeredAt.keys()) {
+            if (this.answeredAt.size <= MAX_ANSWERED_BLOCKS) {
+                break;
+            }
+            this.answeredAt.delete(block);
+        }
     }
 
     /** Records that an instance closed the connection before it had answered a request properly. */
@@ -210,9 +215,22 @@
         const suspect = this.suspects.get(block)
             ?? SuspectBlock.create(this.answeredAt.get(block) ?? Number.NEGATIVE_INFINITY);
         this.suspects.set(block, suspect);
-        evictOldest(this.suspects, MAX_SUSPECTS);
+        this.evictSuspects(block);
         return suspect;
     }
+
+    /** Removes the oldest suspects beyond the limit, but for quarantined blocks and the given one. */
+    private evictSuspects(kept: string): void {
+        const now = this.options.timers.now();
+        for (const [block, suspect] of this.suspects) {
+            if (this.suspects.size <= MAX_SUSPECTS) {
+                break;
+            }
+            if (block !== kept && suspect.getQuarantinedSince(now) === undefined) {
+                this.suspects.delete(block);
+            }
+        }
+    }
 }
 
 /** The last block of a prompt belongs to its request, so a ban on it would stop no other request. */
@@ -236,12 +254,3 @@
         quarantinedMs: since === undefined ? undefined : now - since,
     };
 };
-
-const evictOldest = (map: Map<string, unknown>, maxSize: number): void => {
-    for (const key of map.keys()) {
-        if (map.size <= maxSize) {
-            break;
-        }
-        map.delete(key);
-    }
-};
