Count losses that are minutes apart while nobody sees the block answered

Found by reading: a loss counted for a minute, so a harmful block that is sent less than three times a minute would end engines forever.

Change: losses count for ten minutes, as any answer clears them. A block without losses since its last answer is forgotten after 15 s instead of a minute. The test (losses that are a minute and more apart ...) failed before and passes.

--- a/packages/wigeonpulley/src/quarantine/suspect-block.ts
+++ b/packages/wigeonpulley/src/quarantine/suspect-block.ts
@@ -4,8 +4,12 @@
 export const QUARANTINE_MS = 600_000;
 /** Time after a quarantine in which a single lost response renews it, in milliseconds. */
 const PROBATION_MS = 600_000;
-/** Time for which a lost response counts as evidence, in milliseconds. */
-const LOSS_WINDOW_MS = 60_000;
+/** Time for which a lost response counts as evidence unless the block is answered, in milliseconds. */
+const LOSS_WINDOW_MS = 600_000;
+/** Time for which an answer makes further losses look like accidents, in milliseconds. */
+const ANSWER_MEMORY_MS = 60_000;
+/** Time for which a block without losses since its last answer is kept, in milliseconds. */
+const CLEARED_MEMORY_MS = 15_000;
 /** Instances that have to lose responses with a block that nobody has seen answered. */
 const MIN_INSTANCES = 3;
 /**
@@ -119,7 +123,8 @@
 
     /** True when nothing about the block matters any more. */
     isObsolete(now: number): boolean {
-        return now > this.lastLostAt + LOSS_WINDOW_MS
+        const memoryMs = this.losses.size > 0 ? LOSS_WINDOW_MS : CLEARED_MEMORY_MS;
+        return now > this.lastLostAt + memoryMs
             && this.getQuarantinedSince(now) === undefined
             && !this.isOnProbation(now);
     }
@@ -142,7 +147,7 @@
     }
 
     private wasAnsweredRecently(now: number): boolean {
-        return this.answeredAt > now - LOSS_WINDOW_MS;
+        return this.answeredAt > now - ANSWER_MEMORY_MS;
     }
 }
 
--- a/packages/wigeonpulley/test/quarantine/prompt-quarantine.test.ts
+++ b/packages/wigeonpulley/test/quarantine/prompt-quarantine.test.ts
@@ -52,6 +52,27 @@
     expect(quarantine.findQuarantined(createPrompt("a"))).toMatchObject({ block: "a" });
 });
 
+test("losses that are a minute and more apart add up while nobody sees the block answered", async () => {
+    const { timers, quarantine } = createQuarantine();
+    for (const instance of ["i-1", "i-2", "i-3"]) {
+        await timers.advance(2 * LOSS_WINDOW_MS);
+        recordLosses(quarantine, ["a"], [instance]);
+    }
+    await timers.advance(SETTLE_MS);
+    expect(quarantine.findQuarantined(createPrompt("a"))).toBeDefined();
+});
+
+test("many blocks under suspicion don't displace a quarantined one", async () => {
+    const { timers, quarantine } = createQuarantine();
+    recordLosses(quarantine, ["a"], ["i-1", "i-2", "i-3"]);
+    await timers.advance(SETTLE_MS);
+    expect(quarantine.findQuarantined(createPrompt("a"))).toBeDefined();
+    for (let index = 0; index < 2_000; index += 1) {
+        recordLosses(quarantine, [`rare-${index}`], ["i-4"]);
+    }
+    expect(quarantine.findQuarantined(createPrompt("a"))).toBeDefined();
+});
+
 test("the last block of a prompt is never quarantined", async () => {
     const { timers, quarantine } = createQuarantine();
     recordLosses(quarantine, [], ["i-1", "i-2", "i-3", "i-4"]);
