End a limit of an instance only by an answer, not by a refusal without it

Found by reading: an instance that refuses a request without running it need not repeat its limit, and such a refusal ended the limit at this VM, for one burst of waiting requests at each refusal.

Change: a limit is taken from any response and ended only by a signed answer that names none. The test failed before and passes.

--- a/packages/wigeonpulley/src/forwarding/attempt.ts
+++ b/packages/wigeonpulley/src/forwarding/attempt.ts
@@ -160,7 +160,7 @@
         if (metadata.isMisdirected) {
             return { kind: "not-run", reason: "another instance has the address", isFull: false };
         }
-        if (metadata.isSigned || metadata.isNotRun) {
+        if (metadata.limitPerS !== undefined || (metadata.isSigned && !metadata.isNotRun)) {
             placement.recordRateLimit(metadata.limitPerS);
         }
         if (metadata.isNotRun) {
--- a/packages/wigeonpulley/test/forwarding/forwarder.test.ts
+++ b/packages/wigeonpulley/test/forwarding/forwarder.test.ts
@@ -5,6 +5,7 @@
     createSignedResponse,
     createStreamEvent,
 } from "../fixtures/forwarding-fixture.js";
+import { createInstance } from "../fixtures/raw-endpoint.js";
 
 const STREAM = {
     kind: "stream",
@@ -311,3 +312,22 @@
     await timers.runUntilSettled(summary, LIMIT_MS);
     expect(view).toMatchObject({ status: 200, isComplete: true });
 });
+
+// An instance that refuses requests for lack of capacity need not repeat its limit in each refusal.
+test("a refusal without a limit doesn't end the limit that an instance has named", async () => {
+    const instance = createInstance({ id: "i-1" });
+    const { timers, rateLimits, serve } = createForwarding({
+        instances: [instance],
+        script: (unused, count) =>
+            count === 1
+                ? [{ kind: "head", headers: { "x-id": "r-1", "x-signed": "1", "x-limit": "1" } }, {
+                    kind: "end",
+                }]
+                : [{ kind: "head", status: 503, headers: { "x-id": "r-1", "x-not-run": "1" } }],
+    });
+    await timers.runUntilSettled(serve({}).summary, LIMIT_MS);
+    await timers.advance(1_500);
+    expect(rateLimits.canSend(instance)).toBe(true);
+    await timers.runUntilSettled(serve({}).summary, LIMIT_MS);
+    expect(rateLimits.listReports()).toMatchObject([{ limitPerS: 1 }]);
+});
