Bound the losses of a block in a report

A digest carried every instance that had lost responses with a quarantined block, so that its size grew with the number of crashes. Verdicts need six at most; reports carry the newest eight. The test of bounded reports failed before.

--- a/packages/wigeonpulley/src/quarantine/prompt-quarantine.ts
+++ b/packages/wigeonpulley/src/quarantine/prompt-quarantine.ts
@@ -41,6 +41,8 @@
 const MAX_SUSPECTS = 512;
 /** Blocks in one report; bounds its size. */
 const MAX_REPORTED_BLOCKS = 8;
+/** Losses of one block in a report, the newest ones; more than any verdict needs. */
+const MAX_REPORTED_LOSSES = 8;
 /** Age of the newest loss up to which a block that isn't quarantined is reported, in milliseconds. */
 const MAX_REPORTED_LOSS_AGE_MS = 15_000;
 /** The same for a block without losses since its last answer: the answer only has to reach those that heard of the loss. */
@@ -249,7 +251,10 @@
     const since = suspect.getQuarantinedSince(now);
     return {
         block,
-        losses: suspect.listLosses().map(([instance, lostAt]) => ({ instance, ageMs: now - lostAt })),
+        losses: suspect.listLosses().slice(-MAX_REPORTED_LOSSES).map(([instance, lostAt]) => ({
+            instance,
+            ageMs: now - lostAt,
+        })),
         answeredAgeMs: Number.isFinite(suspect.lastAnsweredAt) ? now - suspect.lastAnsweredAt : undefined,
         quarantinedMs: since === undefined ? undefined : now - since,
     };
--- a/packages/wigeonpulley/test/quarantine/prompt-quarantine.test.ts
+++ b/packages/wigeonpulley/test/quarantine/prompt-quarantine.test.ts
@@ -188,9 +188,11 @@
     for (let index = 0; index < 50; index += 1) {
         recordLosses(quarantine, [`rare-${index}`], ["i-4"]);
     }
+    recordLosses(quarantine, ["a"], Array.from({ length: 40 }, (unused, index) => `i-${index}`));
     const reports = quarantine.listReports();
     expect(reports).toHaveLength(8);
     expect(reports[0]).toMatchObject({ block: "a" });
+    expect(reports[0]?.losses).toHaveLength(8);
 });
 
 test("a quarantine is written to the store, kept over a restart and ended when its record is removed", async () => {
