--- a/packages/wigeonpulley/test/compatibility/recorded-examples.test.ts
+++ b/packages/wigeonpulley/test/compatibility/recorded-examples.test.ts
@@ -1,6 +1,7 @@
 /**
- * Compares what this version encodes and decodes with examples that commit 831116e recorded. Guards against a change of a
- * name that leaves the process: VMs of two versions run side by side during an upgrade, and records outlive the VMs.
+ * Compares what this version encodes and decodes with examples that commit 831116e recorded, and later ones for what was
+ * added since. Guards against a change of a name that leaves the process: VMs of two versions run side by side during an
+ * upgrade, and records outlive the VMs.
  */
 import {
     create,
@@ -71,6 +72,20 @@
         }],
         reports: [{ ageMs: 20, report: "CgR2bS0z" }],
     }],
+    evidenceDigest: [MemberDigestSchema, {
+        sender: "vm-1",
+        promptBlocks: [{
+            block: "5c1e07a2",
+            instances: [3_704_110_265, 17],
+            lossAgesMs: [1_200, 40],
+            answeredAgeMs: 61_001,
+            quarantinedMs: 1_201,
+        }],
+        instanceLimits: [
+            { instance: 3_704_110_265, limitPerS: 4.3, ageMs: 25 },
+            { instance: 17, hasEnded: true, ageMs: 300 },
+        ],
+    }],
     ticket: [GatewayMessageSchema, {
         ticket: {
             id: "r-1",
