Don't quarantine a block that all prompts share with the harmful one

Seen in a test with 60 VMs that had just started, 24 engines and 50 harmful requests a second: no engine lived long enough to answer anything, so the system prompt had as many losses as the harmful block, was quarantined too, and every request was refused for ten minutes.

Cause: each lost response is evidence against all blocks of its prompt, and blocks were judged one by one.

Change: a block is not quarantined while a more specific one (not answered lately, or deeper in the prompt) lost responses at all but two of its instances. Reports carry the deepest position. The evidence settles for 1.5 s instead of one, since the order of arrival decides which block is known first.

--- a/packages/wigeonpulley/src/quarantine/prompt-quarantine.ts
+++ b/packages/wigeonpulley/src/quarantine/prompt-quarantine.ts
@@ -13,6 +13,8 @@
     readonly block: string;
     /** Hashes of instances that lost a response with the block, and the age of each loss. */
     readonly losses: readonly { readonly instance: number; readonly ageMs: number; }[];
+    /** Deepest position of the block in a prompt that was lost. */
+    readonly depth: number;
     /** Age of the last known answer; undefined if there is none. */
     readonly answeredAgeMs: number | undefined;
     /** Time for which the block is quarantined; undefined if it isn't. */
@@ -115,11 +117,9 @@
     /** Records that an instance closed the connection before it had answered a request properly. */
     recordLoss(promptBlocks: readonly PromptBlock[], instance: Instance): void {
         const now = this.options.timers.now();
-        for (const block of listSharedBlocks(promptBlocks)) {
-            const suspect = this.getOrCreateSuspect(block);
-            suspect.recordLoss(hashIncarnation(instance), now);
-            this.evaluate(block, suspect, now);
-        }
+        listSharedBlocks(promptBlocks).forEach((block, depth) =>
+            this.getOrCreateSuspect(block).recordLoss(hashIncarnation(instance), now, depth)
+        );
     }
 
     /** Quarantines a block as the store says, from a monotonic time on. */
@@ -160,16 +160,15 @@
      */
     applyReports(reports: readonly BlockReport[], askedAt: number | undefined): void {
         const now = this.options.timers.now();
-        for (const { block, losses, answeredAgeMs, quarantinedMs } of reports) {
+        for (const { block, losses, depth, answeredAgeMs, quarantinedMs } of reports) {
             const suspect = this.getOrCreateSuspect(block);
-            losses.forEach(({ instance, ageMs }) => suspect.recordLoss(instance, now - ageMs));
+            losses.forEach(({ instance, ageMs }) => suspect.recordLoss(instance, now - ageMs, depth));
             if (answeredAgeMs !== undefined && askedAt !== undefined) {
                 this.applyAnswer(block, askedAt - answeredAgeMs, false);
             }
             if (quarantinedMs !== undefined) {
                 this.adopt(block, now - quarantinedMs);
             }
-            this.evaluate(block, suspect, now);
         }
     }
 
@@ -202,7 +201,9 @@
 
     /** Returns the time since which the block is quarantined, if it is. */
     private evaluate(block: string, suspect: SuspectBlock, now: number): number | undefined {
-        if (suspect.evaluate(now)) {
+        const isExplained = (): boolean =>
+            [...this.suspects.values()].some(other => other.explains(suspect, now));
+        if (suspect.evaluate(now, isExplained)) {
             this.options.logger.write("PromptBlockQuarantined", {
                 block,
                 instances: suspect.lossCount,
@@ -255,6 +256,7 @@
             instance,
             ageMs: now - lostAt,
         })),
+        depth: suspect.depth,
         answeredAgeMs: Number.isFinite(suspect.lastAnsweredAt) ? now - suspect.lastAnsweredAt : undefined,
         quarantinedMs: since === undefined ? undefined : now - since,
     };
--- a/packages/wigeonpulley/src/quarantine/suspect-block.ts
+++ b/packages/wigeonpulley/src/quarantine/suspect-block.ts
@@ -18,14 +18,17 @@
  */
 const MIN_INSTANCES_AFTER_ANSWER = 6;
 const MIN_SPREAD_AFTER_ANSWER_MS = 2_000;
-/** Time for other VMs to contradict with an answer before the evidence counts, in milliseconds. */
-const SETTLE_MS = 1_000;
+/** Instances that have to lose responses with a block before it explains the losses of others. */
+const MIN_EXPLAINING_INSTANCES = 2;
+/** Time for the losses and answers of other VMs to arrive before the evidence counts, in milliseconds. */
+const SETTLE_MS = 1_500;
 
 /** One block under suspicion. */
 export class SuspectBlock {
     /** Time of the first lost response of each instance, by the hash of the instance. */
     private readonly losses = new Map<number, number>();
     private lastLostAt = Number.NEGATIVE_INFINITY;
+    private deepestPosition = 0;
     /** First of the losses for which the block is or was quarantined. */
     private quarantinedSince: number | undefined;
 
@@ -51,6 +54,11 @@
         return this.lastLostAt;
     }
 
+    /** Deepest position of the block in a prompt that was lost; 0 is the first. */
+    get depth(): number {
+        return this.deepestPosition;
+    }
+
     /** Hashes of instances with the times of their losses. */
     listLosses(): readonly (readonly [instance: number, lostAt: number])[] {
         return [...this.losses];
@@ -63,8 +71,9 @@
             : undefined;
     }
 
-    /** Records a response that an instance lost. */
-    recordLoss(instance: number, lostAt: number): void {
+    /** Records a response that an instance lost, and the position of the block in its prompt. */
+    recordLoss(instance: number, lostAt: number, depth: number): void {
+        this.deepestPosition = Math.max(this.deepestPosition, depth);
         this.lastLostAt = Math.max(this.lastLostAt, lostAt);
         if (lostAt > this.answeredAt) {
             this.losses.set(instance, Math.min(lostAt, this.losses.get(instance) ?? lostAt));
@@ -97,8 +106,11 @@
         return current === undefined && isActive(since, now);
     }
 
-    /** Quarantines the block if the evidence suffices; returns true if it was not quarantined before. */
-    evaluate(now: number): boolean {
+    /**
+     * Quarantines the block if the evidence suffices; returns true if it was not quarantined before. `isExplained` tells
+     * whether another block accounts for its losses.
+     */
+    evaluate(now: number, isExplained: () => boolean): boolean {
         if (this.getQuarantinedSince(now) !== undefined) {
             return false;
         }
@@ -109,13 +121,24 @@
         }
         const times = [...this.losses.values()].sort((left, right) => left - right);
         const [first] = times;
-        if (first === undefined || !this.isSufficient(times, now)) {
+        if (first === undefined || !this.isSufficient(times, now) || isExplained()) {
             return false;
         }
         this.quarantinedSince = first;
         return true;
     }
 
+    /**
+     * True when this block accounts for the losses of another one: nearly all of them came at instances that lost
+     * responses with this block too, and this block is the more specific one. Else a block that all prompts share, such as
+     * a system prompt, would be quarantined with the harmful one when no engine lives long enough to answer.
+     */
+    explains(other: SuspectBlock, now: number): boolean {
+        const unexplained = [...other.losses.keys()].filter(instance => !this.losses.has(instance));
+        return this.losses.size >= MIN_EXPLAINING_INSTANCES && unexplained.length < MIN_INSTANCES
+            && this.isMoreSpecificThan(other, now);
+    }
+
     /** True when another request with the block may be expected to end one more instance. */
     isSuspicious(now: number): boolean {
         return this.losses.size > 1 && !this.wasAnsweredRecently(now);
@@ -141,6 +164,13 @@
                 || (times.at(-1) ?? decisive) - first >= MIN_SPREAD_AFTER_ANSWER_MS);
     }
 
+    private isMoreSpecificThan(other: SuspectBlock, now: number): boolean {
+        const wasAnswered = this.wasAnsweredRecently(now);
+        return wasAnswered === other.wasAnsweredRecently(now)
+            ? this.deepestPosition > other.deepestPosition
+            : !wasAnswered;
+    }
+
     private isOnProbation(now: number): boolean {
         return this.quarantinedSince !== undefined && !isActive(this.quarantinedSince, now)
             && now < this.quarantinedSince + QUARANTINE_MS + PROBATION_MS;
--- a/packages/wigeonpulley/src/routed-vm/gossiped-evidence.ts
+++ b/packages/wigeonpulley/src/routed-vm/gossiped-evidence.ts
@@ -46,12 +46,13 @@
 const decodeOptionalAge = (encoded: number): number | undefined => encoded === 0 ? undefined : encoded - 1;
 
 const encodeBlockReport = (
-    { block, losses, answeredAgeMs, quarantinedMs }: BlockReport,
+    { block, losses, depth, answeredAgeMs, quarantinedMs }: BlockReport,
 ): PromptBlockReport =>
     create(PromptBlockReportSchema, {
         block,
         instances: losses.map(({ instance }) => instance),
         lossAgesMs: losses.map(({ ageMs }) => encodeAge(ageMs)),
+        depth,
         answeredAgeMs: encodeOptionalAge(answeredAgeMs),
         quarantinedMs: encodeOptionalAge(quarantinedMs),
     });
@@ -59,6 +60,7 @@
 const decodeBlockReport = (report: PromptBlockReport): BlockReport => ({
     block: report.block,
     losses: report.instances.map((instance, index) => ({ instance, ageMs: report.lossAgesMs[index] ?? 0 })),
+    depth: report.depth,
     answeredAgeMs: decodeOptionalAge(report.answeredAgeMs),
     quarantinedMs: decodeOptionalAge(report.quarantinedMs),
 });
--- a/packages/wigeonpulley/test/quarantine/crashing-prompts.test.ts
+++ b/packages/wigeonpulley/test/quarantine/crashing-prompts.test.ts
@@ -35,7 +35,19 @@
 
 /** Sends sound and harmful requests to random VMs. Harmful ones have the system prompt and a subject of sound ones. */
 const runTraffic = async (
-    { faults = [], framing = "chunked", durationMs = 30_000, isResumable = false, harmful }: {
+    {
+        vmCount = VM_COUNT,
+        engineCount = ENGINE_COUNT,
+        harmfulIntervalMs = HARMFUL_INTERVAL_MS,
+        faults = [],
+        framing = "chunked",
+        durationMs = 30_000,
+        isResumable = false,
+        harmful,
+    }: {
+        readonly vmCount?: number;
+        readonly engineCount?: number;
+        readonly harmfulIntervalMs?: number;
         readonly faults?: readonly FleetFault[];
         readonly framing?: Framing;
         readonly durationMs?: number;
@@ -44,8 +56,8 @@
     },
 ): Promise<Outcome> => {
     const engines = await CrashingEngines.create({
-        vmCount: VM_COUNT,
-        engineCount: ENGINE_COUNT,
+        vmCount,
+        engineCount,
         harmfulBlock: HARMFUL_BLOCK,
         framing,
     });
@@ -54,7 +66,7 @@
     const startedAt = fleet.timers.now();
     const pendingFaults = [...faults];
     const sound: FleetRequest[] = [];
-    const pickVm = (): string => fleet.vmNames[random.pickInteger(VM_COUNT)] ?? "";
+    const pickVm = (): string => fleet.vmNames[random.pickInteger(vmCount)] ?? "";
     const pickSubject = (): string => `subject-${random.pickInteger(SUBJECT_COUNT)}`;
     for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += STEP_MS) {
         while ((pendingFaults[0]?.atMs ?? durationMs) <= elapsedMs) {
@@ -65,7 +77,7 @@
                 fleet.send(pickVm(), [SYSTEM_PROMPT, pickSubject(), `own-${elapsedMs}`], isResumable),
             );
         }
-        if (elapsedMs % HARMFUL_INTERVAL_MS === 0) {
+        if (elapsedMs % harmfulIntervalMs === 0) {
             const own = `harmful-${elapsedMs}`;
             const blocks = harmful?.(pickSubject(), own)
                 ?? [SYSTEM_PROMPT, pickSubject(), HARMFUL_BLOCK, own];
@@ -112,6 +124,15 @@
     expectContained(await runTraffic({ isResumable: true }));
 });
 
+test.each([20, 100])(
+    "many VMs learn of a harmful block in time, of which none sees more than one crash (one each %i ms)",
+    async harmfulIntervalMs => {
+        expectContained(
+            await runTraffic({ vmCount: 60, engineCount: 24, harmfulIntervalMs, durationMs: 15_000 }),
+        );
+    },
+);
+
 test("a VM that restarts knows the harmful blocks, also when no other VM is left to tell it", async () => {
     expectContained(
         await runTraffic({
--- a/packages/wigeonpulley/test/quarantine/prompt-quarantine.test.ts
+++ b/packages/wigeonpulley/test/quarantine/prompt-quarantine.test.ts
@@ -12,7 +12,7 @@
 import { createInstance } from "../fixtures/raw-endpoint.js";
 import { WaitingKeyedStore } from "../fixtures/waiting-keyed-store.js";
 
-const SETTLE_MS = 1_100;
+const SETTLE_MS = 1_600;
 const LOSS_WINDOW_MS = 60_000;
 
 const createQuarantine = (timers = VirtualTimerService.create()) => {
@@ -62,6 +62,24 @@
     expect(quarantine.findQuarantined(createPrompt("a"))).toBeDefined();
 });
 
+test("a block that all prompts share is not quarantined with the harmful one, though nobody saw it answered", async () => {
+    const { timers, quarantine } = createQuarantine();
+    recordLosses(quarantine, ["system", "harmful"], ["i-1", "i-2", "i-3", "i-4"]);
+    // Sound requests at the same engines, and at one whose harmful request another VM has lost.
+    recordLosses(quarantine, ["system"], ["i-1", "i-2", "i-5"]);
+    await timers.advance(SETTLE_MS);
+    expect(quarantine.listQuarantined().map(({ block }) => block)).toEqual(["harmful"]);
+});
+
+test("a harmful first block is found though the blocks after it are lost with it", async () => {
+    const { timers, quarantine } = createQuarantine();
+    for (const index of [1, 2, 3, 4, 5, 6]) {
+        recordLosses(quarantine, ["harmful", `subject-${index % 3}`], [`i-${index}`]);
+    }
+    await timers.advance(SETTLE_MS);
+    expect(quarantine.listQuarantined().map(({ block }) => block)).toEqual(["harmful"]);
+});
+
 test("many blocks under suspicion don't displace a quarantined one", async () => {
     const { timers, quarantine } = createQuarantine();
     recordLosses(quarantine, ["a"], ["i-1", "i-2", "i-3"]);
@@ -174,7 +192,7 @@
     const { timers, quarantine } = createQuarantine();
     recordLosses(quarantine, ["a"], ["i-1", "i-2", "i-3"]);
     await timers.advance(SETTLE_MS);
-    const report = { block: "a", losses: [], answeredAgeMs: 0, quarantinedMs: undefined };
+    const report = { block: "a", losses: [], depth: 0, answeredAgeMs: 0, quarantinedMs: undefined };
     quarantine.applyReports([report], undefined);
     expect(quarantine.findQuarantined(createPrompt("a"))).toBeDefined();
     quarantine.applyReports([report], timers.now());
