--- a/packages/wigeonpulley/src/forwarding/attempt.ts
+++ b/packages/wigeonpulley/src/forwarding/attempt.ts
@@ -12,6 +12,7 @@
 } from "./endpoint-transport.js";
 import type { HeaderCodec } from "./header-codec.js";
 import { listForwardedRequestHeaders } from "./hop-by-hop.js";
+import { PromptEvidence } from "./prompt-evidence.js";
 import type { ResponseWriter } from "./response-writer.js";
 import { computeCallerTimeoutMs, isRetryable, type RoutedRequest } from "./routed-request.js";
 import type { StreamRelay } from "./stream-relay.js";
@@ -60,11 +61,6 @@
 const UNRESPONSIVE_MS = 1_500;
 /** Events after which a stream reports its event gap to the latency model without waiting for its end. */
 const EARLY_EVENT_COUNT = 8;
-/**
- * Events of an engine's response that clear the blocks of its prompt. An engine that crashes under a block crashes as it
- * begins to answer.
- */
-const CLEARING_EVENT_COUNT = 4;
 const HTTP_OK = 200;
 const HTTP_REDIRECT = 300;
 const HTTP_SERVER_ERROR = 500;
@@ -75,17 +71,18 @@
 /** One attempt. */
 export class Attempt {
     private readonly exchange: EndpointExchange;
+    private readonly promptEvidence: PromptEvidence;
     private readonly startedAt: number;
     /** Events that earlier attempts had relayed. */
     private readonly eventsBefore: number;
     private progressAt: number;
     private isFinished = false;
-    private isPromptCleared = false;
 
     private constructor(private readonly options: AttemptOptions) {
         this.startedAt = options.timers.now();
         this.progressAt = this.startedAt;
         this.eventsBefore = options.relay.eventCount;
+        this.promptEvidence = PromptEvidence.create(options);
         this.exchange = this.send();
     }
 
@@ -101,7 +98,9 @@
         this.abortWhenSilent();
         try {
             const outcome = await this.relayResponse();
-            this.recordConnectionLoss(outcome);
+            if (outcome.kind === "failed" && outcome.isConnectionLost) {
+                this.promptEvidence.recordConnectionLoss(outcome.reason, this.relayedEvents);
+            }
             placement.release(this.computeRequestOutcome(outcome), "reason" in outcome ? outcome.reason : "");
             return outcome;
         }
@@ -196,9 +195,7 @@
                 relay.startResponse(head);
             }
             await relay.push(chunk);
-            if (this.relayedEvents >= CLEARING_EVENT_COUNT) {
-                this.clearPrompt();
-            }
+            this.promptEvidence.recordEvents(this.relayedEvents);
             if (!isEventGapRecorded && this.relayedEvents >= EARLY_EVENT_COUNT) {
                 isEventGapRecorded = true;
                 placement.recordEvents(this.relayedEvents);
@@ -213,9 +210,7 @@
         if (!relay.isBetweenEvents) {
             return createFailedOutcome("the stream ended within an event", head.endsWithConnection);
         }
-        if (!head.endsWithConnection) {
-            this.clearPrompt();
-        }
+        this.promptEvidence.recordEnd(head.endsWithConnection);
         writer.finish();
         placement.recordEvents(this.relayedEvents);
         return { kind: "answered", status: head.status };
@@ -246,9 +241,7 @@
         }
         placement.recordFirstEvent();
         placement.recordResponse();
-        if (!head.endsWithConnection) {
-            this.clearPrompt();
-        }
+        this.promptEvidence.recordEnd(head.endsWithConnection);
         const hasBody = request.method !== "HEAD" && !BODILESS_STATUSES.has(head.status);
         const sendResponse = (): void => writer.sendComplete(head, Buffer.concat(chunks), hasBody);
         if (head.status >= HTTP_SERVER_ERROR) {
@@ -293,31 +286,6 @@
         return this.options.relay.eventCount - this.eventsBefore;
     }
 
-    /** Records that the instance answers the request, which shows that its prompt does no harm. */
-    private clearPrompt(): void {
-        if (!this.isPromptCleared) {
-            this.isPromptCleared = true;
-            this.options.quarantine.recordAnswer(this.options.request.metadata.promptBlocks);
-        }
-    }
-
-    private recordConnectionLoss(outcome: AttemptOutcome): void {
-        if (outcome.kind !== "failed" || !outcome.isConnectionLost) {
-            return;
-        }
-        const { logger, request, placement, quarantine } = this.options;
-        if (!this.isPromptCleared) {
-            quarantine.recordLoss(request.metadata.promptBlocks, placement.instance);
-        }
-        logger.write("InstanceConnectionLost", {
-            id: request.metadata.attemptId,
-            instance: placement.instance.id,
-            reason: outcome.reason,
-            events: this.relayedEvents,
-            promptBlocks: request.metadata.promptBlocks.map(({ id }) => id).join(","),
-        });
-    }
-
     /** Aborts the exchange of a retryable request when the instance sends nothing for too long. */
     private abortWhenSilent(): void {
         const { timers, request } = this.options;
