--- a/packages/wigeonpulley/src/discovery/instance.ts
+++ b/packages/wigeonpulley/src/discovery/instance.ts
@@ -31,7 +31,7 @@
 
 const incarnationHashes = new WeakMap<Instance, number>();
 
-/** Hashes what tells this incarnation from others, as VMs name it to each other. */
+/** Returns the identifier of an incarnation in messages between VMs. */
 export const hashIncarnation = (instance: Instance): number => {
     const hash = incarnationHashes.get(instance) ?? hashText(`${instance.id} ${instance.bornMs}`);
     incarnationHashes.set(instance, hash);
--- a/packages/wigeonpulley/src/placement/instance-rate-limits.ts
+++ b/packages/wigeonpulley/src/placement/instance-rate-limits.ts
@@ -9,7 +9,7 @@
 import type { EventLogger } from "../logging/index.js";
 import type { TimerService } from "../time/index.js";
 
-/** What a VM tells the others of an instance. */
+/** State of one instance's limit, as VMs report it to each other. */
 export interface LimitReport {
     /** Hash of the incarnation. */
     readonly instance: number;
--- a/packages/wigeonpulley/src/quarantine/prompt-quarantine.ts
+++ b/packages/wigeonpulley/src/quarantine/prompt-quarantine.ts
@@ -8,7 +8,7 @@
 import type { TimerService } from "../time/index.js";
 import { QUARANTINE_MS, SuspectBlock } from "./suspect-block.js";
 
-/** What a VM tells the others of a block. Ages are in milliseconds. */
+/** Evidence about one block, as VMs report it to each other. Ages are in milliseconds. */
 export interface BlockReport {
     readonly block: string;
     /** Hashes of instances that lost a response with the block, and the age of each loss. */
@@ -47,7 +47,7 @@
 const MAX_REPORTED_LOSSES = 8;
 /** Age of the newest loss up to which a block that isn't quarantined is reported, in milliseconds. */
 const MAX_REPORTED_LOSS_AGE_MS = 15_000;
-/** The same for a block without losses since its last answer: the answer only has to reach those that heard of the loss. */
+/** The same for a block without losses since its last answer, which only has to reach the VMs that know of the loss. */
 const MAX_REPORTED_ANSWER_AGE_MS = 3_000;
 
 /** Quarantine of one VM. */
--- a/packages/wigeonpulley/src/quarantine/suspect-block.ts
+++ b/packages/wigeonpulley/src/quarantine/suspect-block.ts
@@ -10,7 +10,7 @@
 const ANSWER_MEMORY_MS = 60_000;
 /** Time for which a block without losses since its last answer is kept, in milliseconds. */
 const CLEARED_MEMORY_MS = 15_000;
-/** Instances that have to lose responses with a block that nobody has seen answered. */
+/** Instances that have to lose responses with a block that was not answered recently. */
 const MIN_INSTANCES = 3;
 /**
  * The same for a block that was answered recently, and the time over which the losses have to be spread: connections to
@@ -107,8 +107,8 @@
     }
 
     /**
-     * Quarantines the block if the evidence suffices; returns true if it was not quarantined before. `isExplained` tells
-     * whether another block accounts for its losses.
+     * Quarantines the block if the evidence suffices; returns true if it was not quarantined before. `isExplained` returns
+     * true when another block accounts for its losses.
      */
     evaluate(now: number, isExplained: () => boolean): boolean {
         if (this.getQuarantinedSince(now) !== undefined) {
--- a/packages/wigeonpulley/test/rollouts/rollout-model.test.ts
+++ b/packages/wigeonpulley/test/rollouts/rollout-model.test.ts
@@ -4,16 +4,15 @@
     EventLogger,
     type Instance,
     isFinalState,
-    type KeyedRecord,
     MemorySink,
     RolloutService,
     RolloutStateStore,
     type RolloutStatus,
-    RolloutStatusCodec,
     SeededRandom,
     VirtualTimerService,
 } from "wigeonpulley";
 import { FaultInjectingStore, type StoreCondition, StoredTopic } from "../fixtures/fault-injecting-store.js";
+import { JsonStatusCodec } from "../fixtures/json-status-codec.js";
 import { readPropertyParameters } from "../fixtures/properties.js";
 import { createInstance } from "../fixtures/raw-endpoint.js";
 
@@ -67,24 +66,6 @@
     startsAfterMs: fc.constantFrom(0, 4_000),
 });
 
-class JsonStatusCodec extends RolloutStatusCodec {
-    private constructor() {
-        super();
-    }
-
-    static create(): JsonStatusCodec {
-        return new JsonStatusCodec();
-    }
-
-    override encodeStatus(status: RolloutStatus): { readonly key: string; readonly value: Buffer; } {
-        return { key: status.service, value: Buffer.from(JSON.stringify(status)) };
-    }
-
-    override decodeStatus({ value }: KeyedRecord): RolloutStatus {
-        return JSON.parse(value?.toString() ?? "{}") as RolloutStatus;
-    }
-}
-
 const codec = JsonStatusCodec.create();
 
 /** Creates a store that ignores the expected end of the topic, so that its writes are unconditional. */
