Log the eras of the store's history and the operators' records that are read

A store that is restored from a copy gives offsets out again. No line told in which history a record had been read, so neither a record that was missed nor one that came from the copy could be recognised in the logs. Batches carry the era that the store names in Store-Era; event 206 tells that it rose, with the offset that had been read and the new end, and 207 each record of the operators. No logic changes.

--- a/packages/wigeonpulley/src/logging/event-catalogue.ts
+++ b/packages/wigeonpulley/src/logging/event-catalogue.ts
@@ -135,6 +135,19 @@
         ({ jumpMs }) =>
             `the wall clock advanced ${jumpMs} ms more than the monotonic clock; the configuration is confirmed again`,
     ),
+    StoreRestored: defineEvent<
+        { topic: string; era: number; eraBefore: number; offset: number; end: number; }
+    >(
+        206,
+        "warn",
+        ({ topic, era, eraBefore, offset, end }) =>
+            `the store was restored (era ${era} after ${eraBefore}): ${topic} was read up to offset ${offset} and now ends at ${end}`,
+    ),
+    OperatorRecordRead: defineEvent<{ key: string; offset: number; }>(
+        207,
+        "info",
+        ({ key, offset }) => `the operators' record ${key} was read at offset ${offset}`,
+    ),
     RequestEnded: defineEvent<
         {
             id: string;
--- a/packages/wigeonpulley/src/routed-vm/store-subscriptions.ts
+++ b/packages/wigeonpulley/src/routed-vm/store-subscriptions.ts
@@ -90,6 +90,7 @@
 
     private applyOperatorRecord(record: KeyedRecord): void {
         const { adapter, logger, activeConfiguration, rollouts } = this.options;
+        logger.write("OperatorRecordRead", { key: record.key, offset: record.offset });
         const parsed = adapter.parseOperatorRecord(record);
         if (parsed.isErr()) {
             logger.writeError(parsed.error);
--- a/packages/wigeonpulley/src/store/keyed-store.ts
+++ b/packages/wigeonpulley/src/store/keyed-store.ts
@@ -15,6 +15,8 @@
 
 /** Records of a topic with the offset at which to continue. */
 export interface RecordBatch {
+    /** Era of the store's history; it rises when the store is restored from a copy. */
+    readonly era: number;
     readonly records: readonly KeyedRecord[];
     readonly nextOffset: number;
 }
--- a/packages/wigeonpulley/src/store/topic-follower.ts
+++ b/packages/wigeonpulley/src/store/topic-follower.ts
@@ -44,6 +44,7 @@
 /** Follower of one topic. */
 export class TopicFollower {
     private nextOffset: number | undefined;
+    private era: number | undefined;
     private consecutiveFailures = 0;
     private storeLostAt: ClockReading | undefined;
     private readonly abortController = new AbortController();
@@ -112,6 +113,7 @@
             return batch.error.name === "StoreHistoryLost";
         }
         this.recordSuccess();
+        this.recordEra(batch.value);
         this.apply(from, batch.value);
         listener.confirm(sentAt);
         return true;
@@ -133,6 +135,15 @@
         this.nextOffset = Math.max(knownOffset, batch.nextOffset);
     }
 
+    private recordEra({ era, nextOffset: end }: RecordBatch): void {
+        const eraBefore = this.era ?? era;
+        this.era = Math.max(era, eraBefore);
+        if (era > eraBefore) {
+            const { logger, topic } = this.options;
+            logger.write("StoreRestored", { topic, era, eraBefore, offset: this.nextOffset ?? 0, end });
+        }
+    }
+
     private recordFailure(
         batch: Result<RecordBatch, SchedulerError> & { readonly error: SchedulerError; },
     ): void {
