Name a position in a topic by era and offset

Callers could be served by an old configuration: a VM that read on from an old position after the store had been restored missed the records that were written at offsets which it had read before, and its read confirmed the configuration. A position was an offset alone, and the era of the store's history was read nowhere.

A position is (era, offset).

--- a/packages/wigeonpulley/src/rollouts/rollout-state-store.ts
+++ b/packages/wigeonpulley/src/rollouts/rollout-state-store.ts
@@ -57,7 +57,7 @@
             if (current !== undefined && (isFinalState(current) || current === status.state)) {
                 return Ok(current);
             }
-            const written = await this.store.put("status", key, value, snapshot.value.nextOffset);
+            const written = await this.store.put("status", key, value, snapshot.value.next);
             if (written.isOk()) {
                 return Ok(status.state);
             }
--- a/packages/wigeonpulley/src/store/index.ts
+++ b/packages/wigeonpulley/src/store/index.ts
@@ -3,6 +3,12 @@
  * Decides when to retry reads; knows neither the meaning of the records nor the store's protocol.
  */
 export { FreshnessKeeper, type FreshnessKeeperOptions } from "./freshness-keeper.js";
-export { type KeyedRecord, KeyedStore, type RecordBatch, type Topic } from "./keyed-store.js";
+export {
+    type KeyedRecord,
+    KeyedStore,
+    type RecordBatch,
+    type Topic,
+    type TopicPosition,
+} from "./keyed-store.js";
 export { StoreVmList } from "./store-vm-list.js";
 export { TopicFollower, type TopicFollowerOptions, type TopicListener } from "./topic-follower.js";
--- a/packages/wigeonpulley/src/store/keyed-store.ts
+++ b/packages/wigeonpulley/src/store/keyed-store.ts
@@ -13,12 +13,16 @@
     readonly offset: number;
 }
 
-/** Records of a topic with the offset at which to continue. */
-export interface RecordBatch {
-    /** Era of the store's history; it rises when the store is restored from a copy. */
+/** Place in the history of a topic. A store that is restored from a copy gives offsets out again, in the next era. */
+export interface TopicPosition {
     readonly era: number;
+    readonly offset: number;
+}
+
+/** Records of a topic with the position at which to continue. */
+export interface RecordBatch {
     readonly records: readonly KeyedRecord[];
-    readonly nextOffset: number;
+    readonly next: TopicPosition;
 }
 
 /** The platform's store. */
@@ -27,24 +31,25 @@
     abstract readSnapshot(topic: Topic): Promise<Result<RecordBatch, SchedulerError>>;
 
     /**
-     * Reads records from an offset on; waits up to `waitMs` milliseconds for the first one.
-     * Fails with StoreUnavailable, or with StoreHistoryLost when records from the offset on were trimmed.
+     * Reads records from a position on; waits up to `waitMs` milliseconds for the first one. Fails with StoreUnavailable,
+     * or with StoreHistoryLost when records from the position on were trimmed or the store was restored since.
      */
     abstract readFrom(
         topic: Topic,
-        offset: number,
+        position: TopicPosition,
         waitMs: number,
     ): Promise<Result<RecordBatch, SchedulerError>>;
 
     /**
      * Appends a record and returns its offset; a record without a value removes the key. With `expectedEnd`, the record is
-     * appended only if the topic ends at that offset, and the call fails with StoreConflict otherwise. After
-     * StoreUnavailable the record may have been appended, or may still be if its condition holds.
+     * appended only if the topic ends at that offset, and the call fails with StoreConflict otherwise. It also fails
+     * with StoreConflict when the store was restored since the end was read; then the record may have been appended, as
+     * after StoreUnavailable, after which it may still be if its condition holds.
      */
     abstract put(
         topic: Topic,
         key: string,
         value: Buffer | undefined,
-        expectedEnd?: number,
+        expectedEnd?: TopicPosition,
     ): Promise<Result<number, SchedulerError>>;
 }
--- a/packages/wigeonpulley/src/store/topic-follower.ts
+++ b/packages/wigeonpulley/src/store/topic-follower.ts
@@ -1,13 +1,13 @@
 /**
  * Follows one topic of the store: reads a snapshot, then the appended records. A failed read discards nothing that was
- * applied; when the store has trimmed the history, a new snapshot is read. Failed reads back off exponentially.
+ * applied; when the store has trimmed the history or was restored from a copy, a new snapshot is read. Failed reads back
+ * off exponentially.
  */
-import type { Result } from "ts-results-es";
 import type { SchedulerError } from "../errors/index.js";
 import type { EventLogger } from "../logging/index.js";
 import type { RandomSource } from "../random/index.js";
 import { ClockReading, type TimerService } from "../time/index.js";
-import type { KeyedRecord, KeyedStore, RecordBatch, Topic } from "./keyed-store.js";
+import type { KeyedRecord, KeyedStore, RecordBatch, Topic, TopicPosition } from "./keyed-store.js";
 
 /** Callbacks of a follower. */
 export interface TopicListener {
@@ -43,8 +43,10 @@
 
 /** Follower of one topic. */
 export class TopicFollower {
-    private nextOffset: number | undefined;
-    private era: number | undefined;
+    /** Position at which to continue; undefined when the next read is a snapshot. */
+    private position: TopicPosition | undefined;
+    /** Position up to which records were applied, in the newest era known. */
+    private applied: TopicPosition | undefined;
     private consecutiveFailures = 0;
     private storeLostAt: ClockReading | undefined;
     private readonly abortController = new AbortController();
@@ -78,7 +80,7 @@
 
     /** Reads immediately unless the topic was never read or the store did not respond last time. */
     refreshWhenAvailable(): void {
-        if (this.nextOffset !== undefined && this.storeLostAt === undefined) {
+        if (this.position !== undefined && this.storeLostAt === undefined) {
             void this.refresh();
         }
     }
@@ -101,7 +103,7 @@
     private async readOnce(waitMs: number): Promise<boolean> {
         const { store, topic, timers, listener } = this.options;
         const sentAt = ClockReading.create(timers);
-        const from = this.nextOffset;
+        const from = this.position;
         const batch = from === undefined
             ? await store.readSnapshot(topic)
             : await store.readFrom(topic, from, waitMs);
@@ -109,46 +111,65 @@
             return false;
         }
         if (batch.isErr()) {
-            this.recordFailure(batch);
+            this.recordFailure(batch.error, from);
             return batch.error.name === "StoreHistoryLost";
         }
         this.recordSuccess();
-        this.recordEra(batch.value);
-        this.apply(from, batch.value);
-        listener.confirm(sentAt);
+        if (this.apply(from, batch.value)) {
+            listener.confirm(sentAt);
+        }
         return true;
     }
 
-    /** Reads may overlap, so records that another read has applied are skipped. */
-    private apply(from: number | undefined, batch: RecordBatch): void {
+    /**
+     * Reads may overlap, so records that another read has applied are skipped. Returns false for a read that says nothing
+     * about the present, since another one has seen a later state of the store.
+     */
+    private apply(from: TopicPosition | undefined, { records, next }: RecordBatch): boolean {
         const { listener } = this.options;
+        const { applied } = this;
+        if (applied !== undefined && next.era < applied.era) {
+            return false;
+        }
         if (from === undefined) {
-            listener.applySnapshot(batch.records);
-            this.nextOffset = Math.max(this.nextOffset ?? 0, batch.nextOffset);
-            return;
+            if (applied?.era === next.era && next.offset < applied.offset) {
+                return false;
+            }
+            if (applied !== undefined && next.era > applied.era) {
+                this.writeRestored(applied, next);
+            }
+            this.setPosition(next);
+            listener.applySnapshot(records);
+            return true;
         }
-        const knownOffset = this.nextOffset ?? from;
-        const newRecords = batch.records.filter(({ offset }) => offset >= knownOffset);
+        const appliedOffset = applied?.offset ?? from.offset;
+        const newRecords = records.filter(({ offset }) => offset >= appliedOffset);
+        this.setPosition({ era: next.era, offset: Math.max(appliedOffset, next.offset) });
         if (newRecords.length > 0) {
             listener.applyChanges(newRecords);
         }
-        this.nextOffset = Math.max(knownOffset, batch.nextOffset);
+        return true;
     }
 
-    private recordEra({ era, nextOffset: end }: RecordBatch): void {
-        const eraBefore = this.era ?? era;
-        this.era = Math.max(era, eraBefore);
-        if (era > eraBefore) {
-            const { logger, topic } = this.options;
-            logger.write("StoreRestored", { topic, era, eraBefore, offset: this.nextOffset ?? 0, end });
-        }
+    private setPosition(position: TopicPosition): void {
+        this.position = position;
+        this.applied = position;
+    }
+
+    private writeRestored(before: TopicPosition, now: TopicPosition): void {
+        this.options.logger.write("StoreRestored", {
+            topic: this.options.topic,
+            era: now.era,
+            eraBefore: before.era,
+            offset: before.offset,
+            end: now.offset,
+        });
     }
 
-    private recordFailure(
-        batch: Result<RecordBatch, SchedulerError> & { readonly error: SchedulerError; },
-    ): void {
-        if (batch.error.name === "StoreHistoryLost") {
-            this.nextOffset = undefined;
+    private recordFailure(error: SchedulerError, from: TopicPosition | undefined): void {
+        if (error.name === "StoreHistoryLost") {
+            // Another read may have continued from a new snapshot already.
+            this.position = this.position === from ? undefined : this.position;
             return;
         }
         this.consecutiveFailures += 1;
@@ -156,7 +177,7 @@
             this.storeLostAt = ClockReading.create(this.options.timers);
             this.options.logger.write("StoreLost", {
                 topic: this.options.topic,
-                reason: batch.error.message,
+                reason: error.message,
             });
             this.options.listener.handleStoreLost();
             this.lossWaiters.splice(0).forEach(resolve => resolve(false));
--- a/packages/wigeonpulley/test/compatibility/recorded-examples.test.ts
+++ b/packages/wigeonpulley/test/compatibility/recorded-examples.test.ts
@@ -257,11 +257,13 @@
 
     override readSnapshot(): Promise<Result<RecordBatch, SchedulerError>> {
         const value = Buffer.from(String(RECORDED["vmRecord"]));
-        return Promise.resolve(Ok({ era: 1, records: [{ key: "vm-1", value, offset: 0 }], nextOffset: 1 }));
+        return Promise.resolve(
+            Ok({ records: [{ key: "vm-1", value, offset: 0 }], next: { era: 1, offset: 1 } }),
+        );
     }
 
     override readFrom(): Promise<Result<RecordBatch, SchedulerError>> {
-        return Promise.resolve(Ok({ era: 1, records: [], nextOffset: 0 }));
+        return Promise.resolve(Ok({ records: [], next: { era: 1, offset: 0 } }));
     }
 
     override put(
