Don't take the copy of a restored store for the newest configuration

Callers whose key had been revoked were served.

Reads of a restored store confirm nothing for a second after the first one, in which the writers write again, and no read or other VM confirms a configuration while a VM is known to have a newer version. The versions are in the digests already.

--- a/packages/wigeonpulley/src/membership/membership-service.ts
+++ b/packages/wigeonpulley/src/membership/membership-service.ts
@@ -34,6 +34,9 @@
     /** Time since this VM's configuration was last known to be the newest, in milliseconds; infinite if it never was. */
     abstract getAgeMs(): number;
 
+    /** Records that some VM has a version. */
+    abstract recordVersion(version: number): void;
+
     /** Records that a version was the newest at the time of a reading. */
     abstract confirm(version: number, reading: ClockReading): void;
 }
@@ -319,6 +322,7 @@
         for (const state of digest.members) {
             if (state.name !== this.options.self.name) {
                 this.table.merge(state, now);
+                this.options.freshness?.recordVersion(state.configuration - 1);
             }
             else if (isNewerState(state, this.self) && state.incarnation === this.incarnation) {
                 // Another VM suspects this one: a higher revision denies it.
--- a/packages/wigeonpulley/src/routed-vm/gossiped-freshness.ts
+++ b/packages/wigeonpulley/src/routed-vm/gossiped-freshness.ts
@@ -18,6 +18,10 @@
         return this.activeConfiguration.getAgeMs();
     }
 
+    override recordVersion(version: number): void {
+        this.activeConfiguration.recordVersion(version);
+    }
+
     override confirm(version: number, reading: ClockReading): void {
         this.activeConfiguration.confirmVersion(version, reading);
     }
--- a/packages/wigeonpulley/src/routing/active-configuration.ts
+++ b/packages/wigeonpulley/src/routing/active-configuration.ts
@@ -21,6 +21,8 @@
 export class ActiveConfiguration {
     private table: RouteTable | undefined;
     private confirmedAt: ClockReading | undefined;
+    /** Newest version that any VM is known to have. */
+    private newestVersion = Number.NEGATIVE_INFINITY;
     private clockOffsetMs: number;
     /** Monotonic time at which a clock jump was detected, in milliseconds; no earlier reading can be trusted. */
     private jumpedAt = Number.NEGATIVE_INFINITY;
@@ -67,9 +69,20 @@
         return this.loaded;
     }
 
-    /** Records that a read sent at `sentAt` found nothing newer than what has been applied. */
+    /** Records that some VM has a version. */
+    recordVersion(version: number): void {
+        this.newestVersion = Math.max(this.newestVersion, version);
+    }
+
+    /**
+     * Records that a read sent at `sentAt` found nothing newer than what has been applied. Has no effect while another VM
+     * has a newer version: then the store was restored from a copy without it.
+     */
     confirm(sentAt: ClockReading): void {
         this.checkClocks();
+        if ((this.table?.configuration.version ?? this.newestVersion) < this.newestVersion) {
+            return;
+        }
         const isTrusted = sentAt.monotonicMs > this.jumpedAt;
         if (isTrusted && (this.confirmedAt === undefined || sentAt.isAfter(this.confirmedAt))) {
             this.confirmedAt = sentAt;
--- a/packages/wigeonpulley/src/store/topic-follower.ts
+++ b/packages/wigeonpulley/src/store/topic-follower.ts
@@ -15,7 +15,10 @@
     readonly applySnapshot: (records: readonly KeyedRecord[]) => void;
     /** Applies later records in their order. */
     readonly applyChanges: (records: readonly KeyedRecord[]) => void;
-    /** Called when a read that was sent at `sentAt` found no record that has not been applied. */
+    /**
+     * Called when a read that was sent at `sentAt` found no record that has not been applied. A store that was just
+     * restored from a copy confirms nothing, since what was lost has yet to be written again.
+     */
     readonly confirm: (sentAt: ClockReading) => void;
     /** Called when the store stops responding. */
     readonly handleStoreLost: () => void;
@@ -40,6 +43,8 @@
 /** Bounds of the exponential backoff after failed reads; half of each delay is random. */
 const MIN_RETRY_DELAY_MS = 150;
 const MAX_RETRY_DELAY_MS = 1_000;
+/** Time after the first read of a restored store for the writers to write again what was lost. */
+const RESTORE_SETTLE_MS = 1_000;
 
 /** Follower of one topic. */
 export class TopicFollower {
@@ -47,6 +52,8 @@
     private position: TopicPosition | undefined;
     /** Position up to which records were applied, in the newest era known. */
     private applied: TopicPosition | undefined;
+    /** Time from which reads of a restored store confirm what was applied (monotonic, in milliseconds). */
+    private settledAt = Number.NEGATIVE_INFINITY;
     private consecutiveFailures = 0;
     private storeLostAt: ClockReading | undefined;
     private readonly abortController = new AbortController();
@@ -115,7 +122,7 @@
             return batch.error.name === "StoreHistoryLost";
         }
         this.recordSuccess();
-        if (this.apply(from, batch.value)) {
+        if (this.apply(from, batch.value) && sentAt.monotonicMs >= this.settledAt) {
             listener.confirm(sentAt);
         }
         return true;
@@ -136,7 +143,7 @@
                 return false;
             }
             if (applied !== undefined && next.era > applied.era) {
-                this.writeRestored(applied, next);
+                this.recordRestore(applied, next);
             }
             this.setPosition(next);
             listener.applySnapshot(records);
@@ -156,9 +163,11 @@
         this.applied = position;
     }
 
-    private writeRestored(before: TopicPosition, now: TopicPosition): void {
-        this.options.logger.write("StoreRestored", {
-            topic: this.options.topic,
+    private recordRestore(before: TopicPosition, now: TopicPosition): void {
+        const { timers, logger, topic } = this.options;
+        this.settledAt = timers.now() + RESTORE_SETTLE_MS;
+        logger.write("StoreRestored", {
+            topic,
             era: now.era,
             eraBefore: before.era,
             offset: before.offset,
