Don't carry out a superseded order that a restored store brings back

A new version, perhaps a bad one, would get all requests: the copy holds the order before the newest one, every VM took it for a new order, and the version of the lost order then counted as one of the old versions.

--- a/packages/wigeonpulley/src/rollouts/rollout-service.ts
+++ b/packages/wigeonpulley/src/rollouts/rollout-service.ts
@@ -45,6 +45,8 @@
 /** Rollout service of one VM. */
 export class RolloutService extends VersionPolicy {
     private readonly entries = new Map<string, Entry>();
+    /** Versions of each service whose orders were replaced by later ones. */
+    private readonly supersededVersions = new Map<string, Set<string>>();
     /**
      * Known versions of each service. A new one carries the time of its first appearance and becomes accepted when a
      * later read of the orders has completed.
@@ -63,13 +65,17 @@
 
     /**
      * Applies an order and starts to evaluate it. Has no effect if the newest order of the service is for the same
-     * version.
+     * version, or if a restored store holds an order that a later one replaced.
      */
-    applyOrder(order: RolloutOrder): void {
+    applyOrder(order: RolloutOrder, isRestored = false): void {
         const current = this.entries.get(order.service)?.rollout.order;
-        if (current?.version === order.version) {
+        const superseded = this.supersededVersions.get(order.service) ?? new Set();
+        if (current?.version === order.version || (isRestored && superseded.has(order.version))) {
             return;
         }
+        if (current !== undefined) {
+            this.supersededVersions.set(order.service, superseded.add(current.version));
+        }
         const { timers, logger, getExposure, getWriterPosition } = this.options;
         const rollout = Rollout.create(
             order,
--- a/packages/wigeonpulley/src/routed-vm/store-subscriptions.ts
+++ b/packages/wigeonpulley/src/routed-vm/store-subscriptions.ts
@@ -67,8 +67,8 @@
 
     private createOperatorFollower(): TopicFollower {
         const { adapter, activeConfiguration, rollouts } = this.options;
-        const apply = (records: readonly KeyedRecord[]): void =>
-            records.forEach(record => this.applyOperatorRecord(record));
+        const apply = (records: readonly KeyedRecord[], isRestored: boolean): void =>
+            records.forEach(record => this.applyOperatorRecord(record, isRestored));
         return TopicFollower.create({
             ...this.options,
             store: adapter.store,
@@ -77,7 +77,7 @@
             pauseMs: 0,
             listener: {
                 applySnapshot: apply,
-                applyChanges: apply,
+                applyChanges: records => apply(records, false),
                 confirm: sentAt => {
                     activeConfiguration.confirm(sentAt);
                     rollouts.recordOrdersRead(sentAt);
@@ -88,7 +88,7 @@
         });
     }
 
-    private applyOperatorRecord(record: KeyedRecord): void {
+    private applyOperatorRecord(record: KeyedRecord, isRestored: boolean): void {
         const { adapter, logger, activeConfiguration, rollouts } = this.options;
         logger.write("OperatorRecordRead", { key: record.key, offset: record.offset });
         const parsed = adapter.parseOperatorRecord(record);
@@ -99,7 +99,7 @@
             activeConfiguration.apply(parsed.value.configuration);
         }
         else if (parsed.value.kind === "rollout") {
-            rollouts.applyOrder(parsed.value.order);
+            rollouts.applyOrder(parsed.value.order, isRestored);
         }
     }
 
--- a/packages/wigeonpulley/src/store/topic-follower.ts
+++ b/packages/wigeonpulley/src/store/topic-follower.ts
@@ -11,8 +11,11 @@
 
 /** Callbacks of a follower. */
 export interface TopicListener {
-    /** Applies the newest record of each key; keys that are missing have been removed. */
-    readonly applySnapshot: (records: readonly KeyedRecord[]) => void;
+    /**
+     * Applies the newest record of each key; keys that are missing have been removed. When the store was restored since the
+     * last read, the records may be older than those that were applied, and keys may be missing that were not removed.
+     */
+    readonly applySnapshot: (records: readonly KeyedRecord[], isRestored: boolean) => void;
     /** Applies later records in their order. */
     readonly applyChanges: (records: readonly KeyedRecord[]) => void;
     /**
@@ -142,11 +145,12 @@
             if (applied?.era === next.era && next.offset < applied.offset) {
                 return false;
             }
-            if (applied !== undefined && next.era > applied.era) {
+            const isRestored = applied !== undefined && next.era > applied.era;
+            if (isRestored) {
                 this.recordRestore(applied, next);
             }
             this.setPosition(next);
-            listener.applySnapshot(records);
+            listener.applySnapshot(records, isRestored);
             return true;
         }
         const appliedOffset = applied?.offset ?? from.offset;
