Write the states of rollouts again after the store was restored

The operator would see a rollout that had been completed or rolled back as active again, or without a state, and keep the instances of a bad version: a state was written once, when it changed, and nobody else writes it.

When the operators' topic shows that the store was restored, VMs write the states that they know again, in the order and under the condition of all such writes; a state that is stored already isn't written. Other states wait until then.

--- a/packages/wigeonpulley/src/rollouts/rollout-service.ts
+++ b/packages/wigeonpulley/src/rollouts/rollout-service.ts
@@ -32,6 +32,8 @@
 const WRITER_STAGGER_MS = 250;
 /** Delay before a failed read or write is retried. */
 const RETRY_DELAY_MS = 400;
+/** Delay of other calls after the store was restored: until the VMs that know a state have written it again. */
+const RESTORE_WRITE_DELAY_MS = 1_500;
 
 interface Entry {
     readonly rollout: Rollout;
@@ -40,6 +42,8 @@
     /** Earliest time of the next store call (monotonic, in milliseconds). */
     retryAt: number;
     isStoreCallRunning: boolean;
+    /** True when the store may have lost the known state, which then has to be written again. */
+    isStateLost: boolean;
 }
 
 /** Rollout service of one VM. */
@@ -87,10 +91,26 @@
             dueWrite: undefined,
             retryAt: 0,
             isStoreCallRunning: false,
+            isStateLost: false,
         });
         logger.write("RolloutOrdered", { ...order });
-        this.cancelChecks();
-        this.cancelChecks = timers.scheduleRepeating(CHECK_INTERVAL_MS, () => this.check());
+        this.startChecks();
+    }
+
+    /**
+     * Writes the known states again, since the store was restored from a copy that may lack them. Other states wait for
+     * that, so that a VM which doesn't know a final state doesn't write another one.
+     */
+    handleStoreRestored(): void {
+        const { timers, getWriterPosition } = this.options;
+        for (const entry of this.entries.values()) {
+            entry.isStateLost = entry.rollout.isStateKnown;
+            entry.retryAt = timers.now()
+                + (entry.isStateLost
+                    ? getWriterPosition().index * WRITER_STAGGER_MS
+                    : RESTORE_WRITE_DELAY_MS);
+        }
+        this.startChecks();
     }
 
     /**
@@ -192,8 +212,16 @@
         }
     }
 
+    private startChecks(): void {
+        this.cancelChecks();
+        this.cancelChecks = this.options.timers.scheduleRepeating(CHECK_INTERVAL_MS, () => this.check());
+    }
+
     private check(): void {
-        if ([...this.entries.values()].every(({ rollout }) => isFinalState(rollout.state))) {
+        const isDone = [...this.entries.values()].every(({ rollout, isStateLost }) =>
+            isFinalState(rollout.state) && !isStateLost
+        );
+        if (isDone) {
             this.cancelChecks();
         }
         for (const entry of this.entries.values()) {
@@ -212,6 +240,9 @@
         if (!rollout.isStateKnown) {
             return this.restoreState(entry);
         }
+        if (entry.isStateLost) {
+            return this.writeState(entry, rollout.state);
+        }
         const { timers, getWriterPosition } = this.options;
         const state = rollout.findDueState();
         if (state !== entry.dueWrite?.state) {
@@ -253,6 +284,7 @@
             return;
         }
         entry.isStoreCallRunning = false;
+        entry.isStateLost = false;
         entry.rollout.applyState(result.value);
         logger.write("RolloutState", { service, version, wanted: state, state: result.value });
     }
--- a/packages/wigeonpulley/src/routed-vm/store-subscriptions.ts
+++ b/packages/wigeonpulley/src/routed-vm/store-subscriptions.ts
@@ -69,6 +69,12 @@
         const { adapter, activeConfiguration, rollouts } = this.options;
         const apply = (records: readonly KeyedRecord[], isRestored: boolean): void =>
             records.forEach(record => this.applyOperatorRecord(record, isRestored));
+        const applySnapshot = (records: readonly KeyedRecord[], isRestored: boolean): void => {
+            apply(records, isRestored);
+            if (isRestored) {
+                rollouts.handleStoreRestored();
+            }
+        };
         return TopicFollower.create({
             ...this.options,
             store: adapter.store,
@@ -76,7 +82,7 @@
             longPollMs: OPERATOR_LONG_POLL_MS,
             pauseMs: 0,
             listener: {
-                applySnapshot: apply,
+                applySnapshot,
                 applyChanges: records => apply(records, false),
                 confirm: sentAt => {
                     activeConfiguration.confirm(sentAt);
