Order the entries of an instance by its own sequence numbers

Requests could be sent to instances that had announced their leaving or had left, since the copy of a restored store lists them as ready until they write again or expire; and instances that had registered after the copy was made were removed at once if no read had seen the store away.

An entry that the same incarnation wrote before the newest one known is ignored, and one of a removed incarnation unless it was written after its removal was seen; the platform numbers each entry. Entries without number or time of birth are taken as before. The decoded instance has one field more, which the two tests that list its fields now expect.

--- a/packages/wigeonpulley/src/discovery/instance-directory.ts
+++ b/packages/wigeonpulley/src/discovery/instance-directory.ts
@@ -1,6 +1,7 @@
 /**
  * Directory of the known instances. Entries that are missing after an outage of the platform's store are kept for a grace
- * period, because live instances then register again.
+ * period, because live instances then register again. An entry that its instance wrote before the newest one known is
+ * ignored: a store that was restored from a copy lists instances that drain or have left as ready.
  */
 import type { EventLogger } from "../logging/index.js";
 import type { CancelTimer, TimerService } from "../time/index.js";
@@ -17,10 +18,14 @@
 
 /** By the platform's protocol, live instances register again within about 2 s after the store has recovered. */
 const REGISTRATION_GRACE_MS = 2_200;
+/** Removed instances whose last entries are remembered. */
+const MAX_REMOVED_INSTANCES = 1_024;
 
 /** Directory of one VM. */
 export class InstanceDirectory {
     private readonly instances = new Map<string, Instance>();
+    /** Last entries of removed instances, those that were removed first in front. */
+    private readonly removed = new Map<string, Instance>();
     private readonly pendingRemovals = new Map<string, CancelTimer>();
     private readonly listeners: DirectoryListener[] = [];
     private storeLostAt: number | undefined;
@@ -53,8 +58,14 @@
         return [...this.instances.values()];
     }
 
-    /** Applies a snapshot and removes entries missing from it; after an outage they are kept for the grace period. */
-    applySnapshot(changes: readonly InstanceChange[]): void {
+    /**
+     * Applies a snapshot and removes entries missing from it; after an outage or a restore of the store they are kept for
+     * the grace period.
+     */
+    applySnapshot(changes: readonly InstanceChange[], isRestored = false): void {
+        if (isRestored) {
+            this.storeRecoveredAt = this.timers.now();
+        }
         const changesById = new Map(changes.map(change => [change.id, change]));
         this.hasSnapshot = true;
         for (const id of this.instances.keys()) {
@@ -94,7 +105,9 @@
     private applyChange({ id, instance }: InstanceChange): void {
         const before = this.instances.get(id);
         if (instance !== undefined) {
-            this.setInstance(instance, before);
+            if (!this.isOutdated(instance, before)) {
+                this.setInstance(instance, before);
+            }
         }
         else if (before !== undefined && !this.pendingRemovals.has(id)) {
             const graceMs = this.storeRecoveredAt + REGISTRATION_GRACE_MS - this.timers.now();
@@ -108,6 +121,7 @@
     }
 
     private setInstance(instance: Instance, before: Instance | undefined): void {
+        this.removed.delete(instance.id);
         this.pendingRemovals.get(instance.id)?.();
         this.pendingRemovals.delete(instance.id);
         this.instances.set(instance.id, instance);
@@ -122,14 +136,43 @@
         }
     }
 
+    /** True for an entry that the same incarnation wrote before the newest one known, or that was removed since. */
+    private isOutdated(instance: Instance, before: Instance | undefined): boolean {
+        const removed = this.removed.get(instance.id);
+        return (before !== undefined && isWrittenBefore(instance, before))
+            || (removed !== undefined
+                && (isWrittenBefore(instance, removed) || isSameRegistration(instance, removed)));
+    }
+
     private remove(id: string): void {
         this.pendingRemovals.delete(id);
+        this.rememberRemoved(id);
         this.instances.delete(id);
         this.logger.write("InstanceGone", { instance: id });
         this.notify();
     }
 
+    private rememberRemoved(id: string): void {
+        const instance = this.instances.get(id);
+        if (instance !== undefined) {
+            this.removed.set(id, instance);
+        }
+        const [oldest] = this.removed.keys();
+        if (oldest !== undefined && this.removed.size > MAX_REMOVED_INSTANCES) {
+            this.removed.delete(oldest);
+        }
+    }
+
     private notify(): void {
         this.listeners.forEach(listener => listener());
     }
 }
+
+const hasComparableSequence = (left: Instance, right: Instance): boolean =>
+    left.bornMs > 0 && left.sequence > 0 && isSameIncarnation(left, right);
+
+const isWrittenBefore = (left: Instance, right: Instance): boolean =>
+    hasComparableSequence(left, right) && left.sequence < right.sequence;
+
+const isSameRegistration = (left: Instance, right: Instance): boolean =>
+    hasComparableSequence(left, right) && left.sequence === right.sequence;
--- a/packages/wigeonpulley/src/discovery/instance.ts
+++ b/packages/wigeonpulley/src/discovery/instance.ts
@@ -19,6 +19,8 @@
     coldMs: z.number().min(0),
     /** Start of the incarnation, in Unix milliseconds; 0 when it is unknown. */
     bornMs: z.number(),
+    /** Number of the incarnation's registration, which rises with each; 0 when it is unknown. */
+    sequence: z.number().default(0),
 });
 
 /** An instance. */
--- a/packages/wigeonpulley/src/routed-vm/store-subscriptions.ts
+++ b/packages/wigeonpulley/src/routed-vm/store-subscriptions.ts
@@ -120,7 +120,8 @@
             longPollMs: 0,
             pauseMs: INSTANCE_PAUSE_MS,
             listener: {
-                applySnapshot: records => directory.applySnapshot(parseAll(records)),
+                applySnapshot: (records, isRestored) =>
+                    directory.applySnapshot(parseAll(records), isRestored),
                 applyChanges: records => directory.applyChanges(parseAll(records)),
                 confirm: () => undefined,
                 handleStoreLost: () => directory.handleStoreLost(),
