Write quarantines again that a restored store has lost, and remove ended ones again

A VM that starts after the restore would let requests with a harmful block through, as the record of their quarantine went with the history; and sound requests would be refused for up to ten minutes because the copy still has the record of a quarantine that had ended. Shown by a test.

Each VM compares the records that it knew with those of the restored store: lost ones of active quarantines are written again, with their time; those that this VM had removed are removed again. A record that is removed ends all that was known of the block before, so that a report on its way can't bring the quarantine back; before, it did in the same test. Records that are missing after the history was trimmed have been removed, and end their quarantines.

--- a/packages/wigeonpulley/src/quarantine/prompt-quarantine.ts
+++ b/packages/wigeonpulley/src/quarantine/prompt-quarantine.ts
@@ -129,7 +129,7 @@
 
     /** Ends the quarantine of a block whose record was removed from the store. */
     removeStored(block: string): void {
-        if (this.suspects.delete(block)) {
+        if (this.suspects.get(block)?.release(this.options.timers.now()) === true) {
             this.options.logger.write("PromptBlockReleased", { block, reason: "the record was removed" });
         }
     }
--- a/packages/wigeonpulley/src/quarantine/quarantine-store.ts
+++ b/packages/wigeonpulley/src/quarantine/quarantine-store.ts
@@ -28,6 +28,8 @@
 const RETRY_DELAY_MS = 1_500;
 /** Time after which the record of an ended quarantine is removed, in milliseconds. */
 const MAX_RECORD_AGE_MS = 3 * QUARANTINE_MS;
+/** Removals that are remembered, in case the store is restored from a copy that still has the records. */
+const MAX_REMOVED_RECORDS = 256;
 
 const recordSchema = z.object({
     /** Wall-clock time, in milliseconds since 1970-01-01 UTC. */
@@ -41,12 +43,16 @@
     private readonly follower: TopicFollower;
     /** Wall-clock time since which each stored block is quarantined, in milliseconds. */
     private readonly stored = new Map<string, number>();
+    /** The same of the records that this VM removed, the oldest removal first. */
+    private readonly removed = new Map<string, number>();
     private readonly abortController = new AbortController();
 
     private constructor(private readonly options: QuarantineStoreOptions) {
         this.follower = this.createFollower();
         options.quarantine.subscribe((block, isQuarantined) =>
-            void (isQuarantined ? this.write(block) : this.remove(block))
+            void (isQuarantined
+                ? this.write(block, options.timers.readWallClock())
+                : this.remove(block))
         );
     }
 
@@ -75,7 +81,18 @@
             longPollMs: LONG_POLL_MS,
             pauseMs: PAUSE_MS,
             listener: {
-                applySnapshot: apply,
+                applySnapshot: (records, isRestored) => {
+                    const before = new Map(this.stored);
+                    this.stored.clear();
+                    apply(records);
+                    const missing = [...before].filter(([block]) => !this.stored.has(block));
+                    if (isRestored) {
+                        this.writeLost(missing);
+                    }
+                    else {
+                        missing.forEach(([block]) => this.options.quarantine.removeStored(block));
+                    }
+                },
                 applyChanges: apply,
                 confirm: () => undefined,
                 handleStoreLost: () => undefined,
@@ -99,7 +116,7 @@
         const { quarantinedSince } = record.value;
         const ageMs = timers.readWallClock() - quarantinedSince;
         this.stored.set(key, quarantinedSince);
-        if (ageMs > MAX_RECORD_AGE_MS) {
+        if (ageMs > MAX_RECORD_AGE_MS || this.removed.get(key) === quarantinedSince) {
             void this.remove(key);
         }
         else {
@@ -108,16 +125,24 @@
         }
     }
 
+    /** Writes records again that a restored store has lost, as far as their quarantines are active. */
+    private writeLost(records: readonly (readonly [block: string, quarantinedSince: number])[]): void {
+        const quarantined = new Set(this.options.quarantine.listQuarantined().map(({ block }) => block));
+        records.filter(([block]) => quarantined.has(block)).forEach(([block, quarantinedSince]) =>
+            void this.write(block, quarantinedSince)
+        );
+    }
+
     /** Writes a record unless another VM has written one; repeats a write that failed. */
-    private async write(block: string): Promise<void> {
+    private async write(block: string, quarantinedSince: number): Promise<void> {
         const { vm, timers, random, logger, store } = this.options;
         const { signal } = this.abortController;
-        const quarantinedSince = timers.readWallClock();
         const value = Buffer.from(JSON.stringify({ quarantinedSince, vm }));
         await timers.sleep(random.pickFraction() * MAX_WRITE_DELAY_MS, signal);
         while (!signal.aborted && !this.isStored(block, quarantinedSince)) {
             const outcome = await store.put("quarantine", block, value);
             if (outcome.isOk()) {
+                this.stored.set(block, quarantinedSince);
                 return;
             }
             logger.writeError(outcome.error);
@@ -130,13 +155,24 @@
     }
 
     private async remove(block: string): Promise<void> {
-        if (this.stored.delete(block)) {
+        const quarantinedSince = this.stored.get(block);
+        if (quarantinedSince !== undefined) {
+            this.stored.delete(block);
+            this.rememberRemoved(block, quarantinedSince);
             const outcome = await this.options.store.put("quarantine", block, undefined);
             if (outcome.isErr()) {
                 this.options.logger.writeError(outcome.error);
             }
         }
     }
+
+    private rememberRemoved(block: string, quarantinedSince: number): void {
+        this.removed.set(block, quarantinedSince);
+        const [oldest] = this.removed.keys();
+        if (oldest !== undefined && this.removed.size > MAX_REMOVED_RECORDS) {
+            this.removed.delete(oldest);
+        }
+    }
 }
 
 const parseRecord = (
--- a/packages/wigeonpulley/src/quarantine/suspect-block.ts
+++ b/packages/wigeonpulley/src/quarantine/suspect-block.ts
@@ -29,6 +29,8 @@
     private readonly losses = new Map<number, number>();
     private lastLostAt = Number.NEGATIVE_INFINITY;
     private deepestPosition = 0;
+    /** Time at which the quarantine was ended from outside; what was known before doesn't count. */
+    private releasedAt = Number.NEGATIVE_INFINITY;
     /** First of the losses for which the block is or was quarantined. */
     private quarantinedSince: number | undefined;
 
@@ -75,7 +77,7 @@
     recordLoss(instance: number, lostAt: number, depth: number): void {
         this.deepestPosition = Math.max(this.deepestPosition, depth);
         this.lastLostAt = Math.max(this.lastLostAt, lostAt);
-        if (lostAt > this.answeredAt) {
+        if (lostAt > this.answeredAt && lostAt > this.releasedAt) {
             this.losses.set(instance, Math.min(lostAt, this.losses.get(instance) ?? lostAt));
         }
     }
@@ -95,11 +97,23 @@
         return true;
     }
 
+    /** Discards the evidence and ends the quarantine; returns false if there was none. */
+    release(now: number): boolean {
+        this.losses.clear();
+        this.releasedAt = now;
+        const wasQuarantined = this.getQuarantinedSince(now) !== undefined;
+        this.quarantinedSince = undefined;
+        return wasQuarantined;
+    }
+
     /** Quarantines the block as another VM or the store does; returns false if it is known or contradicted. */
     adoptQuarantine(since: number, now: number): boolean {
         const current = this.getQuarantinedSince(now);
         // The end of an earlier quarantine must not end the current one.
-        if (since <= this.answeredAt || (current !== undefined && !isActive(since, now))) {
+        if (
+            since <= this.answeredAt || since <= this.releasedAt
+            || (current !== undefined && !isActive(since, now))
+        ) {
             return false;
         }
         this.quarantinedSince = Math.min(since, current ?? since);
@@ -147,7 +161,7 @@
     /** True when nothing about the block matters any more. */
     isObsolete(now: number): boolean {
         const memoryMs = this.losses.size > 0 ? LOSS_WINDOW_MS : CLEARED_MEMORY_MS;
-        return now > this.lastLostAt + memoryMs
+        return now > Math.max(this.lastLostAt, this.releasedAt) + memoryMs
             && this.getQuarantinedSince(now) === undefined
             && !this.isOnProbation(now);
     }
