Register a VM again whose registration the platform has lost

VMs that start later would not learn of a VM that had registered shortly before the store was restored: it stayed up, but they never called it, counted too few VMs for quotas and limits, and left it out of what VMs share.

--- a/packages/wigeonpulley/src/membership/membership-service.ts
+++ b/packages/wigeonpulley/src/membership/membership-service.ts
@@ -113,6 +113,7 @@
     private readonly incarnation: bigint;
     private self: MemberState;
     private leavingEndpoints: ReadonlySet<string> = new Set();
+    private isRegistered = false;
     private liveNames = "";
     /** Derived from the live members; cleared whenever they change. */
     private liveCache: readonly VmListEntry[] | undefined;
@@ -339,9 +340,11 @@
     private async registerSelf(): Promise<void> {
         const { timers, random, logger, vmList, self } = this.options;
         const { signal } = this.abortController;
+        this.isRegistered = false;
         while (!signal.aborted && !this.self.leaving) {
             const outcome = await vmList.register(self);
             if (outcome.isOk()) {
+                this.isRegistered = true;
                 return;
             }
             logger.writeError(outcome.error);
@@ -362,6 +365,10 @@
             ),
         );
         const others = listing.value.vms.filter(vm => vm.name !== this.options.self.name);
+        if (this.isRegistered && others.length === listing.value.vms.length) {
+            // The platform lost the registration, for example since it was restored from a copy.
+            void this.registerSelf();
+        }
         this.table.applyList(others, this.options.timers.now());
         this.notify();
     }
