Draw restores of the store in the model of shared confirmations

Three VMs with outages, suspensions, clock steps and delays of peers; now the store also goes back to a copy that lacks up to four records, and the operator writes the newest configuration again within 0.8 s. A mutant that lets the copy confirm is detected.

--- a/packages/wigeonpulley/test/routing/gossiped-freshness-model.test.ts
+++ b/packages/wigeonpulley/test/routing/gossiped-freshness-model.test.ts
@@ -36,6 +36,8 @@
 const REQUEST_INTERVAL_MS = 250;
 const PEER_TIMEOUT_MS = 1_500;
 const KEY = "key-1";
+/** Time after a restore within which the operator writes again. */
+const MAX_WRITTEN_AFTER_MS = 800;
 const HEALTHY: StoreCondition = { requestDelayMs: 4, responseDelayMs: 4, mode: "well" };
 const REFUSING: StoreCondition = { ...HEALTHY, mode: "refusing" };
 
@@ -44,12 +46,14 @@
     | { readonly kind: "suspend"; readonly vm: number; readonly forMs: number; }
     | { readonly kind: "step"; readonly vm: number; readonly byMs: number; }
     | { readonly kind: "delay"; readonly requestMs: number; readonly responseMs: number; }
+    /** The store goes back to a copy, and the operator writes the newest configuration again. */
+    | { readonly kind: "restore"; readonly lostRecords: number; readonly writtenAfterMs: number; }
     | { readonly kind: "publish"; }
     | { readonly kind: "revoke"; };
 type Schedule = readonly (readonly [number, GossipEvent])[];
 
-/** The fault that the model has to detect: an age that counts from the arrival of a confirmation. */
-type Mutant = "none" | "counted from the arrival";
+/** Faults that the model has to detect: an age that counts from the arrival of a confirmation, a copy that confirms. */
+type Mutant = "none" | "counted from the arrival" | "confirmed by the copy";
 
 /** Delays between two VMs, in milliseconds. */
 interface PeerDelays {
@@ -80,6 +84,11 @@
         requestMs: delayMsArbitrary,
         responseMs: delayMsArbitrary,
     }),
+    fc.record({
+        kind: fc.constant("restore" as const),
+        lostRecords: fc.integer({ min: 1, max: 4 }),
+        writtenAfterMs: fc.integer({ min: 0, max: MAX_WRITTEN_AFTER_MS }),
+    }),
     fc.constantFrom<GossipEvent>({ kind: "publish" }, { kind: "revoke" }),
 );
 const scheduleArbitrary = fc.array(fc.tuple(fc.integer({ min: 0, max: STEP_COUNT - 1 }), eventArbitrary), {
@@ -160,7 +169,7 @@
         this.name = createEntry(index).name;
         this.clock = SuspendableClock.create(model.simulationClock);
         this.activeConfiguration = ActiveConfiguration.create(this.clock, logger);
-        const follower = this.createFollower(model, index, logger);
+        const follower = this.createFollower(model, index, logger, mutant);
         this.admissionCheck = AdmissionCheck.create({
             timers: this.clock,
             activeConfiguration: this.activeConfiguration,
@@ -208,7 +217,12 @@
         return admitted.isOk();
     }
 
-    private createFollower(model: GossipModel, index: number, logger: EventLogger): TopicFollower {
+    private createFollower(
+        model: GossipModel,
+        index: number,
+        logger: EventLogger,
+        mutant: Mutant,
+    ): TopicFollower {
         const apply = (value: Buffer | undefined): void => {
             const { version, keys } = JSON.parse(String(value)) as { version: number; keys: string[]; };
             this.activeConfiguration.apply(
@@ -229,7 +243,12 @@
             longPollMs: 4_000,
             pauseMs: 0,
             listener: {
-                applySnapshot: records => records.forEach(({ value }) => apply(value)),
+                applySnapshot: (records, isRestored) => {
+                    records.forEach(({ value }) => apply(value));
+                    if (isRestored && mutant === "confirmed by the copy") {
+                        this.activeConfiguration.confirm(ClockReading.create(this.clock));
+                    }
+                },
                 applyChanges: records => records.forEach(({ value }) => apply(value)),
                 confirm: sentAt => this.activeConfiguration.confirm(sentAt),
                 handleStoreLost: () => undefined,
@@ -299,6 +318,10 @@
                 this.delays.requestMs = event.requestMs;
                 this.delays.responseMs = event.responseMs;
                 return;
+            case "restore":
+                this.topic.restore(event.lostRecords);
+                this.simulationClock.schedule(event.writtenAfterMs, () => this.write());
+                return;
             case "publish":
                 return this.publish();
             case "revoke":
@@ -317,6 +340,10 @@
 
     private publish(): void {
         this.version += 1;
+        this.write();
+    }
+
+    private write(): void {
         const keys = this.revokedAt === undefined ? [KEY, "key-2"] : ["key-2"];
         this.topic.write("config", JSON.stringify({ version: this.version, keys }));
     }
@@ -358,3 +385,17 @@
     expect(Math.max(...outcomes.map(({ latestAdmissionAfterRevokeMs }) => latestAdmissionAfterRevokeMs)))
         .toBeGreaterThan(KEY_REVOKE_MS);
 });
+
+// CONFIG: VMs that had missed a revocation took the copy of a restored store, which lacks it, for the newest state.
+test("the model detects a copy of a restored store that confirms a configuration", async () => {
+    const outcomes = await Promise.all([18, 19, 20, 21].map(step =>
+        GossipModel.simulate([
+            ...[0, 1, 2].map(vm => [4, { kind: "store", vm, condition: REFUSING }] as const),
+            [8, { kind: "revoke" }],
+            ...[0, 1, 2].map(vm => [step, { kind: "store", vm, condition: HEALTHY }] as const),
+            [step, { kind: "restore", lostRecords: 1, writtenAfterMs: MAX_WRITTEN_AFTER_MS }],
+        ], "confirmed by the copy")
+    ));
+    expect(Math.max(...outcomes.map(({ latestAdmissionAfterRevokeMs }) => latestAdmissionAfterRevokeMs)))
+        .toBeGreaterThan(KEY_REVOKE_MS);
+});
