--- a/packages/wigeonpulley/src/forwarding/prompt-evidence.ts
+++ b/packages/wigeonpulley/src/forwarding/prompt-evidence.ts
@@ -2,6 +2,7 @@
 import type { EventLogger } from "../logging/index.js";
 import type { Placement } from "../placement/index.js";
 import type { PromptQuarantine } from "../quarantine/index.js";
+import { computeFingerprint } from "./request-fingerprint.js";
 import type { RoutedRequest } from "./routed-request.js";
 
 /** Dependencies of the evidence. */
@@ -45,7 +46,8 @@
 
     /** Records that the instance closed the connection after the attempt had relayed `events` events. */
     recordConnectionLoss(reason: string, events: number): void {
-        const { logger, quarantine, request: { metadata }, placement: { instance } } = this.options;
+        const { logger, quarantine, request, placement: { instance } } = this.options;
+        const { metadata } = request;
         if (!this.isCleared) {
             quarantine.recordLoss(metadata.promptBlocks, instance);
         }
@@ -55,6 +57,7 @@
             reason,
             events,
             promptBlocks: metadata.promptBlocks.map(({ id }) => id).join(","),
+            request: computeFingerprint(request),
         });
     }
 
--- a/packages/wigeonpulley/src/logging/event-catalogue.ts
+++ b/packages/wigeonpulley/src/logging/event-catalogue.ts
@@ -257,13 +257,20 @@
         ({ instance }) => `instance ${instance} is trusted again`,
     ),
     InstanceConnectionLost: defineEvent<
-        { id: string; instance: string; reason: string; events: number; promptBlocks: string; }
+        {
+            id: string;
+            instance: string;
+            reason: string;
+            events: number;
+            promptBlocks: string;
+            request: string;
+        }
     >(
         508,
         "info",
-        ({ id, instance, reason, events, promptBlocks }) =>
+        ({ id, instance, reason, events, promptBlocks, request }) =>
             `instance ${instance} closed the connection of request ${id} after ${events} events (${reason}); `
-            + `prompt blocks: ${promptBlocks}`,
+            + `prompt blocks: ${promptBlocks}; ${request} names its path, caller and body`,
     ),
     PromptBlockQuarantined: defineEvent<{ block: string; instances: number; ageMs: number; }>(
         509,
