--- a/packages/wigeonpulley/test/quarantine/crashing-prompts.test.ts
+++ b/packages/wigeonpulley/test/quarantine/crashing-prompts.test.ts
@@ -1,49 +1,32 @@
 import { expect, test } from "vitest";
-import { SeededRandom } from "wigeonpulley";
-import { CrashingEngines, type Framing } from "../fixtures/crashing-engines.js";
-import type { FleetRequest, RoutedFleet } from "../fixtures/routed-fleet.js";
+import {
+    CONTACT_MS,
+    type CrashOutcome,
+    type FleetFault,
+    runCrashTraffic,
+} from "../fixtures/crash-traffic.js";
+import { CrashingEngines, type Framing, hasBlock } from "../fixtures/crashing-engines.js";
 
 const VM_COUNT = 7;
 const ENGINE_COUNT = 8;
 const HARMFUL_BLOCK = "harmful";
 const SYSTEM_PROMPT = "system";
 const SUBJECT_COUNT = 20;
-const SOUND_INTERVAL_MS = 40;
-const HARMFUL_INTERVAL_MS = 400;
-const STEP_MS = 20;
-/** Time that VMs have to learn of the crashes, as the platform sets it (`contact_ms`). */
-const CONTACT_MS = 4_000;
-/** Requests with a harmful block that may still reach engines after that. */
+/** Requests with a harmful block that may still reach engines when VMs had time to learn of the crashes. */
 const MAX_LATE_ARRIVALS = 3;
 const COUNTED_CRASH = 5;
 const FROZEN_FROM_MS = 300;
 const FROZEN_FOR_MS = 8_000;
 
-/** Something that happens to the fleet at a time after the start of the harmful requests. */
-interface FleetFault {
-    readonly atMs: number;
-    readonly apply: (fleet: RoutedFleet) => void;
-}
-
-interface Outcome {
-    readonly engines: CrashingEngines;
-    readonly startedAt: number;
-    /** Sound requests that were sent when VMs could know the harmful block, and how many of them were answered. */
-    readonly soundSent: number;
-    readonly soundAnswered: number;
-}
-
-/** Sends sound and harmful requests to random VMs. Harmful ones have the system prompt and a subject of sound ones. */
+/** Harmful requests have the system prompt and a subject of sound ones. */
 const runTraffic = async (
     {
         vmCount = VM_COUNT,
         engineCount = ENGINE_COUNT,
-        harmfulIntervalMs = HARMFUL_INTERVAL_MS,
-        faults = [],
         framing = "chunked",
-        durationMs = 30_000,
         isResumable = false,
         harmful,
+        ...traffic
     }: {
         readonly vmCount?: number;
         readonly engineCount?: number;
@@ -54,50 +37,29 @@
         readonly isResumable?: boolean;
         readonly harmful?: (subject: string, own: string) => readonly string[];
     },
-): Promise<Outcome> => {
-    const engines = await CrashingEngines.create({
-        vmCount,
-        engineCount,
-        harmfulBlock: HARMFUL_BLOCK,
-        framing,
-    });
-    const { fleet } = engines;
-    const random = SeededRandom.create(23);
-    const startedAt = fleet.timers.now();
-    const pendingFaults = [...faults];
-    const sound: FleetRequest[] = [];
-    const pickVm = (): string => fleet.vmNames[random.pickInteger(vmCount)] ?? "";
-    const pickSubject = (): string => `subject-${random.pickInteger(SUBJECT_COUNT)}`;
-    for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += STEP_MS) {
-        while ((pendingFaults[0]?.atMs ?? durationMs) <= elapsedMs) {
-            pendingFaults.shift()?.apply(fleet);
-        }
-        if (elapsedMs % SOUND_INTERVAL_MS === 0) {
-            sound.push(
-                fleet.send(pickVm(), [SYSTEM_PROMPT, pickSubject(), `own-${elapsedMs}`], isResumable),
-            );
-        }
-        if (elapsedMs % harmfulIntervalMs === 0) {
+): Promise<CrashOutcome> =>
+    runCrashTraffic({
+        ...traffic,
+        engines: await CrashingEngines.create({
+            vmCount,
+            instanceCount: engineCount,
+            isHarmful: hasBlock(HARMFUL_BLOCK),
+            framing,
+        }),
+        countedCrash: COUNTED_CRASH,
+        sendSound: (fleet, vm, elapsedMs, random) => {
+            const subject = `subject-${random.pickInteger(SUBJECT_COUNT)}`;
+            return fleet.send(vm, [SYSTEM_PROMPT, subject, `own-${elapsedMs}`], isResumable);
+        },
+        sendHarmful: (fleet, vm, elapsedMs, random) => {
+            const subject = `subject-${random.pickInteger(SUBJECT_COUNT)}`;
             const own = `harmful-${elapsedMs}`;
-            const blocks = harmful?.(pickSubject(), own)
-                ?? [SYSTEM_PROMPT, pickSubject(), HARMFUL_BLOCK, own];
-            fleet.send(pickVm(), blocks, isResumable);
-        }
-        await fleet.timers.advance(STEP_MS);
-    }
-    const knownAt = (engines.crashes[COUNTED_CRASH - 1] ?? engines.crashes.at(-1) ?? startedAt)
-        + 2 * CONTACT_MS;
-    await fleet.timers.advance(5_000);
-    const counted = sound.filter(({ sentAt }) => sentAt >= knownAt);
-    return {
-        engines,
-        startedAt,
-        soundSent: counted.length,
-        soundAnswered: counted.filter(({ view }) => view.status === 200 && view.isComplete).length,
-    };
-};
+            const blocks = harmful?.(subject, own) ?? [SYSTEM_PROMPT, subject, HARMFUL_BLOCK, own];
+            return fleet.send(vm, blocks, isResumable);
+        },
+    });
 
-const expectContained = ({ engines, soundSent, soundAnswered }: Outcome): void => {
+const expectContained = ({ engines, soundSent, soundAnswered }: CrashOutcome): void => {
     expect(engines.crashes.length).toBeGreaterThan(2);
     expect(engines.countArrivalsAfterCrash(COUNTED_CRASH, CONTACT_MS)).toBeLessThanOrEqual(MAX_LATE_ARRIVALS);
     expect(soundSent).toBeGreaterThan(100);
