Quarantine whole requests under which servers crash, by the mechanism for prompt blocks

Ruled out: that requests of a kind or a caller do harm (others of both were answered between the crashes), and load.

A request has traits, from the general to the specific: the shared blocks of its prompt, and a fingerprint of method, path, workspace and body. The quarantine works on traits; evidence, verdict, gossip, records in the store and refusal are those of the blocks, and the rule that the more specific trait accounts for the losses of the others keeps the blocks of a harmful request usable. It had to become tougher: an error of the instance's own no longer counts as an answer, quarantined traits take at most half of a report, by turns, and the suspects with the fewest losses are evicted first, since each request that is lost beside a crash now adds a suspect. Callers get RequestQuarantined (503, not run).

--- a/packages/wigeonpulley/src/errors/error-catalogue.ts
+++ b/packages/wigeonpulley/src/errors/error-catalogue.ts
@@ -266,6 +266,14 @@
         status: 503,
         notRun: true,
     }),
+    RequestQuarantined: defineError<{ request: string; }>({
+        title: "The request is quarantined.",
+        message: ({ request }) =>
+            `Instances crashed under requests with the same path, caller and body (${request}); the request did not run.`,
+        hint: "Don't send it again before the time in Retry-After; operators find its crashes in the logs.",
+        status: 503,
+        notRun: true,
+    }),
     InvalidPlatformEntry: defineError<{ entry: string; reason: string; }>({
         title: "An entry of the platform can't be read.",
         message: ({ entry, reason }) => `The entry ${entry} can't be read: ${reason}`,
--- a/packages/wigeonpulley/src/forwarding/attempt.ts
+++ b/packages/wigeonpulley/src/forwarding/attempt.ts
@@ -1,8 +1,9 @@
 /** One attempt: a request sent to one instance, and the relay of its response to the caller. */
 import type { EventLogger } from "../logging/index.js";
 import type { Placement, RequestOutcome } from "../placement/index.js";
-import type { PromptQuarantine } from "../quarantine/index.js";
+import type { Quarantine } from "../quarantine/index.js";
 import type { TimerService } from "../time/index.js";
+import { AttemptEvidence } from "./attempt-evidence.js";
 import {
     type EndpointExchange,
     type EndpointTransport,
@@ -12,7 +13,6 @@
 } from "./endpoint-transport.js";
 import type { HeaderCodec } from "./header-codec.js";
 import { listForwardedRequestHeaders } from "./hop-by-hop.js";
-import { PromptEvidence } from "./prompt-evidence.js";
 import type { ResponseWriter } from "./response-writer.js";
 import { computeCallerTimeoutMs, isRetryable, type RoutedRequest } from "./routed-request.js";
 import type { StreamRelay } from "./stream-relay.js";
@@ -47,7 +47,9 @@
     readonly writer: ResponseWriter;
     readonly relay: StreamRelay;
     readonly placement: Placement;
-    readonly quarantine: PromptQuarantine;
+    readonly quarantine: Quarantine;
+    /** Traits of the request. */
+    readonly traits: readonly string[];
 }
 
 /** Longest response that is buffered before it is sent to the caller; a longer one is relayed as it arrives. */
@@ -71,7 +73,7 @@
 /** One attempt. */
 export class Attempt {
     private readonly exchange: EndpointExchange;
-    private readonly promptEvidence: PromptEvidence;
+    private readonly evidence: AttemptEvidence;
     private readonly startedAt: number;
     /** Events that earlier attempts had relayed. */
     private readonly eventsBefore: number;
@@ -82,7 +84,7 @@
         this.startedAt = options.timers.now();
         this.progressAt = this.startedAt;
         this.eventsBefore = options.relay.eventCount;
-        this.promptEvidence = PromptEvidence.create(options);
+        this.evidence = AttemptEvidence.create(options);
         this.exchange = this.send();
     }
 
@@ -99,7 +101,7 @@
         try {
             const outcome = await this.relayResponse();
             if (outcome.kind === "failed" && outcome.isConnectionLost) {
-                this.promptEvidence.recordConnectionLoss(outcome.reason, this.relayedEvents);
+                this.evidence.recordConnectionLoss(outcome.reason, this.relayedEvents);
             }
             placement.release(this.computeRequestOutcome(outcome), "reason" in outcome ? outcome.reason : "");
             return outcome;
@@ -195,7 +197,7 @@
                 relay.startResponse(head);
             }
             await relay.push(chunk);
-            this.promptEvidence.recordEvents(this.relayedEvents);
+            this.evidence.recordEvents(this.relayedEvents);
             if (!isEventGapRecorded && this.relayedEvents >= EARLY_EVENT_COUNT) {
                 isEventGapRecorded = true;
                 placement.recordEvents(this.relayedEvents);
@@ -210,7 +212,7 @@
         if (!relay.isBetweenEvents) {
             return createFailedOutcome("the stream ended within an event", head.endsWithConnection);
         }
-        this.promptEvidence.recordEnd(head.endsWithConnection);
+        this.evidence.recordEnd(head);
         writer.finish();
         placement.recordEvents(this.relayedEvents);
         return { kind: "answered", status: head.status };
@@ -241,7 +243,7 @@
         }
         placement.recordFirstEvent();
         placement.recordResponse();
-        this.promptEvidence.recordEnd(head.endsWithConnection);
+        this.evidence.recordEnd(head);
         const hasBody = request.method !== "HEAD" && !BODILESS_STATUSES.has(head.status);
         const sendResponse = (): void => writer.sendComplete(head, Buffer.concat(chunks), hasBody);
         if (head.status >= HTTP_SERVER_ERROR) {
--- a/packages/wigeonpulley/src/forwarding/forwarder.ts
+++ b/packages/wigeonpulley/src/forwarding/forwarder.ts
@@ -5,13 +5,14 @@
 import { SchedulerError } from "../errors/index.js";
 import type { EventLogger } from "../logging/index.js";
 import type { Placement, PlacementService, VersionPolicy } from "../placement/index.js";
-import type { PromptQuarantine } from "../quarantine/index.js";
+import type { Quarantine } from "../quarantine/index.js";
 import type { TimerService } from "../time/index.js";
 import type { RetryBudget } from "./admission-limits.js";
 import { Attempt, type AttemptOutcome } from "./attempt.js";
 import type { EndpointTransport } from "./endpoint-transport.js";
 import type { HeaderCodec } from "./header-codec.js";
 import { type CancelReason } from "./request-lifetime.js";
+import { isFingerprint, listTraits } from "./request-traits.js";
 import type { ResponseWriter } from "./response-writer.js";
 import {
     computeCallerTimeoutMs,
@@ -31,7 +32,7 @@
     readonly placement: PlacementService;
     readonly versions: VersionPolicy;
     readonly retryBudget: RetryBudget;
-    readonly quarantine: PromptQuarantine;
+    readonly quarantine: Quarantine;
 }
 
 /** How a request ended. */
@@ -72,6 +73,8 @@
 /** Progress of one request over its attempts. */
 interface RequestProgress {
     readonly relay: StreamRelay;
+    /** Traits of the request, by which those that crash instances are recognised. */
+    readonly traits: readonly string[];
     readonly excludedInstances: Set<string>;
     /** Sends that an instance may have run. */
     attempts: number;
@@ -99,6 +102,7 @@
         this.options.retryBudget.recordRequest(request.service);
         const progress: RequestProgress = {
             relay: StreamRelay.create(writer, this.options.timers),
+            traits: listTraits(request),
             arrivedAt: request.arrivedAt,
             excludedInstances: new Set(),
             attempts: 0,
@@ -110,7 +114,7 @@
             isCanary: this.options.versions.chooseCanary(request.service),
         };
         for (;;) {
-            const placement = this.findQuarantineError(request, progress)
+            const placement = this.findQuarantineError(progress)
                 ?? await this.acquireUnlessQuarantined(request, progress);
             if (placement instanceof SchedulerError) {
                 return this.finishWithError(
@@ -127,13 +131,13 @@
         }
     }
 
-    /** Waits for an instance; a block may be quarantined meanwhile. */
+    /** Waits for an instance; a trait may be quarantined meanwhile. */
     private async acquireUnlessQuarantined(
         request: RoutedRequest,
         progress: RequestProgress,
     ): Promise<Placement | SchedulerError> {
         const placement = await this.acquire(request, progress);
-        const error = this.findQuarantineError(request, progress);
+        const error = this.findQuarantineError(progress);
         if (placement instanceof SchedulerError || error === undefined) {
             return placement;
         }
@@ -141,16 +145,15 @@
         return error;
     }
 
-    private findQuarantineError(
-        { metadata }: RoutedRequest,
-        progress: RequestProgress,
-    ): SchedulerError | undefined {
-        const quarantined = this.options.quarantine.findQuarantined(metadata.promptBlocks);
+    private findQuarantineError(progress: RequestProgress): SchedulerError | undefined {
+        const quarantined = this.options.quarantine.findQuarantined(progress.traits);
         if (quarantined === undefined) {
             return undefined;
         }
-        const { block, remainingMs: retryAfterMs } = quarantined;
-        const error = SchedulerError.create("PromptQuarantined", { block }, { retryAfterMs });
+        const { trait, remainingMs: retryAfterMs } = quarantined;
+        const error = isFingerprint(trait)
+            ? SchedulerError.create("RequestQuarantined", { request: trait }, { retryAfterMs })
+            : SchedulerError.create("PromptQuarantined", { block: trait }, { retryAfterMs });
         progress.reason = error.message;
         return error;
     }
@@ -203,6 +206,7 @@
                 request,
                 writer,
                 relay: progress.relay,
+                traits: progress.traits,
                 placement,
             })
                 .run();
@@ -238,7 +242,7 @@
                 // A response that has started can be continued only as a stream.
                 && (!writer.hasStarted || progress.relay.hasStarted)
                 && !(outcome.isConnectionLost
-                    && this.options.quarantine.isSuspicious(request.metadata.promptBlocks));
+                    && this.options.quarantine.isSuspicious(progress.traits));
         if (canRetry && this.options.retryBudget.tryRetry(request.service)) {
             this.options.logger.write("RequestRepeated", {
                 id: request.metadata.attemptId,
@@ -277,7 +281,8 @@
         if (cancelReason !== undefined) {
             return this.createCancelError(cancelReason, progress);
         }
-        const canRefuse = error.name !== "PromptQuarantined" && isRetryable(request.route)
+        const isQuarantined = error.name === "PromptQuarantined" || error.name === "RequestQuarantined";
+        const canRefuse = !isQuarantined && isRetryable(request.route)
             && !progress.relay.eventCount;
         return progress.attempts === 0 || canRefuse
             ? error
--- a/packages/wigeonpulley/src/forwarding/index.ts
+++ b/packages/wigeonpulley/src/forwarding/index.ts
@@ -33,6 +33,7 @@
 } from "./header-codec.js";
 export { listForwardedRequestHeaders, listForwardedResponseHeaders } from "./hop-by-hop.js";
 export { type CancelReason, RequestLifetime } from "./request-lifetime.js";
+export { listTraits } from "./request-traits.js";
 export { ResponseWriter } from "./response-writer.js";
 export {
     computeCallerTimeoutMs,
--- a/packages/wigeonpulley/src/hashing/index.ts
+++ b/packages/wigeonpulley/src/hashing/index.ts
@@ -4,9 +4,9 @@
 /** Hashes a text to an unsigned integer of 32 bits. */
 export const hashText = (text: string): number => createHash("sha1").update(text).digest().readUInt32BE(0);
 
-/** Returns the SHA-256 digest of a text in base64url. */
-export const computeDigest = (text: string | Buffer): string =>
-    createHash("sha256").update(text).digest("base64url");
+/** Returns the SHA-256 digest of a text, or of several one after the other, in base64url. */
+export const computeDigest = (...texts: readonly (string | Buffer)[]): string =>
+    texts.reduce((hash, text) => hash.update(text), createHash("sha256")).digest("base64url");
 
 /**
  * Chooses the candidate with the highest hash for a key (rendezvous hashing), so that a change of candidates moves few
--- a/packages/wigeonpulley/src/logging/event-catalogue.ts
+++ b/packages/wigeonpulley/src/logging/event-catalogue.ts
@@ -276,13 +276,13 @@
         509,
         "warn",
         ({ block, instances, ageMs }) =>
-            `prompt block ${block} is quarantined: ${instances} instances closed connections under it, the last one ${ageMs} ms `
+            `prompt block or request ${block} is quarantined: ${instances} instances closed connections under it, the last one ${ageMs} ms `
             + `ago (0 instances: learned from another VM or the store)`,
     ),
     PromptBlockReleased: defineEvent<{ block: string; reason: string; }>(
         510,
         "warn",
-        ({ block, reason }) => `prompt block ${block} is no longer quarantined: ${reason}`,
+        ({ block, reason }) => `prompt block or request ${block} is no longer quarantined: ${reason}`,
     ),
     InstanceLimitChanged: defineEvent<
         { instance: string; incarnation: number; limitPerS: number; beforePerS: number; }
--- a/packages/wigeonpulley/src/quarantine/index.ts
+++ b/packages/wigeonpulley/src/quarantine/index.ts
@@ -1,12 +1,12 @@
 /**
- * Decides which prompt blocks are quarantined because engines crash under them. It sees only how responses ended; what
- * happens to a request with a quarantined block is the forwarder's decision.
+ * Decides which traits of requests are quarantined because instances crash under them. It sees only how responses ended;
+ * what happens to a request with a quarantined trait is the forwarder's decision.
  */
-export {
-    type BlockReport,
-    PromptQuarantine,
-    type PromptQuarantineOptions,
-    type QuarantinedBlock,
-} from "./prompt-quarantine.js";
 export { QuarantineStore, type QuarantineStoreOptions } from "./quarantine-store.js";
-export { QUARANTINE_MS, SuspectBlock } from "./suspect-block.js";
+export {
+    Quarantine,
+    type QuarantinedTrait,
+    type QuarantineOptions,
+    type SuspectReport,
+} from "./quarantine.js";
+export { QUARANTINE_MS, Suspect } from "./suspect.js";
--- a/packages/wigeonpulley/src/quarantine/quarantine-store.ts
+++ b/packages/wigeonpulley/src/quarantine/quarantine-store.ts
@@ -6,8 +6,8 @@
 import type { RandomSource } from "../random/index.js";
 import { type KeyedRecord, type KeyedStore, TopicFollower } from "../store/index.js";
 import type { TimerService } from "../time/index.js";
-import type { PromptQuarantine } from "./prompt-quarantine.js";
-import { QUARANTINE_MS } from "./suspect-block.js";
+import type { Quarantine } from "./quarantine.js";
+import { QUARANTINE_MS } from "./suspect.js";
 
 /** Dependencies of the store. */
 export interface QuarantineStoreOptions {
@@ -16,7 +16,7 @@
     readonly random: RandomSource;
     readonly logger: EventLogger;
     readonly store: KeyedStore;
-    readonly quarantine: PromptQuarantine;
+    readonly quarantine: Quarantine;
 }
 
 /** Long-poll time, in milliseconds; records change rarely. */
@@ -41,7 +41,7 @@
 /** Records of one VM's quarantine. */
 export class QuarantineStore {
     private readonly follower: TopicFollower;
-    /** Wall-clock time since which each stored block is quarantined, in milliseconds. */
+    /** Wall-clock time since which each stored trait is quarantined, in milliseconds. */
     private readonly stored = new Map<string, number>();
     /** The same of the records that this VM removed, the oldest removal first. */
     private readonly removed = new Map<string, number>();
@@ -49,10 +49,10 @@
 
     private constructor(private readonly options: QuarantineStoreOptions) {
         this.follower = this.createFollower();
-        options.quarantine.subscribe((block, isQuarantined) =>
+        options.quarantine.subscribe((trait, isQuarantined) =>
             void (isQuarantined
-                ? this.write(block, options.timers.readWallClock())
-                : this.remove(block))
+                ? this.write(trait, options.timers.readWallClock())
+                : this.remove(trait))
         );
     }
 
@@ -85,12 +85,12 @@
                     const before = new Map(this.stored);
                     this.stored.clear();
                     apply(records);
-                    const missing = [...before].filter(([block]) => !this.stored.has(block));
+                    const missing = [...before].filter(([trait]) => !this.stored.has(trait));
                     if (isRestored) {
                         this.writeLost(missing);
                     }
                     else {
-                        missing.forEach(([block]) => this.options.quarantine.removeStored(block));
+                        missing.forEach(([trait]) => this.options.quarantine.removeStored(trait));
                     }
                 },
                 applyChanges: apply,
@@ -126,23 +126,23 @@
     }
 
     /** Writes records again that a restored store has lost, as far as their quarantines are active. */
-    private writeLost(records: readonly (readonly [block: string, quarantinedSince: number])[]): void {
-        const quarantined = new Set(this.options.quarantine.listQuarantined().map(({ block }) => block));
-        records.filter(([block]) => quarantined.has(block)).forEach(([block, quarantinedSince]) =>
-            void this.write(block, quarantinedSince)
+    private writeLost(records: readonly (readonly [trait: string, quarantinedSince: number])[]): void {
+        const quarantined = new Set(this.options.quarantine.listQuarantined().map(({ trait }) => trait));
+        records.filter(([trait]) => quarantined.has(trait)).forEach(([trait, quarantinedSince]) =>
+            void this.write(trait, quarantinedSince)
         );
     }
 
     /** Writes a record unless another VM has written one; repeats a write that failed. */
-    private async write(block: string, quarantinedSince: number): Promise<void> {
+    private async write(trait: string, quarantinedSince: number): Promise<void> {
         const { vm, timers, random, logger, store } = this.options;
         const { signal } = this.abortController;
         const value = Buffer.from(JSON.stringify({ quarantinedSince, vm }));
         await timers.sleep(random.pickFraction() * MAX_WRITE_DELAY_MS, signal);
-        while (!signal.aborted && !this.isStored(block, quarantinedSince)) {
-            const outcome = await store.put("quarantine", block, value);
+        while (!signal.aborted && !this.isStored(trait, quarantinedSince)) {
+            const outcome = await store.put("quarantine", trait, value);
             if (outcome.isOk()) {
-                this.stored.set(block, quarantinedSince);
+                this.stored.set(trait, quarantinedSince);
                 return;
             }
             logger.writeError(outcome.error);
@@ -150,24 +150,24 @@
         }
     }
 
-    private isStored(block: string, quarantinedSince: number): boolean {
-        return (this.stored.get(block) ?? Number.NEGATIVE_INFINITY) > quarantinedSince - QUARANTINE_MS / 2;
+    private isStored(trait: string, quarantinedSince: number): boolean {
+        return (this.stored.get(trait) ?? Number.NEGATIVE_INFINITY) > quarantinedSince - QUARANTINE_MS / 2;
     }
 
-    private async remove(block: string): Promise<void> {
-        const quarantinedSince = this.stored.get(block);
+    private async remove(trait: string): Promise<void> {
+        const quarantinedSince = this.stored.get(trait);
         if (quarantinedSince !== undefined) {
-            this.stored.delete(block);
-            this.rememberRemoved(block, quarantinedSince);
-            const outcome = await this.options.store.put("quarantine", block, undefined);
+            this.stored.delete(trait);
+            this.rememberRemoved(trait, quarantinedSince);
+            const outcome = await this.options.store.put("quarantine", trait, undefined);
             if (outcome.isErr()) {
                 this.options.logger.writeError(outcome.error);
             }
         }
     }
 
-    private rememberRemoved(block: string, quarantinedSince: number): void {
-        this.removed.set(block, quarantinedSince);
+    private rememberRemoved(trait: string, quarantinedSince: number): void {
+        this.removed.set(trait, quarantinedSince);
         const [oldest] = this.removed.keys();
         if (oldest !== undefined && this.removed.size > MAX_REMOVED_RECORDS) {
             this.removed.delete(oldest);
--- /dev/null
+++ b/packages/wigeonpulley/src/quarantine/quarantine.ts
@@ -0,0 +1,281 @@
+/**
+ * Finds requests under which instances crash, and quarantines what they have in common. A trait of requests is a block
+ * that prompts share, or the fingerprint of a whole request; traits are listed from the general to the specific. A trait is
+ * quarantined when several instances closed connections before requests with it were answered properly and no request
+ * with it was answered since; an answer ends the quarantine. VMs share losses, answers and quarantines, and each of them
+ * decides by itself.
+ */
+import { hashIncarnation, type Instance } from "../discovery/index.js";
+import type { EventLogger } from "../logging/index.js";
+import type { TimerService } from "../time/index.js";
+import { QUARANTINE_MS, Suspect } from "./suspect.js";
+
+/** Evidence about one trait of requests, as VMs report it to each other. Ages are in milliseconds. */
+export interface SuspectReport {
+    readonly trait: string;
+    /** Hashes of instances that lost a response to a request with the trait, and the age of each loss. */
+    readonly losses: readonly { readonly instance: number; readonly ageMs: number; }[];
+    /** Deepest position of the trait among those of a request that was lost. */
+    readonly depth: number;
+    /** Age of the last known answer; undefined if there is none. */
+    readonly answeredAgeMs: number | undefined;
+    /** Time for which the trait is quarantined; undefined if it isn't. */
+    readonly quarantinedMs: number | undefined;
+}
+
+/** A trait with which no request may reach an instance. */
+export interface QuarantinedTrait {
+    readonly trait: string;
+    readonly remainingMs: number;
+}
+
+/** Dependencies of the quarantine. */
+export interface QuarantineOptions {
+    readonly timers: TimerService;
+    readonly logger: EventLogger;
+}
+
+/** Traits whose last answer is remembered. */
+const MAX_ANSWERED_TRAITS = 8_192;
+/** Traits under suspicion at the same time. */
+const MAX_SUSPECTS = 512;
+/** Suspects that are removed at once when there are more. */
+const EVICTED_SUSPECTS = 64;
+/** Traits in one report; bounds its size. */
+const MAX_REPORTED_TRAITS = 8;
+/** Quarantined traits among them. */
+const MAX_REPORTED_QUARANTINES = MAX_REPORTED_TRAITS / 2;
+/** Losses of one trait in a report, the newest ones; more than any verdict needs. */
+const MAX_REPORTED_LOSSES = 8;
+/** Age of the newest loss up to which a trait that isn't quarantined is reported, in milliseconds. */
+const MAX_REPORTED_LOSS_AGE_MS = 15_000;
+/** The same for a trait without losses since its last answer, which only has to reach the VMs that know of the loss. */
+const MAX_REPORTED_ANSWER_AGE_MS = 3_000;
+
+/** Quarantine of one VM. */
+export class Quarantine {
+    /** Time of the last answer by trait, least recently answered first. */
+    private readonly answeredAt = new Map<string, number>();
+    private readonly suspects = new Map<string, Suspect>();
+    /** Quarantined traits in the reports so far; the next report goes on after them. */
+    private reportedQuarantines = 0;
+    private readonly listeners: ((trait: string, isQuarantined: boolean) => void)[] = [];
+
+    private constructor(private readonly options: QuarantineOptions) {}
+
+    /** Creates a quarantine without traits. */
+    static create(options: QuarantineOptions): Quarantine {
+        return new Quarantine(options);
+    }
+
+    /** Calls back when this VM's own evidence starts or ends the quarantine of a trait. */
+    subscribe(listener: (trait: string, isQuarantined: boolean) => void): void {
+        this.listeners.push(listener);
+    }
+
+    /** Returns the first quarantined trait of a request; undefined without one. */
+    findQuarantined(traits: readonly string[]): QuarantinedTrait | undefined {
+        if (this.suspects.size === 0) {
+            return undefined;
+        }
+        const now = this.options.timers.now();
+        for (const trait of traits) {
+            const quarantined = this.findQuarantinedTrait(trait, now);
+            if (quarantined !== undefined) {
+                return quarantined;
+            }
+        }
+        return undefined;
+    }
+
+    /** Returns all quarantined traits. */
+    listQuarantined(): readonly QuarantinedTrait[] {
+        const now = this.options.timers.now();
+        return [...this.suspects.keys()].flatMap(trait => this.findQuarantinedTrait(trait, now) ?? []);
+    }
+
+    /** True when one more request with these traits may end one more instance, though the evidence isn't sufficient yet. */
+    isSuspicious(traits: readonly string[]): boolean {
+        const now = this.options.timers.now();
+        return traits.some(trait => this.suspects.get(trait)?.isSuspicious(now) === true);
+    }
+
+    /** Records that a request was answered far enough to show that its traits do no harm. */
+    recordAnswer(traits: readonly string[]): void {
+        const now = this.options.timers.now();
+        for (const trait of traits) {
+            this.answeredAt.delete(trait);
+            this.answeredAt.set(trait, now);
+            this.applyAnswer(trait, now, true);
+        }
+        for (const trait of this.answeredAt.keys()) {
+            if (this.answeredAt.size <= MAX_ANSWERED_TRAITS) {
+                break;
+            }
+            this.answeredAt.delete(trait);
+        }
+    }
+
+    /** Records that an instance closed the connection before it had answered a request properly. */
+    recordLoss(traits: readonly string[], instance: Instance): void {
+        const now = this.options.timers.now();
+        traits.forEach((trait, depth) =>
+            this.getOrCreateSuspect(trait).recordLoss(hashIncarnation(instance), now, depth)
+        );
+    }
+
+    /** Quarantines a trait as the store says, from a monotonic time on. */
+    applyStored(trait: string, since: number): void {
+        this.adopt(trait, since);
+    }
+
+    /** Ends the quarantine of a trait whose record was removed from the store. */
+    removeStored(trait: string): void {
+        if (this.suspects.get(trait)?.release(this.options.timers.now()) === true) {
+            this.options.logger.write("PromptBlockReleased", {
+                block: trait,
+                reason: "the record was removed",
+            });
+        }
+    }
+
+    /** Returns what the other VMs should know: quarantined traits and those with the most losses first. */
+    listReports(): readonly SuspectReport[] {
+        const now = this.options.timers.now();
+        for (const [trait, suspect] of this.suspects) {
+            this.evaluate(trait, suspect, now);
+            if (suspect.isObsolete(now)) {
+                this.suspects.delete(trait);
+            }
+        }
+        const quarantined = this.selectQuarantined(now);
+        const others = [...this.suspects]
+            .filter(([, suspect]) =>
+                suspect.getQuarantinedSince(now) === undefined && isReportable(suspect, now)
+            )
+            .sort(([, left], [, right]) =>
+                right.lossCount - left.lossCount || right.newestLossAt - left.newestLossAt
+            );
+        return [...quarantined, ...others].slice(0, MAX_REPORTED_TRAITS).map(([trait, suspect]) =>
+            createReport(trait, suspect, now)
+        );
+    }
+
+    /**
+     * Applies reports of another VM. `askedAt` is the monotonic time at which the reports were asked for; undefined for
+     * reports that came unasked. Those may have been on their way for any time, so their answers, which would seem newer
+     * than they are, don't count.
+     */
+    applyReports(reports: readonly SuspectReport[], askedAt: number | undefined): void {
+        const now = this.options.timers.now();
+        for (const { trait, losses, depth, answeredAgeMs, quarantinedMs } of reports) {
+            const suspect = this.getOrCreateSuspect(trait);
+            losses.forEach(({ instance, ageMs }) => suspect.recordLoss(instance, now - ageMs, depth));
+            if (answeredAgeMs !== undefined && askedAt !== undefined) {
+                this.applyAnswer(trait, askedAt - answeredAgeMs, false);
+            }
+            if (quarantinedMs !== undefined) {
+                this.adopt(trait, now - quarantinedMs);
+            }
+        }
+    }
+
+    /** Selects quarantined traits to report, by turns, so that they leave room for new evidence. */
+    private selectQuarantined(now: number): readonly (readonly [string, Suspect])[] {
+        const quarantined = [...this.suspects].filter(([, suspect]) =>
+            suspect.getQuarantinedSince(now) !== undefined
+        );
+        const start = quarantined.length > MAX_REPORTED_QUARANTINES
+            ? this.reportedQuarantines % quarantined.length
+            : 0;
+        this.reportedQuarantines = start + MAX_REPORTED_QUARANTINES;
+        return [...quarantined.slice(start), ...quarantined.slice(0, start)].slice(
+            0,
+            MAX_REPORTED_QUARANTINES,
+        );
+    }
+
+    private findQuarantinedTrait(trait: string, now: number): QuarantinedTrait | undefined {
+        const suspect = this.suspects.get(trait);
+        const since = suspect === undefined ? undefined : this.evaluate(trait, suspect, now);
+        return since === undefined ? undefined : { trait, remainingMs: since + QUARANTINE_MS - now };
+    }
+
+    private adopt(trait: string, since: number): void {
+        const { timers, logger } = this.options;
+        if (this.getOrCreateSuspect(trait).adoptQuarantine(since, timers.now())) {
+            logger.write("PromptBlockQuarantined", {
+                block: trait,
+                instances: 0,
+                ageMs: Math.round(timers.now() - since),
+            });
+        }
+    }
+
+    private applyAnswer(trait: string, answeredAt: number, isOwn: boolean): void {
+        if (this.suspects.get(trait)?.recordAnswer(answeredAt) !== true) {
+            return;
+        }
+        this.options.logger.write("PromptBlockReleased", { block: trait, reason: "a request was answered" });
+        if (isOwn) {
+            this.listeners.forEach(listener => listener(trait, false));
+        }
+    }
+
+    /** Returns the time since which the trait is quarantined, if it is. */
+    private evaluate(trait: string, suspect: Suspect, now: number): number | undefined {
+        const isExplained = (): boolean =>
+            [...this.suspects.values()].some(other => other.explains(suspect, now));
+        if (suspect.evaluate(now, isExplained)) {
+            this.options.logger.write("PromptBlockQuarantined", {
+                block: trait,
+                instances: suspect.lossCount,
+                ageMs: Math.round(now - suspect.newestLossAt),
+            });
+            this.listeners.forEach(listener => listener(trait, true));
+        }
+        return suspect.getQuarantinedSince(now);
+    }
+
+    private getOrCreateSuspect(trait: string): Suspect {
+        const suspect = this.suspects.get(trait)
+            ?? Suspect.create(this.answeredAt.get(trait) ?? Number.NEGATIVE_INFINITY);
+        this.suspects.set(trait, suspect);
+        this.evictSuspects(trait);
+        return suspect;
+    }
+
+    /** Removes the suspects with the fewest losses beyond the limit, but for quarantined traits and the given one. */
+    private evictSuspects(kept: string): void {
+        if (this.suspects.size <= MAX_SUSPECTS) {
+            return;
+        }
+        const now = this.options.timers.now();
+        [...this.suspects]
+            .filter(([trait, suspect]) => trait !== kept && suspect.getQuarantinedSince(now) === undefined)
+            .sort(([, left], [, right]) =>
+                left.lossCount - right.lossCount || left.newestLossAt - right.newestLossAt
+            )
+            .slice(0, EVICTED_SUSPECTS)
+            .forEach(([trait]) => this.suspects.delete(trait));
+    }
+}
+
+const isReportable = (suspect: Suspect, now: number): boolean => {
+    const maxAgeMs = suspect.lossCount > 0 ? MAX_REPORTED_LOSS_AGE_MS : MAX_REPORTED_ANSWER_AGE_MS;
+    return now - suspect.newestLossAt <= maxAgeMs;
+};
+
+const createReport = (trait: string, suspect: Suspect, now: number): SuspectReport => {
+    const since = suspect.getQuarantinedSince(now);
+    return {
+        trait,
+        losses: suspect.listLosses().slice(-MAX_REPORTED_LOSSES).map(([instance, lostAt]) => ({
+            instance,
+            ageMs: now - lostAt,
+        })),
+        depth: suspect.depth,
+        answeredAgeMs: Number.isFinite(suspect.lastAnsweredAt) ? now - suspect.lastAnsweredAt : undefined,
+        quarantinedMs: since === undefined ? undefined : now - since,
+    };
+};
--- a/packages/wigeonpulley/src/quarantine/suspect-block.ts
+++ b/packages/wigeonpulley/src/quarantine/suspect.ts
@@ -1,44 +1,44 @@
-/** Evidence for and against one prompt block. All times are monotonic, in milliseconds. */
+/** Evidence for and against one prompt trait. All times are monotonic, in milliseconds. */
 
 /** Duration of a quarantine, in milliseconds. */
 export const QUARANTINE_MS = 600_000;
 /** Time after a quarantine in which a single lost response renews it, in milliseconds. */
 const PROBATION_MS = 600_000;
-/** Time for which a lost response counts as evidence unless the block is answered, in milliseconds. */
+/** Time for which a lost response counts as evidence unless the trait is answered, in milliseconds. */
 const LOSS_WINDOW_MS = 600_000;
 /** Time for which an answer makes further losses look like accidents, in milliseconds. */
 const ANSWER_MEMORY_MS = 60_000;
-/** Time for which a block without losses since its last answer is kept, in milliseconds. */
+/** Time for which a trait without losses since its last answer is kept, in milliseconds. */
 const CLEARED_MEMORY_MS = 15_000;
-/** Instances that have to lose responses with a block that was not answered recently. */
+/** Instances that have to lose responses with a trait that was not answered recently. */
 const MIN_INSTANCES = 3;
 /**
- * The same for a block that was answered recently, and the time over which the losses have to be spread: connections to
+ * The same for a trait that was answered recently, and the time over which the losses have to be spread: connections to
  * many instances that break at the same moment say nothing about the prompts.
  */
 const MIN_INSTANCES_AFTER_ANSWER = 6;
 const MIN_SPREAD_AFTER_ANSWER_MS = 2_000;
-/** Instances that have to lose responses with a block before it explains the losses of others. */
+/** Instances that have to lose responses with a trait before it explains the losses of others. */
 const MIN_EXPLAINING_INSTANCES = 2;
 /** Time for the losses and answers of other VMs to arrive before the evidence counts, in milliseconds. */
 const SETTLE_MS = 1_500;
 
-/** One block under suspicion. */
-export class SuspectBlock {
+/** One trait under suspicion. */
+export class Suspect {
     /** Time of the first lost response of each instance, by the hash of the instance. */
     private readonly losses = new Map<number, number>();
     private lastLostAt = Number.NEGATIVE_INFINITY;
     private deepestPosition = 0;
     /** Time at which the quarantine was ended from outside; what was known before doesn't count. */
     private releasedAt = Number.NEGATIVE_INFINITY;
-    /** First of the losses for which the block is or was quarantined. */
+    /** First of the losses for which the trait is or was quarantined. */
     private quarantinedSince: number | undefined;
 
     private constructor(private answeredAt: number) {}
 
-    /** Creates a block without losses; `answeredAt` is the time of its last answer, minus infinity if there is none. */
-    static create(answeredAt: number): SuspectBlock {
-        return new SuspectBlock(answeredAt);
+    /** Creates a trait without losses; `answeredAt` is the time of its last answer, minus infinity if there is none. */
+    static create(answeredAt: number): Suspect {
+        return new Suspect(answeredAt);
     }
 
     /** Time of the last known answer; minus infinity if there is none. */
@@ -56,7 +56,7 @@
         return this.lastLostAt;
     }
 
-    /** Deepest position of the block in a prompt that was lost; 0 is the first. */
+    /** Deepest position of the trait in a prompt that was lost; 0 is the first. */
     get depth(): number {
         return this.deepestPosition;
     }
@@ -66,14 +66,14 @@
         return [...this.losses];
     }
 
-    /** Time since which the block is quarantined; undefined while it isn't. */
+    /** Time since which the trait is quarantined; undefined while it isn't. */
     getQuarantinedSince(now: number): number | undefined {
         return this.quarantinedSince !== undefined && isActive(this.quarantinedSince, now)
             ? this.quarantinedSince
             : undefined;
     }
 
-    /** Records a response that an instance lost, and the position of the block in its prompt. */
+    /** Records a response that an instance lost, and the position of the trait in its prompt. */
     recordLoss(instance: number, lostAt: number, depth: number): void {
         this.deepestPosition = Math.max(this.deepestPosition, depth);
         this.lastLostAt = Math.max(this.lastLostAt, lostAt);
@@ -106,7 +106,7 @@
         return wasQuarantined;
     }
 
-    /** Quarantines the block as another VM or the store does; returns false if it is known or contradicted. */
+    /** Quarantines the trait as another VM or the store does; returns false if it is known or contradicted. */
     adoptQuarantine(since: number, now: number): boolean {
         const current = this.getQuarantinedSince(now);
         // The end of an earlier quarantine must not end the current one.
@@ -121,8 +121,8 @@
     }
 
     /**
-     * Quarantines the block if the evidence suffices; returns true if it was not quarantined before. `isExplained` returns
-     * true when another block accounts for its losses.
+     * Quarantines the trait if the evidence suffices; returns true if it was not quarantined before. `isExplained` returns
+     * true when another trait accounts for its losses.
      */
     evaluate(now: number, isExplained: () => boolean): boolean {
         if (this.getQuarantinedSince(now) !== undefined) {
@@ -143,22 +143,22 @@
     }
 
     /**
-     * True when this block accounts for the losses of another one: nearly all of them came at instances that lost
-     * responses with this block too, and this block is the more specific one. Else a block that all prompts share, such as
+     * True when this trait accounts for the losses of another one: nearly all of them came at instances that lost
+     * responses with this trait too, and this trait is the more specific one. Else a trait that all prompts share, such as
      * a system prompt, would be quarantined with the harmful one when no engine lives long enough to answer.
      */
-    explains(other: SuspectBlock, now: number): boolean {
+    explains(other: Suspect, now: number): boolean {
         const unexplained = [...other.losses.keys()].filter(instance => !this.losses.has(instance));
         return this.losses.size >= MIN_EXPLAINING_INSTANCES && unexplained.length < MIN_INSTANCES
             && this.isMoreSpecificThan(other, now);
     }
 
-    /** True when another request with the block may be expected to end one more instance. */
+    /** True when another request with the trait may be expected to end one more instance. */
     isSuspicious(now: number): boolean {
         return this.losses.size > 1 && !this.wasAnsweredRecently(now);
     }
 
-    /** True when nothing about the block matters any more. */
+    /** True when nothing about the trait matters any more. */
     isObsolete(now: number): boolean {
         const memoryMs = this.losses.size > 0 ? LOSS_WINDOW_MS : CLEARED_MEMORY_MS;
         return now > Math.max(this.lastLostAt, this.releasedAt) + memoryMs
@@ -178,7 +178,7 @@
                 || (times.at(-1) ?? decisive) - first >= MIN_SPREAD_AFTER_ANSWER_MS);
     }
 
-    private isMoreSpecificThan(other: SuspectBlock, now: number): boolean {
+    private isMoreSpecificThan(other: Suspect, now: number): boolean {
         const wasAnswered = this.wasAnsweredRecently(now);
         return wasAnswered === other.wasAnsweredRecently(now)
             ? this.deepestPosition > other.deepestPosition
--- a/packages/wigeonpulley/src/routed-vm/gossiped-evidence.ts
+++ b/packages/wigeonpulley/src/routed-vm/gossiped-evidence.ts
@@ -1,4 +1,4 @@
-/** Passes evidence about prompt blocks and rate limits of instances between this VM and the others. */
+/** Passes evidence about traits of requests and rate limits of instances between this VM and the others. */
 import { create } from "@bufbuild/protobuf";
 import {
     type InstanceLimitReport,
@@ -8,31 +8,31 @@
 } from "../gen/wigeonpulley/peer/v1/peer_pb.js";
 import { type Evidence, EvidenceGossip } from "../membership/index.js";
 import type { InstanceRateLimits, LimitReport } from "../placement/index.js";
-import type { BlockReport, PromptQuarantine } from "../quarantine/index.js";
+import type { Quarantine, SuspectReport } from "../quarantine/index.js";
 
 /** Evidence of one VM. */
 export class GossipedEvidence extends EvidenceGossip {
     private constructor(
-        private readonly quarantine: PromptQuarantine,
+        private readonly quarantine: Quarantine,
         private readonly rateLimits: InstanceRateLimits,
     ) {
         super();
     }
 
     /** Creates the gossip of what a quarantine and the limits of instances know. */
-    static create(quarantine: PromptQuarantine, rateLimits: InstanceRateLimits): GossipedEvidence {
+    static create(quarantine: Quarantine, rateLimits: InstanceRateLimits): GossipedEvidence {
         return new GossipedEvidence(quarantine, rateLimits);
     }
 
     override createEvidence(): Evidence {
         return {
-            promptBlocks: this.quarantine.listReports().map(encodeBlockReport),
+            promptBlocks: this.quarantine.listReports().map(encodeSuspectReport),
             instanceLimits: this.rateLimits.listReports().map(encodeLimitReport),
         };
     }
 
     override applyEvidence({ promptBlocks, instanceLimits }: Evidence, askedAt: number | undefined): void {
-        this.quarantine.applyReports(promptBlocks.map(decodeBlockReport), askedAt);
+        this.quarantine.applyReports(promptBlocks.map(decodeSuspectReport), askedAt);
         this.rateLimits.applyReports(instanceLimits.map(decodeLimitReport), askedAt);
     }
 }
@@ -45,11 +45,11 @@
 
 const decodeOptionalAge = (encoded: number): number | undefined => encoded === 0 ? undefined : encoded - 1;
 
-const encodeBlockReport = (
-    { block, losses, depth, answeredAgeMs, quarantinedMs }: BlockReport,
+const encodeSuspectReport = (
+    { trait, losses, depth, answeredAgeMs, quarantinedMs }: SuspectReport,
 ): PromptBlockReport =>
     create(PromptBlockReportSchema, {
-        block,
+        block: trait,
         instances: losses.map(({ instance }) => instance),
         lossAgesMs: losses.map(({ ageMs }) => encodeAge(ageMs)),
         depth,
@@ -57,8 +57,8 @@
         quarantinedMs: encodeOptionalAge(quarantinedMs),
     });
 
-const decodeBlockReport = (report: PromptBlockReport): BlockReport => ({
-    block: report.block,
+const decodeSuspectReport = (report: PromptBlockReport): SuspectReport => ({
+    trait: report.block,
     losses: report.instances.map((instance, index) => ({ instance, ageMs: report.lossAgesMs[index] ?? 0 })),
     depth: report.depth,
     answeredAgeMs: decodeOptionalAge(report.answeredAgeMs),
--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -9,7 +9,7 @@
 import { GossipHandler, type GossipTransport } from "../peers/index.js";
 import { InstanceRateLimits, PeerLoadReports, PlacementService } from "../placement/index.js";
 import type { VmListEntry } from "../platform/index.js";
-import { PromptQuarantine, QuarantineStore } from "../quarantine/index.js";
+import { Quarantine, QuarantineStore } from "../quarantine/index.js";
 import { SharedQuotaLimiter, SharedRetryBudget } from "../quotas/index.js";
 import type { RandomSource } from "../random/index.js";
 import { RolloutService, RolloutStateStore } from "../rollouts/index.js";
@@ -69,7 +69,7 @@
     readonly frontServer: FrontServer;
     readonly quotaLimiter: SharedQuotaLimiter;
     readonly rollouts: RolloutService;
-    readonly quarantine: PromptQuarantine;
+    readonly quarantine: Quarantine;
     private readonly quarantineStore: QuarantineStore;
     private readonly rateLimits: InstanceRateLimits;
     private readonly reports: PeerLoadReports;
@@ -85,7 +85,7 @@
         this.activeConfiguration = ActiveConfiguration.create(timers, logger);
         this.directory = InstanceDirectory.create(timers, logger);
         this.reports = PeerLoadReports.create(settings.name, timers);
-        this.quarantine = PromptQuarantine.create({ timers, logger });
+        this.quarantine = Quarantine.create({ timers, logger });
         this.quarantineStore = QuarantineStore.create({
             ...options,
             vm: settings.name,
@@ -257,7 +257,10 @@
             instances: this.directory.list().map(instance => this.describeInstance(instance)),
             queues: this.placement.listQueueLengths(),
             quotas: this.quotaLimiter.listUsage(),
-            quarantinedPromptBlocks: this.quarantine.listQuarantined(),
+            quarantinedPromptBlocks: this.quarantine.listQuarantined().map(({ trait, remainingMs }) => ({
+                block: trait,
+                remainingMs,
+            })),
         };
     }
 
