Let a VM that starts wait until a store that was once restored has settled

A VM that started between the restore and the operators' next write would admit a key that the lost configuration had revoked: its first read has nothing to compare the era with, and confirmed the copy.

A follower that starts with a store in a later era than the first confirms nothing for the same second. Until then the VM learns from the others, which confirm their version to it.

--- a/packages/wigeonpulley/src/store/topic-follower.ts
+++ b/packages/wigeonpulley/src/store/topic-follower.ts
@@ -46,6 +46,8 @@
 /** Bounds of the exponential backoff after failed reads; half of each delay is random. */
 const MIN_RETRY_DELAY_MS = 150;
 const MAX_RETRY_DELAY_MS = 1_000;
+/** Era of a store that was never restored. */
+const FIRST_ERA = 1;
 /** Time after the first read of a restored store for the writers to write again what was lost. */
 const RESTORE_SETTLE_MS = 1_000;
 
@@ -146,8 +148,12 @@
                 return false;
             }
             const isRestored = applied !== undefined && next.era > applied.era;
+            // A follower that starts can't tell whether the store was restored just now.
+            if (isRestored || (applied === undefined && next.era > FIRST_ERA)) {
+                this.settledAt = this.options.timers.now() + RESTORE_SETTLE_MS;
+            }
             if (isRestored) {
-                this.recordRestore(applied, next);
+                this.writeRestored(applied, next);
             }
             this.setPosition(next);
             listener.applySnapshot(records, isRestored);
@@ -167,9 +173,8 @@
         this.applied = position;
     }
 
-    private recordRestore(before: TopicPosition, now: TopicPosition): void {
-        const { timers, logger, topic } = this.options;
-        this.settledAt = timers.now() + RESTORE_SETTLE_MS;
+    private writeRestored(before: TopicPosition, now: TopicPosition): void {
+        const { logger, topic } = this.options;
         logger.write("StoreRestored", {
             topic,
             era: now.era,
--- a/packages/wigeonpulley/test/store/restored-store.test.ts
+++ b/packages/wigeonpulley/test/store/restored-store.test.ts
@@ -67,6 +67,25 @@
     },
 );
 
+// CONFIG: a VM that starts just after the restore has nothing to compare the copy with.
+test("a VM that starts before the operators have written again does not admit keys by the copy", async () => {
+    const fleet = await createFleet();
+    const { timers, store } = fleet;
+    store.copy();
+    fleet.publish(2);
+    await timers.advance(READ_MS);
+    await restore(fleet);
+    fleet.restartVm("vm-1");
+    const { activeConfiguration } = fleet.getVm("vm-1").vm;
+    for (let elapsedMs = 0; elapsedMs < READ_MS; elapsedMs += 100) {
+        await timers.advance(100);
+        expect(activeConfiguration.getAgeMs()).toBeGreaterThan(MAX_AGE_FOR_KEYS_MS);
+    }
+    fleet.publish(2);
+    await timers.advance(READ_MS);
+    expect(activeConfiguration.getAgeMs()).toBeLessThan(READ_MS);
+});
+
 // CONFIG: a VM that lost its way to the store read on at an offset that had been given out again.
 test("a VM that is cut off while the store is restored gets the changes that were written meanwhile", async () => {
     const fleet = await createFleet();
