Break off a stream whose event has no end

An instance in trouble may send bytes without end. An event that never became complete was kept in memory until the route's time limit: at the speed of a VM's link more than its memory.

An event of more than 1 MiB fails the attempt, and a resumable request goes on at another instance. Heads are limited by the HTTP library, bodies that aren't streams are passed on with back-pressure until the route's time limit.

--- a/packages/wigeonpulley/src/forwarding/attempt.ts
+++ b/packages/wigeonpulley/src/forwarding/attempt.ts
@@ -197,6 +197,10 @@
                 relay.startResponse(head);
             }
             await relay.push(chunk);
+            if (relay.isEventTooLong) {
+                this.exchange.abort("an event is too long");
+                return createFailedOutcome("an event is too long");
+            }
             this.evidence.recordEvents(this.relayedEvents);
             if (!isEventGapRecorded && this.relayedEvents >= EARLY_EVENT_COUNT) {
                 isEventGapRecorded = true;
--- a/packages/wigeonpulley/src/forwarding/stream-relay.ts
+++ b/packages/wigeonpulley/src/forwarding/stream-relay.ts
@@ -4,6 +4,9 @@
 import { EventSplitter } from "./event-splitter.js";
 import type { ResponseWriter } from "./response-writer.js";
 
+/** Longest event; one that is longer has no end. */
+const MAX_EVENT_BYTES = 1_048_576;
+
 /** Relay of one request's stream. */
 export class StreamRelay {
     private splitter = EventSplitter.create();
@@ -73,6 +76,11 @@
         );
     }
 
+    /** True when an event is so long that no end of it is to be expected. */
+    get isEventTooLong(): boolean {
+        return this.splitter.remainder.length > MAX_EVENT_BYTES;
+    }
+
     /** True when no incomplete event is buffered. */
     get isBetweenEvents(): boolean {
         return this.splitter.remainder.length === 0;
--- a/packages/wigeonpulley/test/forwarding/forwarder.test.ts
+++ b/packages/wigeonpulley/test/forwarding/forwarder.test.ts
@@ -331,3 +331,22 @@
     await timers.runUntilSettled(serve({}).summary, LIMIT_MS);
     expect(rateLimits.listReports()).toMatchObject([{ limitPerS: 1 }]);
 });
+
+// A server in trouble may send bytes without end; an event that is never complete would be buffered until memory runs out.
+test("a stream whose event has no end is broken off, and the request goes on at another instance", async () => {
+    const chunk = "x".repeat(65_536);
+    const { timers, transport, serve } = createForwarding({
+        script: (instance, count) =>
+            count === 1
+                ? [
+                    createSignedHead(),
+                    ...Array.from({ length: 200 }, () => ({ kind: "chunk" as const, text: chunk })),
+                ]
+                : [createSignedHead(), createStreamEvent(1), { kind: "end" }],
+    });
+    const { summary, view } = serve({ ...STREAM, maxAttempts: 2 });
+    expect(await timers.runUntilSettled(summary, LIMIT_MS)).toMatchObject({ outcome: "answered", events: 1 });
+    const [first] = transport.dispatches;
+    expect((first?.abortedAt ?? Number.POSITIVE_INFINITY) - (first?.at ?? 0)).toBeLessThan(100);
+    expect(view).toMatchObject({ status: 200, isComplete: true });
+});
