Draw restores of the store in the model of rollouts

Three VMs with cuts and restores that lose up to three records; each VM notices a restore within a second.

--- a/packages/wigeonpulley/test/rollouts/rollout-model.test.ts
+++ b/packages/wigeonpulley/test/rollouts/rollout-model.test.ts
@@ -37,7 +37,9 @@
 type Fault =
     | { readonly kind: "store"; readonly condition: StoreCondition; }
     | { readonly kind: "restart"; readonly vm: number; }
-    | { readonly kind: "cut"; readonly vm: number; readonly isPartitioned: boolean; };
+    | { readonly kind: "cut"; readonly vm: number; readonly isPartitioned: boolean; }
+    /** The store goes back to a copy; each VM notices it at its next read. */
+    | { readonly kind: "restore"; readonly lostRecords: number; readonly noticedAfterMs: readonly number[]; };
 
 const vm = fc.integer({ min: 0, max: VM_COUNT - 1 });
 const fault: fc.Arbitrary<Fault> = fc.oneof(
@@ -57,6 +59,28 @@
     fc.record({ kind: fc.constant("restart" as const), vm }),
     fc.record({ kind: fc.constant("cut" as const), vm, isPartitioned: fc.boolean() }),
 );
+/** Times within which VMs notice a restore, in milliseconds: a failed read is repeated after a second at most. */
+const MAX_NOTICED_AFTER_MS = 1_000;
+const restoreArbitrary: fc.Arbitrary<Fault> = fc.record({
+    kind: fc.constant("restore" as const),
+    lostRecords: fc.integer({ min: 1, max: 3 }),
+    noticedAfterMs: fc.array(fc.integer({ min: 0, max: MAX_NOTICED_AFTER_MS }), {
+        minLength: VM_COUNT,
+        maxLength: VM_COUNT,
+    }),
+});
+const cutArbitrary: fc.Arbitrary<Fault> = fc.record({
+    kind: fc.constant("cut" as const),
+    vm,
+    isPartitioned: fc.boolean(),
+});
+const restoreSchedule = fc.array(
+    fc.tuple(
+        fc.integer({ min: 0, max: SIMULATED_MS / STEP_MS - 1 }),
+        fc.oneof(restoreArbitrary, cutArbitrary),
+    ),
+    { maxLength: 6 },
+);
 const schedule = fc.array(fc.tuple(fc.integer({ min: 0, max: SIMULATED_MS / STEP_MS - 1 }), fault), {
     maxLength: 8,
 });
@@ -67,6 +91,9 @@
 });
 
 const codec = JsonStatusCodec.create();
+/** Time after the last restore within which the state is stored again, in milliseconds. */
+const SETTLED_MS = 4_000;
+const NO_RECORD = { key: "", value: undefined, offset: -1 };
 
 /** Creates a store that ignores the expected end of the topic, so that its writes are unconditional. */
 const createUnconditionalStore = (
@@ -158,6 +185,12 @@
             case "cut":
                 this.isPartitioned[fault.vm] = fault.isPartitioned;
                 return;
+            case "restore":
+                this.topic.restore(fault.lostRecords, 0);
+                fault.noticedAfterMs.forEach((delayMs, index) =>
+                    this.timers.schedule(delayMs, () => this.services[index]?.handleStoreRestored())
+                );
+                return;
             case "restart":
                 this.services[fault.vm]?.stop();
                 this.services[fault.vm] = this.createService(fault.vm);
@@ -245,6 +278,25 @@
     },
 );
 
+// Duty, EXPOSURE: a restored store lost the final state of a rollout; another one must not take its place.
+propertyTest.prop(
+    [versionBehaviour, restoreSchedule, fc.integer({ min: 1, max: 1_000 })],
+    readPropertyParameters(120),
+)("a rollout keeps its final state when the store is restored", async (behaviour, faults, seed) => {
+    const { topic } = await RolloutSimulation.run(behaviour, faults, seed);
+    const finals = [...topic.lostRecords, ...topic.records]
+        .flatMap(record => codec.decodeStatus(record)?.state ?? [])
+        .filter(isFinalState);
+    expect(new Set(finals).size).toBeLessThanOrEqual(1);
+    const lastRestoreStep = Math.max(
+        0,
+        ...faults.flatMap(([at, { kind }]) => kind === "restore" ? [at] : []),
+    );
+    if (lastRestoreStep * STEP_MS < SIMULATED_MS - SETTLED_MS) {
+        expect(isFinalState(codec.decodeStatus(topic.records.at(-1) ?? NO_RECORD).state)).toBe(true);
+    }
+});
+
 /**
  * Decisions depend on random responses, so a few of the weakest bad versions are completed; without faults their share
  * has to be small.
