--- a/packages/wigeonpulley/test/quarantine/prompt-quarantine.test.ts
+++ b/packages/wigeonpulley/test/quarantine/quarantine.test.ts
@@ -21,34 +21,32 @@
     return { timers, log, logger, quarantine: Quarantine.create({ timers, logger }) };
 };
 
-const createPrompt = (...blocks: readonly string[]): readonly string[] => blocks;
-
 const recordLosses = (
     quarantine: Quarantine,
-    blocks: readonly string[],
+    traits: readonly string[],
     instances: readonly string[],
-): void => instances.forEach(id => quarantine.recordLoss(createPrompt(...blocks), createInstance({ id })));
+): void => instances.forEach(id => quarantine.recordLoss(traits, createInstance({ id })));
 
 test("three instances that lose responses with a block that nobody saw answered quarantine it after a settling time", async () => {
     const { timers, quarantine } = createQuarantine();
     recordLosses(quarantine, ["a"], ["i-1", "i-2"]);
-    expect(quarantine.isSuspicious(createPrompt("a"))).toBe(true);
+    expect(quarantine.isSuspicious(["a"])).toBe(true);
     await timers.advance(SETTLE_MS);
-    expect(quarantine.findQuarantined(createPrompt("a"))).toBeUndefined();
+    expect(quarantine.findQuarantined(["a"])).toBeUndefined();
     recordLosses(quarantine, ["a"], ["i-3"]);
-    expect(quarantine.findQuarantined(createPrompt("a"))).toBeUndefined();
+    expect(quarantine.findQuarantined(["a"])).toBeUndefined();
     await timers.advance(SETTLE_MS);
-    expect(quarantine.findQuarantined(createPrompt("b", "a"))).toMatchObject({ trait: "a" });
+    expect(quarantine.findQuarantined(["b", "a"])).toMatchObject({ trait: "a" });
 });
 
 test("losses at one instance count once, and those of the next incarnation count again", async () => {
     const { timers, quarantine } = createQuarantine();
     recordLosses(quarantine, ["a"], ["i-1", "i-1", "i-1", "i-1"]);
     await timers.advance(SETTLE_MS);
-    expect(quarantine.findQuarantined(createPrompt("a"))).toBeUndefined();
-    [1, 2].forEach(bornMs => quarantine.recordLoss(createPrompt("a"), createInstance({ id: "i-1", bornMs })));
+    expect(quarantine.findQuarantined(["a"])).toBeUndefined();
+    [1, 2].forEach(bornMs => quarantine.recordLoss(["a"], createInstance({ id: "i-1", bornMs })));
     await timers.advance(SETTLE_MS);
-    expect(quarantine.findQuarantined(createPrompt("a"))).toMatchObject({ trait: "a" });
+    expect(quarantine.findQuarantined(["a"])).toMatchObject({ trait: "a" });
 });
 
 test("losses that are a minute and more apart add up while nobody sees the block answered", async () => {
@@ -58,7 +56,7 @@
         recordLosses(quarantine, ["a"], [instance]);
     }
     await timers.advance(SETTLE_MS);
-    expect(quarantine.findQuarantined(createPrompt("a"))).toBeDefined();
+    expect(quarantine.findQuarantined(["a"])).toBeDefined();
 });
 
 test("a block that all prompts share is not quarantined with the harmful one, though nobody saw it answered", async () => {
@@ -83,32 +81,32 @@
     const { timers, quarantine } = createQuarantine();
     recordLosses(quarantine, ["a"], ["i-1", "i-2", "i-3"]);
     await timers.advance(SETTLE_MS);
-    expect(quarantine.findQuarantined(createPrompt("a"))).toBeDefined();
+    expect(quarantine.findQuarantined(["a"])).toBeDefined();
     for (let index = 0; index < 2_000; index += 1) {
         recordLosses(quarantine, [`rare-${index}`], ["i-4"]);
     }
-    expect(quarantine.findQuarantined(createPrompt("a"))).toBeDefined();
+    expect(quarantine.findQuarantined(["a"])).toBeDefined();
 });
 
 // A VM whose connections break, or the loss of a whole rack, must not ban the prompts that were running.
 test("connections to all instances that break at the same moment quarantine no block that was answered before", async () => {
     const { timers, quarantine } = createQuarantine();
-    quarantine.recordAnswer(createPrompt("system"));
+    quarantine.recordAnswer(["system"]);
     await timers.advance(1_000);
     recordLosses(quarantine, ["system"], ["i-1", "i-2", "i-3", "i-4", "i-5", "i-6", "i-7", "i-8"]);
     await timers.advance(10_000);
-    expect(quarantine.findQuarantined(createPrompt("system"))).toBeUndefined();
+    expect(quarantine.findQuarantined(["system"])).toBeUndefined();
 });
 
 test("a block that was answered before is quarantined after losses at more instances, spread over a longer time", async () => {
     const { timers, quarantine } = createQuarantine();
-    quarantine.recordAnswer(createPrompt("a"));
+    quarantine.recordAnswer(["a"]);
     for (let index = 1; index <= 6; index += 1) {
         await timers.advance(500);
         recordLosses(quarantine, ["a"], [`i-${index}`]);
     }
     await timers.advance(SETTLE_MS);
-    expect(quarantine.findQuarantined(createPrompt("a"))).toMatchObject({ trait: "a" });
+    expect(quarantine.findQuarantined(["a"])).toMatchObject({ trait: "a" });
 });
 
 test("an answer clears earlier losses and ends a quarantine", async () => {
@@ -116,8 +114,8 @@
     recordLosses(quarantine, ["a"], ["i-1", "i-2", "i-3"]);
     await timers.advance(SETTLE_MS);
     expect(quarantine.listQuarantined()).toHaveLength(1);
-    quarantine.recordAnswer(createPrompt("a"));
-    expect(quarantine.findQuarantined(createPrompt("a"))).toBeUndefined();
+    quarantine.recordAnswer(["a"]);
+    expect(quarantine.findQuarantined(["a"])).toBeUndefined();
     expect(log.events.map(({ name }) => name)).toEqual(["PromptBlockQuarantined", "PromptBlockReleased"]);
 });
 
@@ -125,11 +123,11 @@
     const { timers, quarantine } = createQuarantine();
     recordLosses(quarantine, ["a"], ["i-1", "i-2", "i-3"]);
     await timers.advance(SETTLE_MS);
-    expect(quarantine.findQuarantined(createPrompt("a"))).toBeDefined();
+    expect(quarantine.findQuarantined(["a"])).toBeDefined();
     await timers.advance(QUARANTINE_MS);
-    expect(quarantine.findQuarantined(createPrompt("a"))).toBeUndefined();
+    expect(quarantine.findQuarantined(["a"])).toBeUndefined();
     recordLosses(quarantine, ["a"], ["i-4"]);
-    expect(quarantine.findQuarantined(createPrompt("a"))).toBeDefined();
+    expect(quarantine.findQuarantined(["a"])).toBeDefined();
 });
 
 test("after the probation a block is judged like any other again", async () => {
@@ -168,14 +166,14 @@
     recordLosses(left, ["a", "b"], ["i-1", "i-2"]);
     recordLosses(right, ["a", "b"], ["i-2", "i-3"]);
     await timers.advance(100);
-    right.recordAnswer(createPrompt("b"));
+    right.recordAnswer(["b"]);
     const askedAt = timers.now();
     right.applyReports(left.listReports(), undefined);
     left.applyReports(right.listReports(), askedAt);
     await timers.advance(SETTLE_MS);
     for (const quarantine of [left, right]) {
-        expect(quarantine.findQuarantined(createPrompt("a"))).toBeDefined();
-        expect(quarantine.findQuarantined(createPrompt("b"))).toBeUndefined();
+        expect(quarantine.findQuarantined(["a"])).toBeDefined();
+        expect(quarantine.findQuarantined(["b"])).toBeUndefined();
     }
 });
 
@@ -186,9 +184,9 @@
     await timers.advance(SETTLE_MS);
     const report = { trait: "a", losses: [], depth: 0, answeredAgeMs: 0, quarantinedMs: undefined };
     quarantine.applyReports([report], undefined);
-    expect(quarantine.findQuarantined(createPrompt("a"))).toBeDefined();
+    expect(quarantine.findQuarantined(["a"])).toBeDefined();
     quarantine.applyReports([report], timers.now());
-    expect(quarantine.findQuarantined(createPrompt("a"))).toBeUndefined();
+    expect(quarantine.findQuarantined(["a"])).toBeUndefined();
 });
 
 test("reports are bounded and carry the quarantined blocks first", async () => {
@@ -224,15 +222,15 @@
     const first = startVm();
     recordLosses(first.quarantine, ["a"], ["i-1", "i-2", "i-3"]);
     await timers.advance(SETTLE_MS);
-    expect(first.quarantine.findQuarantined(createPrompt("a"))).toBeDefined();
+    expect(first.quarantine.findQuarantined(["a"])).toBeDefined();
     await timers.advance(1_000);
     first.store.stop();
     const second = startVm();
     records.write("quarantine", "unreadable", "{");
     await timers.advance(100);
-    expect(second.quarantine.findQuarantined(createPrompt("a"))).toBeDefined();
+    expect(second.quarantine.findQuarantined(["a"])).toBeDefined();
     records.write("quarantine", "a", undefined);
     await timers.advance(1_000);
-    expect(second.quarantine.findQuarantined(createPrompt("a"))).toBeUndefined();
+    expect(second.quarantine.findQuarantined(["a"])).toBeUndefined();
     second.store.stop();
 });
