Read a topic on that became shorter though the store names no new era

A store that is restored without naming its eras would never have been read again, and keys would have been refused for good. Found by reading this change once more; the new test failed before.

--- a/packages/wigeonpulley/src/store/topic-follower.ts
+++ b/packages/wigeonpulley/src/store/topic-follower.ts
@@ -144,10 +144,12 @@
             return false;
         }
         if (from === undefined) {
-            if (applied?.era === next.era && next.offset < applied.offset) {
+            const isShorter = applied?.era === next.era && next.offset < applied.offset;
+            if (isShorter && this.position !== undefined) {
                 return false;
             }
-            const isRestored = applied !== undefined && next.era > applied.era;
+            // A store that doesn't name its eras shows a restore by a topic that became shorter.
+            const isRestored = applied !== undefined && (next.era > applied.era || isShorter);
             // A follower that starts can't tell whether the store was restored just now.
             if (isRestored || (applied === undefined && next.era > FIRST_ERA)) {
                 this.settledAt = this.options.timers.now() + RESTORE_SETTLE_MS;
--- a/packages/wigeonpulley/test/store/topic-follower.test.ts
+++ b/packages/wigeonpulley/test/store/topic-follower.test.ts
@@ -122,3 +122,21 @@
     await timers.advance(1_000);
     expect(getConfirmationCount()).toBeGreaterThan(countBefore + 1);
 });
+
+// CONFIG: a follower that takes every shorter history for an old answer would never read such a store again.
+test("a topic is read on when it became shorter though the era did not rise", async () => {
+    const { store, timers, follower, calls, getConfirmationCount } = createFollower();
+    store.write("operator", "a", "1");
+    store.copy();
+    store.write("operator", "b", "1");
+    store.write("operator", "c", "1");
+    follower.start();
+    await timers.advance(10);
+    store.restore(false);
+    await timers.advance(1_500);
+    const countBefore = getConfirmationCount();
+    store.write("operator", "d", "1");
+    await timers.advance(300);
+    expect(calls).toEqual(["list a,b,c", "list a", "put d"]);
+    expect(getConfirmationCount()).toBeGreaterThan(countBefore);
+});
