--- a/packages/wigeonpulley/src/discovery/instance-directory.ts
+++ b/packages/wigeonpulley/src/discovery/instance-directory.ts
@@ -3,6 +3,7 @@
  * period, because live instances then register again. An entry that its instance wrote before the newest one known is
  * ignored: a store that was restored from a copy lists instances that drain or have left as ready.
  */
+import { RecentMap } from "../collections/index.js";
 import type { EventLogger } from "../logging/index.js";
 import type { CancelTimer, TimerService } from "../time/index.js";
 import { type Instance, isSameIncarnation } from "./instance.js";
@@ -24,8 +25,8 @@
 /** Directory of one VM. */
 export class InstanceDirectory {
     private readonly instances = new Map<string, Instance>();
-    /** Last entries of removed instances, those that were removed first in front. */
-    private readonly removed = new Map<string, Instance>();
+    /** Last entries of removed instances. */
+    private readonly removed = RecentMap.create<string, Instance>(MAX_REMOVED_INSTANCES);
     private readonly pendingRemovals = new Map<string, CancelTimer>();
     private readonly listeners: DirectoryListener[] = [];
     private storeLostAt: number | undefined;
@@ -121,7 +122,7 @@
     }
 
     private setInstance(instance: Instance, before: Instance | undefined): void {
-        this.removed.delete(instance.id);
+        this.removed.remove(instance.id);
         this.pendingRemovals.get(instance.id)?.();
         this.pendingRemovals.delete(instance.id);
         this.instances.set(instance.id, instance);
@@ -145,22 +146,14 @@
     }
 
     private remove(id: string): void {
-        this.pendingRemovals.delete(id);
-        this.rememberRemoved(id);
-        this.instances.delete(id);
-        this.logger.write("InstanceGone", { instance: id });
-        this.notify();
-    }
-
-    private rememberRemoved(id: string): void {
         const instance = this.instances.get(id);
         if (instance !== undefined) {
             this.removed.set(id, instance);
         }
-        const [oldest] = this.removed.keys();
-        if (oldest !== undefined && this.removed.size > MAX_REMOVED_INSTANCES) {
-            this.removed.delete(oldest);
-        }
+        this.pendingRemovals.delete(id);
+        this.instances.delete(id);
+        this.logger.write("InstanceGone", { instance: id });
+        this.notify();
     }
 
     private notify(): void {
--- a/packages/wigeonpulley/src/quarantine/quarantine-store.ts
+++ b/packages/wigeonpulley/src/quarantine/quarantine-store.ts
@@ -1,6 +1,7 @@
 /** Keeps quarantines in the store, so that they outlast the VMs and reach those that no other VM can reach. */
 import { Err, Ok, type Result } from "ts-results-es";
 import * as z from "zod";
+import { RecentMap } from "../collections/index.js";
 import { SchedulerError } from "../errors/index.js";
 import type { EventLogger } from "../logging/index.js";
 import type { RandomSource } from "../random/index.js";
@@ -43,8 +44,8 @@
     private readonly follower: TopicFollower;
     /** Wall-clock time since which each stored trait is quarantined, in milliseconds. */
     private readonly stored = new Map<string, number>();
-    /** The same of the records that this VM removed, the oldest removal first. */
-    private readonly removed = new Map<string, number>();
+    /** The same of the records that this VM removed. */
+    private readonly removed = RecentMap.create<string, number>(MAX_REMOVED_RECORDS);
     private readonly abortController = new AbortController();
 
     private constructor(private readonly options: QuarantineStoreOptions) {
@@ -158,21 +159,13 @@
         const quarantinedSince = this.stored.get(trait);
         if (quarantinedSince !== undefined) {
             this.stored.delete(trait);
-            this.rememberRemoved(trait, quarantinedSince);
+            this.removed.set(trait, quarantinedSince);
             const outcome = await this.options.store.put("quarantine", trait, undefined);
             if (outcome.isErr()) {
                 this.options.logger.writeError(outcome.error);
             }
         }
     }
-
-    private rememberRemoved(trait: string, quarantinedSince: number): void {
-        this.removed.set(trait, quarantinedSince);
-        const [oldest] = this.removed.keys();
-        if (oldest !== undefined && this.removed.size > MAX_REMOVED_RECORDS) {
-            this.removed.delete(oldest);
-        }
-    }
 }
 
 const parseRecord = (
--- a/packages/wigeonpulley/src/quarantine/quarantine.ts
+++ b/packages/wigeonpulley/src/quarantine/quarantine.ts
@@ -5,6 +5,7 @@
  * with it was answered since; an answer ends the quarantine. VMs share losses, answers and quarantines, and each of them
  * decides by itself.
  */
+import { RecentMap } from "../collections/index.js";
 import { hashIncarnation, type Instance } from "../discovery/index.js";
 import type { EventLogger } from "../logging/index.js";
 import type { TimerService } from "../time/index.js";
@@ -54,8 +55,8 @@
 
 /** Quarantine of one VM. */
 export class Quarantine {
-    /** Time of the last answer by trait, least recently answered first. */
-    private readonly answeredAt = new Map<string, number>();
+    /** Time of the last answer by trait. */
+    private readonly answeredAt = RecentMap.create<string, number>(MAX_ANSWERED_TRAITS);
     private readonly suspects = new Map<string, Suspect>();
     /** Quarantined traits in the reports so far; the next report goes on after them. */
     private reportedQuarantines = 0;
@@ -104,16 +105,9 @@
     recordAnswer(traits: readonly string[]): void {
         const now = this.options.timers.now();
         for (const trait of traits) {
-            this.answeredAt.delete(trait);
             this.answeredAt.set(trait, now);
             this.applyAnswer(trait, now, true);
         }
-        for (const trait of this.answeredAt.keys()) {
-            if (this.answeredAt.size <= MAX_ANSWERED_TRAITS) {
-                break;
-            }
-            this.answeredAt.delete(trait);
-        }
     }
 
     /** Records that an instance closed the connection before it had answered a request properly. */
--- a/packages/wigeonpulley/test/store/restored-store.test.ts
+++ b/packages/wigeonpulley/test/store/restored-store.test.ts
@@ -1,4 +1,4 @@
-/** A store that comes back from a copy: what was written since is gone until its writers write it again. */
+/** A store that is restored from a copy: later records are lost until their writers write them again. */
 import { expect, test } from "vitest";
 import { type Instance, QUARANTINE_MS } from "wigeonpulley";
 import { createEngineInstances, ENGINE_SERVICE, RoutedFleet } from "../fixtures/routed-fleet.js";
@@ -6,8 +6,8 @@
 const VM_COUNT = 3;
 /** Age of the configuration above which no key is admitted: nine tenths of the bound on revoked keys. */
 const MAX_AGE_FOR_KEYS_MS = 4_500;
-/** Time for which the store is away before it comes back. */
-const AWAY_MS = 500;
+/** Time for which the store is unavailable before the restore. */
+const UNAVAILABLE_MS = 500;
 /** Time within which VMs have read the restored topics. */
 const READ_MS = 2_000;
 /** Time within which live instances register again, as the platform promises it. */
@@ -18,7 +18,7 @@
 
 const restore = async (fleet: RoutedFleet): Promise<void> => {
     fleet.isStoreDown = true;
-    await fleet.timers.advance(AWAY_MS);
+    await fleet.timers.advance(UNAVAILABLE_MS);
     fleet.store.restore();
     fleet.isStoreDown = false;
 };
@@ -96,7 +96,7 @@
     fleet.publish(3);
     await timers.advance(READ_MS);
     late.isCutFromStore = true;
-    await timers.advance(AWAY_MS);
+    await timers.advance(UNAVAILABLE_MS);
     store.restore();
     fleet.publish(3);
     fleet.publish(4);
@@ -144,7 +144,7 @@
     }
 });
 
-// Duty: nobody but the VMs writes the state of a rollout again.
+// Duty: only the VMs write the state of a rollout.
 test("the state of a rollout is written again", async () => {
     const fleet = await createFleet();
     const { timers } = fleet;
@@ -223,7 +223,7 @@
     }
 });
 
-// Nobody but the VM itself registers it again, and a VM that starts later would not learn of it.
+// Only the VM itself registers it, and VMs that start later would not learn of it.
 test("a VM whose registration was lost registers again", async () => {
     const fleet = await createFleet();
     fleet.store.write("vms", "vm-1", undefined);
