Repeat the write of a quarantine only until it was read back or the quarantine ended

Sound requests could be refused for up to ten minutes: the write of a record that was repeated while the store was down went on after a request had been answered, and then banned the trait at all VMs. And a record that was acknowledged and lost with a restore before the VM had read it was not written again.

A write is repeated while the quarantine is active and the record hasn't been read from the topic.

--- a/packages/wigeonpulley/src/quarantine/quarantine-store.ts
+++ b/packages/wigeonpulley/src/quarantine/quarantine-store.ts
@@ -134,19 +134,20 @@
         );
     }
 
-    /** Writes a record unless another VM has written one; repeats a write that failed. */
+    /** Writes a record unless another VM has written one, until it was read back or the quarantine has ended. */
     private async write(trait: string, quarantinedSince: number): Promise<void> {
-        const { vm, timers, random, logger, store } = this.options;
+        const { vm, timers, random, logger, store, quarantine } = this.options;
         const { signal } = this.abortController;
         const value = Buffer.from(JSON.stringify({ quarantinedSince, vm }));
         await timers.sleep(random.pickFraction() * MAX_WRITE_DELAY_MS, signal);
-        while (!signal.aborted && !this.isStored(trait, quarantinedSince)) {
+        while (
+            !signal.aborted && !this.isStored(trait, quarantinedSince)
+            && quarantine.findQuarantined([trait]) !== undefined
+        ) {
             const outcome = await store.put("quarantine", trait, value);
-            if (outcome.isOk()) {
-                this.stored.set(trait, quarantinedSince);
-                return;
+            if (outcome.isErr()) {
+                logger.writeError(outcome.error);
             }
-            logger.writeError(outcome.error);
             await timers.sleep(RETRY_DELAY_MS * (1 + random.pickFraction()), signal);
         }
     }
--- a/packages/wigeonpulley/test/quarantine/quarantine.test.ts
+++ b/packages/wigeonpulley/test/quarantine/quarantine.test.ts
@@ -234,3 +234,29 @@
     expect(second.quarantine.findQuarantined(["a"])).toBeUndefined();
     second.store.stop();
 });
+
+// The record of a quarantine that had ended would have banned sound requests at all VMs, for as long as a quarantine lasts.
+test("a record is not written any more when its quarantine ended while the store was down", async () => {
+    const records = InMemoryKeyedStore.create();
+    const timers = VirtualTimerService.create();
+    let isReachable = false;
+    const { quarantine, logger } = createQuarantine(timers);
+    const store = QuarantineStore.create({
+        vm: "vm-1",
+        timers,
+        random: SeededRandom.create(1),
+        logger,
+        store: WaitingKeyedStore.create(records, timers, () => isReachable),
+        quarantine,
+    });
+    store.start();
+    recordLosses(quarantine, ["a"], ["i-1", "i-2", "i-3"]);
+    await timers.advance(SETTLE_MS);
+    expect(quarantine.listQuarantined()).toHaveLength(1);
+    await timers.advance(2_000);
+    quarantine.recordAnswer(["a"]);
+    isReachable = true;
+    await timers.advance(10_000);
+    expect((await records.readSnapshot("quarantine")).unwrap().records).toEqual([]);
+    store.stop();
+});
