--- a/packages/wigeonpulley/src/quarantine/quarantine-store.ts
+++ b/packages/wigeonpulley/src/quarantine/quarantine-store.ts
@@ -1,6 +1,7 @@
 /** Keeps quarantines in the store, so that they outlast the VMs and reach those that no other VM can reach. */
 import { Err, Ok, type Result } from "ts-results-es";
 import * as z from "zod";
+import { RecentMap } from "../collections/index.js";
 import { SchedulerError } from "../errors/index.js";
 import type { EventLogger } from "../logging/index.js";
 import type { RandomSource } from "../random/index.js";
@@ -43,8 +44,8 @@
     private readonly follower: TopicFollower;
     /** Wall-clock time since which each stored trait is quarantined, in milliseconds. */
     private readonly stored = new Map<string, number>();
-    /** The same of the records that this VM removed, the oldest removal first. */
-    private readonly removed = new Map<string, number>();
+    /** The same of the records that this VM removed. */
+    private readonly removed = RecentMap.create<string, number>(MAX_REMOVED_RECORDS);
     private readonly abortController = new AbortController();
 
     private constructor(private readonly options: QuarantineStoreOptions) {
@@ -133,19 +134,20 @@
         );
     }
 
-    /** Writes a record unless another VM has written one; repeats a write that failed. */
+    /** Writes a record unless another VM has written one, until it was read back or the quarantine has ended. */
     private async write(trait: string, quarantinedSince: number): Promise<void> {
-        const { vm, timers, random, logger, store } = this.options;
+        const { vm, timers, random, logger, store, quarantine } = this.options;
         const { signal } = this.abortController;
         const value = Buffer.from(JSON.stringify({ quarantinedSince, vm }));
         await timers.sleep(random.pickFraction() * MAX_WRITE_DELAY_MS, signal);
-        while (!signal.aborted && !this.isStored(trait, quarantinedSince)) {
+        while (
+            !signal.aborted && !this.isStored(trait, quarantinedSince)
+            && quarantine.findQuarantined([trait]) !== undefined
+        ) {
             const outcome = await store.put("quarantine", trait, value);
-            if (outcome.isOk()) {
-                this.stored.set(trait, quarantinedSince);
-                return;
+            if (outcome.isErr()) {
+                logger.writeError(outcome.error);
             }
-            logger.writeError(outcome.error);
             await timers.sleep(RETRY_DELAY_MS * (1 + random.pickFraction()), signal);
         }
     }
@@ -158,21 +160,13 @@
         const quarantinedSince = this.stored.get(trait);
         if (quarantinedSince !== undefined) {
             this.stored.delete(trait);
-            this.rememberRemoved(trait, quarantinedSince);
+            this.removed.set(trait, quarantinedSince);
             const outcome = await this.options.store.put("quarantine", trait, undefined);
             if (outcome.isErr()) {
                 this.options.logger.writeError(outcome.error);
             }
         }
     }
-
-    private rememberRemoved(trait: string, quarantinedSince: number): void {
-        this.removed.set(trait, quarantinedSince);
-        const [oldest] = this.removed.keys();
-        if (oldest !== undefined && this.removed.size > MAX_REMOVED_RECORDS) {
-            this.removed.delete(oldest);
-        }
-    }
 }
 
 const parseRecord = (
