--- a/packages/wigeonpulley/src/quarantine/suspect.ts
+++ b/packages/wigeonpulley/src/quarantine/suspect.ts
@@ -1,4 +1,4 @@
-/** Evidence for and against one prompt trait. All times are monotonic, in milliseconds. */
+/** Evidence for and against one trait of requests. All times are monotonic, in milliseconds. */
 
 /** Duration of a quarantine, in milliseconds. */
 export const QUARANTINE_MS = 600_000;
@@ -14,7 +14,7 @@
 const MIN_INSTANCES = 3;
 /**
  * The same for a trait that was answered recently, and the time over which the losses have to be spread: connections to
- * many instances that break at the same moment say nothing about the prompts.
+ * many instances that break at the same moment say nothing about the requests.
  */
 const MIN_INSTANCES_AFTER_ANSWER = 6;
 const MIN_SPREAD_AFTER_ANSWER_MS = 2_000;
@@ -23,7 +23,7 @@
 /** Time for the losses and answers of other VMs to arrive before the evidence counts, in milliseconds. */
 const SETTLE_MS = 1_500;
 
-/** One trait under suspicion. */
+/** One trait that is under suspicion. */
 export class Suspect {
     /** Time of the first lost response of each instance, by the hash of the instance. */
     private readonly losses = new Map<number, number>();
@@ -36,7 +36,7 @@
 
     private constructor(private answeredAt: number) {}
 
-    /** Creates a trait without losses; `answeredAt` is the time of its last answer, minus infinity if there is none. */
+    /** Creates a suspect without losses; `answeredAt` is the time of its last answer, minus infinity if there is none. */
     static create(answeredAt: number): Suspect {
         return new Suspect(answeredAt);
     }
@@ -56,7 +56,7 @@
         return this.lastLostAt;
     }
 
-    /** Deepest position of the trait in a prompt that was lost; 0 is the first. */
+    /** Deepest position of the trait among those of a request that was lost; 0 is the first. */
     get depth(): number {
         return this.deepestPosition;
     }
@@ -73,7 +73,7 @@
             : undefined;
     }
 
-    /** Records a response that an instance lost, and the position of the trait in its prompt. */
+    /** Records a response that an instance lost, and the position of the trait among those of its request. */
     recordLoss(instance: number, lostAt: number, depth: number): void {
         this.deepestPosition = Math.max(this.deepestPosition, depth);
         this.lastLostAt = Math.max(this.lastLostAt, lostAt);
