--- a/packages/wigeonpulley/test/quarantine/quarantine.test.ts
+++ b/packages/wigeonpulley/test/quarantine/quarantine.test.ts
@@ -203,29 +203,31 @@
     expect(reports[0]?.losses).toHaveLength(8);
 });
 
+/** Starts the quarantine of a VM with its records in a store. */
+const startVm = (records: InMemoryKeyedStore, timers: VirtualTimerService, isReachable = () => true) => {
+    const { quarantine, logger } = createQuarantine(timers);
+    const store = QuarantineStore.create({
+        vm: "vm-1",
+        timers,
+        random: SeededRandom.create(1),
+        logger,
+        store: WaitingKeyedStore.create(records, timers, isReachable),
+        quarantine,
+    });
+    store.start();
+    return { quarantine, store };
+};
+
 test("a quarantine is written to the store, kept over a restart and ended when its record is removed", async () => {
     const records = InMemoryKeyedStore.create();
     const timers = VirtualTimerService.create();
-    const startVm = () => {
-        const { quarantine, logger } = createQuarantine(timers);
-        const store = QuarantineStore.create({
-            vm: "vm-1",
-            timers,
-            random: SeededRandom.create(1),
-            logger,
-            store: WaitingKeyedStore.create(records, timers, () => true),
-            quarantine,
-        });
-        store.start();
-        return { quarantine, store };
-    };
-    const first = startVm();
+    const first = startVm(records, timers);
     recordLosses(first.quarantine, ["a"], ["i-1", "i-2", "i-3"]);
     await timers.advance(SETTLE_MS);
     expect(first.quarantine.findQuarantined(["a"])).toBeDefined();
     await timers.advance(1_000);
     first.store.stop();
-    const second = startVm();
+    const second = startVm(records, timers);
     records.write("quarantine", "unreadable", "{");
     await timers.advance(100);
     expect(second.quarantine.findQuarantined(["a"])).toBeDefined();
@@ -240,16 +242,7 @@
     const records = InMemoryKeyedStore.create();
     const timers = VirtualTimerService.create();
     let isReachable = false;
-    const { quarantine, logger } = createQuarantine(timers);
-    const store = QuarantineStore.create({
-        vm: "vm-1",
-        timers,
-        random: SeededRandom.create(1),
-        logger,
-        store: WaitingKeyedStore.create(records, timers, () => isReachable),
-        quarantine,
-    });
-    store.start();
+    const { quarantine, store } = startVm(records, timers, () => isReachable);
     recordLosses(quarantine, ["a"], ["i-1", "i-2", "i-3"]);
     await timers.advance(SETTLE_MS);
     expect(quarantine.listQuarantined()).toHaveLength(1);
