--- a/packages/wigeonpulley/test/forwarding/forwarder.test.ts
+++ b/packages/wigeonpulley/test/forwarding/forwarder.test.ts
@@ -1,4 +1,5 @@
 import { expect, test } from "vitest";
+import { RequestLifetime } from "wigeonpulley";
 import {
     createForwarding,
     createSignedHead,
@@ -65,6 +66,22 @@
     expect(placement.health.canUse(transport.dispatches[0]?.instance ?? "")).toBe(false);
 });
 
+// Guards against GONE: a request that was cancelled before it got an instance was still sent and only then aborted.
+test("a request whose caller has left before it gets an instance is not sent", async () => {
+    const { timers, transport, placement, serve } = createForwarding({
+        script: () => createSignedResponse("too late"),
+    });
+    const lifetime = RequestLifetime.create(timers, timers.now() + LIMIT_MS);
+    lifetime.cancel("caller-gone");
+    const { summary } = serve({}, { lifetime });
+    expect(await timers.runUntilSettled(summary, LIMIT_MS)).toMatchObject({
+        outcome: "RequestCancelled",
+        mayHaveRun: false,
+    });
+    expect(transport.dispatches).toHaveLength(0);
+    expect(["i-1", "i-2"].map(instance => placement.countInFlight(instance))).toEqual([0, 0]);
+});
+
 test("a 503 without proof that the request did not run is not relayed", async () => {
     const { timers, serve } = createForwarding({ script: () => createSignedResponse("busy", 503) });
     const { summary, view } = serve({ kind: "once" });
--- a/packages/wigeonpulley/test/forwarding/undici-transport.test.ts
+++ b/packages/wigeonpulley/test/forwarding/undici-transport.test.ts
@@ -189,3 +189,18 @@
         expect(head).toMatchObject({ endsWithConnection });
     },
 );
+
+// Guards against GONE: a request held up on a broken link arrived when the link healed, since only a reset discards it.
+test("aborting an exchange resets its connection", async () => {
+    const errors: string[] = [];
+    const endpoint = await start(socket => {
+        socket.on("error", failure => errors.push((failure as NodeJS.ErrnoException).code ?? ""));
+    });
+    const exchange = createTransport().send(endpoint.instance, GET);
+    await new Promise(resolve => setTimeout(resolve, 50));
+    const [socket] = endpoint.connections;
+    const closed = new Promise(resolve => socket?.once("close", resolve));
+    exchange.abort("caller-gone");
+    await closed;
+    expect(errors).toEqual(["ECONNRESET"]);
+});
