Reset the connection of a request that is aborted

Cause: an aborted exchange closed its socket in the ordinary way. Bytes that a broken link holds up then arrive when it heals, and the endpoint begins to run a request whose caller has left. Ruled out: nothing in forwarding/ reset a connection towards an endpoint. Change: an exchange that ends without a complete response resets its connection; one that is still being opened is dropped.

--- a/packages/wigeonpulley/src/forwarding/connection-pool.ts
+++ b/packages/wigeonpulley/src/forwarding/connection-pool.ts
@@ -57,7 +57,7 @@
     release(instance: Instance, connection: EndpointConnection): void {
         const connections = this.findOrCreate(createKey(instance));
         if (!connection.isOpen || connections.open > this.options.computeMaxConnections(instance)) {
-            this.discard(instance, connection);
+            this.closeConnection(createKey(instance), connection);
             return;
         }
         connection.idleSince = this.options.timers.now();
@@ -65,9 +65,10 @@
         this.scheduleSweep();
     }
 
-    /** Closes a connection that must not be used again. */
-    discard(instance: Instance, connection: EndpointConnection): void {
-        this.closeConnection(createKey(instance), connection);
+    /** Resets a connection whose request has no complete response. */
+    reset(instance: Instance, connection: EndpointConnection): void {
+        connection.reset();
+        this.removeConnection(createKey(instance));
     }
 
     /** Closes all idle connections. */
@@ -78,6 +79,10 @@
 
     private closeConnection(key: string, connection: EndpointConnection): void {
         connection.destroy();
+        this.removeConnection(key);
+    }
+
+    private removeConnection(key: string): void {
         const connections = this.connections.get(key);
         if (connections !== undefined) {
             connections.open -= 1;
--- a/packages/wigeonpulley/src/forwarding/endpoint-connection.ts
+++ b/packages/wigeonpulley/src/forwarding/endpoint-connection.ts
@@ -16,6 +16,7 @@
 export class EndpointConnection {
     /** Monotonic time of the end of its last request, in milliseconds. */
     idleSince = 0;
+    private socket: Socket | undefined;
     private socketError: Error | undefined;
     readonly client: Client;
 
@@ -43,6 +44,20 @@
         return !this.client.destroyed && !this.client.closed && this.socketError === undefined;
     }
 
+    /**
+     * Resets the connection of a request that has no complete response. After an ordinary close, bytes that a broken link
+     * holds up would still arrive once it heals, and the endpoint would begin to work for a caller that has left.
+     */
+    reset(): void {
+        if (this.socket?.connecting === false) {
+            this.socket.resetAndDestroy();
+        }
+        else {
+            this.socket?.destroy();
+        }
+        this.destroy();
+    }
+
     /** Closes the connection. */
     destroy(): void {
         // A client that is destroyed twice rejects; nothing is left to clean up then.
@@ -59,6 +74,7 @@
             keepAlive: true,
             keepAliveInitialDelay: KEEP_ALIVE_PROBE_DELAY_MS,
         });
+        this.socket = socket;
         const cancelTimeout = timers.schedule(
             connectTimeoutMs,
             () => socket.destroy(new Error("connect timeout")),
--- a/packages/wigeonpulley/src/forwarding/undici-transport.ts
+++ b/packages/wigeonpulley/src/forwarding/undici-transport.ts
@@ -35,12 +35,12 @@
 
     override send(instance: Instance, request: OutgoingRequest): EndpointExchange {
         const connection = this.pool.acquire(instance, request.isAtMostOnce);
-        return UndiciExchange.create(connection, request, isReusable => {
-            if (isReusable) {
+        return UndiciExchange.create(connection, request, isComplete => {
+            if (isComplete) {
                 this.pool.release(instance, connection);
             }
             else {
-                this.pool.discard(instance, connection);
+                this.pool.reset(instance, connection);
             }
         });
     }
@@ -63,7 +63,7 @@
 
     private constructor(
         private readonly connection: EndpointConnection,
-        private readonly release: (isReusable: boolean) => void,
+        private readonly release: (isComplete: boolean) => void,
     ) {
         super();
     }
@@ -71,7 +71,7 @@
     static create(
         connection: EndpointConnection,
         request: OutgoingRequest,
-        release: (isReusable: boolean) => void,
+        release: (isComplete: boolean) => void,
     ): UndiciExchange {
         const exchange = new UndiciExchange(connection, release);
         connection.client.dispatch(
@@ -172,10 +172,10 @@
         }
     }
 
-    private releaseOnce(isReusable: boolean): void {
+    private releaseOnce(isComplete: boolean): void {
         if (!this.isReleased) {
             this.isReleased = true;
-            this.release(isReusable);
+            this.release(isComplete);
         }
     }
 
--- a/packages/wigeonpulley/test/forwarding/connection-pool.test.ts
+++ b/packages/wigeonpulley/test/forwarding/connection-pool.test.ts
@@ -74,6 +74,6 @@
     await timers.advance(MAX_IDLE_MS + 1);
     const acquired = pool.acquire(instance, false);
     expect(pool.countOpen(instance)).toBe(1);
-    pool.discard(instance, acquired);
+    pool.reset(instance, acquired);
     expect(pool.countOpen(instance)).toBe(0);
 });
