Don't send a request that was cancelled before it got an instance

Cause: the forwarder sent each request that got an instance and looked for a cancellation only afterwards, when the attempt subscribed to the request's lifetime. A request whose caller left during admission was dispatched and aborted. Ruled out: on the wire nothing was seen of it, since undici writes in a later turn; that is no promise of undici's. Change: a placement for a cancelled request is released unused, like one for a quarantined request.

--- a/packages/wigeonpulley/src/forwarding/forwarder.ts
+++ b/packages/wigeonpulley/src/forwarding/forwarder.ts
@@ -115,7 +115,7 @@
         };
         for (;;) {
             const placement = this.findQuarantineError(progress)
-                ?? await this.acquireUnlessQuarantined(request, progress);
+                ?? await this.acquireUnlessObsolete(request, progress);
             if (placement instanceof SchedulerError) {
                 return this.finishWithError(
                     writer,
@@ -131,13 +131,16 @@
         }
     }
 
-    /** Waits for an instance; a trait may be quarantined meanwhile. */
-    private async acquireUnlessQuarantined(
+    /** Waits for an instance; meanwhile the request may be cancelled, or one of its traits quarantined. */
+    private async acquireUnlessObsolete(
         request: RoutedRequest,
         progress: RequestProgress,
     ): Promise<Placement | SchedulerError> {
         const placement = await this.acquire(request, progress);
-        const error = this.findQuarantineError(progress);
+        const { cancelReason } = request.lifetime;
+        const error = cancelReason === undefined
+            ? this.findQuarantineError(progress)
+            : this.createCancelError(cancelReason, progress);
         if (placement instanceof SchedulerError || error === undefined) {
             return placement;
         }
