Don't forward a request whose caller left before this VM read it

Cause: a VM whose event loop is late reads a request and, only in the next turn, the end of its connection. The request was forwarded within the turn that read it. Change: a request is forwarded after the event loop has polled once more, which finds the end of a connection that arrived together with the request. The time that this takes is logged (loopDelayMs) and exported (phase event-loop), so that a late event loop can be told from all else.

--- a/packages/wigeonpulley/src/forwarding/front-server.ts
+++ b/packages/wigeonpulley/src/forwarding/front-server.ts
@@ -19,6 +19,7 @@
 import { CallerRetryDetector } from "./caller-retry-detector.js";
 import type { Forwarder, ForwardSummary } from "./forwarder.js";
 import type { HeaderCodec, RequestMetadata } from "./header-codec.js";
+import { waitForPendingInput } from "./pending-input.js";
 import { RequestLifetime } from "./request-lifetime.js";
 import { ResponseWriter } from "./response-writer.js";
 import { computeRank, countQuotaUnits, type RoutedRequest } from "./routed-request.js";
@@ -198,6 +199,9 @@
             );
             return;
         }
+        const readAt = this.options.timers.now();
+        await waitForPendingInput();
+        const loopDelayMs = this.options.timers.now() - readAt;
         const request = this.createRequest(message, metadata.value, admitted.value, body.value, arrivedAt);
         this.lifetimes.add(request.lifetime);
         response.once("close", () => {
@@ -209,7 +213,7 @@
             request.lifetime.cancel("caller-gone");
         }
         try {
-            await this.forward(request, writer);
+            await this.forward(request, writer, loopDelayMs);
         }
         finally {
             request.lifetime.close();
@@ -217,7 +221,11 @@
         }
     }
 
-    private async forward(request: RoutedRequest, writer: ResponseWriter): Promise<void> {
+    private async forward(
+        request: RoutedRequest,
+        writer: ResponseWriter,
+        loopDelayMs: number,
+    ): Promise<void> {
         const { quotaLimiter, forwarder, logger } = this.options;
         const { workspace } = request;
         const units = countQuotaUnits(request);
@@ -244,7 +252,7 @@
         if (workspace?.quota !== undefined && !summary.mayHaveRun) {
             quotaLimiter.refund(workspace.name, units);
         }
-        this.writeSummary(request, summary);
+        this.writeSummary(request, summary, loopDelayMs);
     }
 
     /** Refuses any request while this VM shuts down or is full; undefined when it may be admitted. */
@@ -303,10 +311,11 @@
         writer.sendError(error);
     }
 
-    private writeSummary(request: RoutedRequest, summary: ForwardSummary): void {
+    private writeSummary(request: RoutedRequest, summary: ForwardSummary, loopDelayMs: number): void {
         const { logger, metrics, timers } = this.options;
         const tookMs = Math.round(timers.now() - request.arrivedAt);
         metrics.recordRequest(request.route.name, summary.outcome);
+        metrics.recordPhase(request.route.name, "event-loop", loopDelayMs);
         metrics.recordPhase(request.route.name, "total", tookMs);
         logger.write("RequestEnded", {
             id: request.metadata.attemptId,
@@ -320,6 +329,7 @@
             sends: summary.sends,
             rank: computeRank(request.route, request.workspace),
             promptTokens: request.metadata.tokens?.prompt ?? 0,
+            loopDelayMs: Math.round(loopDelayMs),
             waitedMs: summary.waitedMs,
             firstMs: summary.firstMs,
             predictedMs: summary.predictedMs,
--- a/packages/wigeonpulley/src/logging/event-catalogue.ts
+++ b/packages/wigeonpulley/src/logging/event-catalogue.ts
@@ -161,6 +161,7 @@
             sends: number;
             rank: number;
             promptTokens: number;
+            loopDelayMs: number;
             waitedMs: number;
             firstMs: number;
             predictedMs: number;
--- a/packages/wigeonpulley/src/metrics/metrics-registry.ts
+++ b/packages/wigeonpulley/src/metrics/metrics-registry.ts
@@ -3,7 +3,7 @@
 import { Counter, Gauge, Registry } from "prom-client";
 
 /** Phases of a request whose durations are recorded. */
-export type RequestPhase = "queue" | "first-token" | "inter-token" | "total";
+export type RequestPhase = "event-loop" | "queue" | "first-token" | "inter-token" | "total";
 
 const PERCENTILES = [50, 95, 99] as const;
 const PERCENT = 100;
