Count the known VMs without listing them

Requests waited 2 to 16 ms for an instance; the time passed in VMs that were late with their own work. Cause: the number of VMs, by which quotas, retry budgets and connections are shared, was the length of a list that was made anew each time, with a copy of each member. Quotas ask for it several times for each workspace and digest. Change: the table of members counts its listed records when it applies a list.

--- a/packages/wigeonpulley/src/membership/member-table.ts
+++ b/packages/wigeonpulley/src/membership/member-table.ts
@@ -38,11 +38,14 @@
  * Returns the listed entry of a VM with the address that the VM itself announces; undefined for a VM that isn't listed.
  */
 export const resolveEntry = ({ entry, state }: MemberRecord): VmListEntry | undefined =>
-    entry === undefined || state.peerUrl === "" ? entry : { ...entry, peerUrl: state.peerUrl };
+    entry === undefined || state.peerUrl === "" || state.peerUrl === entry.peerUrl
+        ? entry
+        : { ...entry, peerUrl: state.peerUrl };
 
 /** Table of the other VMs. */
 export class MemberTable {
     private readonly records = new Map<string, MemberRecord>();
+    private listed = 0;
 
     private constructor(private readonly suspicionMs: number) {}
 
@@ -56,6 +59,11 @@
         return [...this.records.values()];
     }
 
+    /** Number of records that the platform has listed. */
+    get listedCount(): number {
+        return this.listed;
+    }
+
     /** Returns the record of a VM; undefined for an unknown one. */
     find(name: string): MemberRecord | undefined {
         return this.records.get(name);
@@ -78,6 +86,7 @@
                 this.records.delete(name);
             }
         }
+        this.listed = this.list().filter(({ entry }) => entry !== undefined).length;
     }
 
     /** Merges a state that a peer sent; one that isn't newer than the known state has no effect. */
--- a/packages/wigeonpulley/src/membership/membership-service.ts
+++ b/packages/wigeonpulley/src/membership/membership-service.ts
@@ -204,6 +204,11 @@
         return [self, ...others];
     }
 
+    /** Number of all known VMs, including this one. */
+    get memberCount(): number {
+        return this.table.listedCount + 1;
+    }
+
     /** True when the VM is live in the given incarnation as far as is known. */
     isIncarnationLive(name: string, incarnation: bigint): boolean {
         return this.listMembers().some(member =>
--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -114,7 +114,7 @@
         });
         this.quotaLimiter = SharedQuotaLimiter.create({
             timers,
-            countVms: () => this.membership.listMembers().length,
+            countVms: () => this.membership.memberCount,
             getTolerance: () => ({
                 slack: this.bounds.quotaSlack,
                 overrun: this.bounds.quotaOverrun,
@@ -179,10 +179,9 @@
         const knownService = this.activeConfiguration.routeTable?.configuration.services.find(({ name }) =>
             name === service
         );
-        const members = Math.max(1, this.membership.listMembers().length);
         return knownService?.maxConnections === undefined
             ? Number.POSITIVE_INFINITY
-            : Math.floor(knownService.maxConnections * CONNECTION_SHARE / members);
+            : Math.floor(knownService.maxConnections * CONNECTION_SHARE / this.membership.memberCount);
     }
 
     /** Applies the bounds of new settings. All others, such as addresses and region, change only with a restart. */
@@ -356,7 +355,7 @@
                     extra: this.bounds.repeatExtra,
                     windowMs: this.bounds.repeatWindowS * MS_PER_S,
                 }),
-                countVms: () => this.membership.listMembers().length,
+                countVms: () => this.membership.memberCount,
             }),
         });
     }
