Compute the usage of quotas once for digests that follow each other closely

Cause: each digest, asked for or answered, added up what all other VMs had reported for each workspace in several passes, and each report that arrived looked through all VMs for expired ones. Change: a report is valid for 100 ms unless this VM uses a quota meanwhile; expired VMs are removed when usage is added up.

--- a/packages/wigeonpulley/src/quotas/shared-quota-limiter.ts
+++ b/packages/wigeonpulley/src/quotas/shared-quota-limiter.ts
@@ -50,6 +50,8 @@
 /** Fraction of the shared rate below which the demand of all VMs counts as uncontended, so that no share limits it. */
 const UNCONTENDED_FRACTION = 0.8;
 const MS_PER_SECOND = 1_000;
+/** Time for which a report is sent again unless this VM has used a quota meanwhile, in milliseconds. */
+const REPORT_VALIDITY_MS = 100;
 
 interface Bucket {
     quota: Quota;
@@ -63,6 +65,7 @@
 /** Quota limiter of one VM. */
 export class SharedQuotaLimiter extends QuotaLimiter {
     private readonly buckets = new Map<string, Bucket>();
+    private report: { readonly validUntil: number; readonly usage: readonly WorkspaceUsage[]; } | undefined;
 
     private constructor(private readonly options: SharedQuotaLimiterOptions) {
         super();
@@ -75,6 +78,7 @@
 
     override tryConsume(workspace: string, quota: Quota, units: number): boolean {
         const bucket = this.getOrCreateBucket(workspace, quota);
+        this.report = undefined;
         this.recordDemand(bucket, units);
         this.refill(bucket);
         const isWithinShare = bucket.level + this.computeOverdraft(bucket) > 0
@@ -93,6 +97,7 @@
     override refund(workspace: string, units: number): void {
         const bucket = this.buckets.get(workspace);
         if (bucket !== undefined) {
+            this.report = undefined;
             bucket.level += units;
             bucket.usage.add(-units);
         }
@@ -119,6 +124,24 @@
 
     /** Returns the usage of every known workspace, to be reported to the other VMs. */
     listUsage(): readonly WorkspaceUsage[] {
+        const now = this.options.timers.now();
+        if (this.report === undefined || now >= this.report.validUntil) {
+            this.report = { validUntil: now + REPORT_VALIDITY_MS, usage: this.computeUsage() };
+        }
+        return this.report.usage;
+    }
+
+    /** Applies another VM's report; a workspace that is missing from it counts as unused there. */
+    applyPeerUsage(vm: string, incarnation: bigint, reports: readonly WorkspaceUsage[]): void {
+        const { windowMs } = this.options.getTolerance();
+        const usageByWorkspace = new Map(reports.map(usage => [usage.workspace, usage]));
+        for (const [workspace, bucket] of this.buckets) {
+            const usage = usageByWorkspace.get(workspace) ?? this.createUnused(workspace, bucket);
+            bucket.usage.applyPeerReport(vm, incarnation, usage, windowMs);
+        }
+    }
+
+    private computeUsage(): readonly WorkspaceUsage[] {
         return [...this.buckets].map(([workspace, bucket]) => {
             this.decayDemand(bucket);
             return {
@@ -131,25 +154,14 @@
         });
     }
 
-    /** Applies another VM's report; a workspace that is missing from it counts as unused there. */
-    applyPeerUsage(vm: string, incarnation: bigint, reports: readonly WorkspaceUsage[]): void {
-        const { windowMs } = this.options.getTolerance();
-        const usageByWorkspace = new Map(reports.map(usage => [usage.workspace, usage]));
-        for (const [workspace, bucket] of this.buckets) {
-            const unused = {
-                workspace,
-                keptPerS: MIN_KEPT_FRACTION * this.computeEqualShare(bucket),
-                demandPerS: 0,
-                usedUnits: 0,
-                knownUnits: 0,
-            };
-            bucket.usage.applyPeerReport(
-                vm,
-                incarnation,
-                usageByWorkspace.get(workspace) ?? unused,
-                windowMs,
-            );
-        }
+    private createUnused(workspace: string, bucket: Bucket): WorkspaceUsage {
+        return {
+            workspace,
+            keptPerS: MIN_KEPT_FRACTION * this.computeEqualShare(bucket),
+            demandPerS: 0,
+            usedUnits: 0,
+            knownUnits: 0,
+        };
     }
 
     private getOrCreateBucket(workspace: string, quota: Quota): Bucket {
--- a/packages/wigeonpulley/src/quotas/usage-tracker.ts
+++ b/packages/wigeonpulley/src/quotas/usage-tracker.ts
@@ -55,12 +55,12 @@
                 receivedAt: previous.receivedAt,
             };
         this.peers.set(vm, { ...usage, receivedAt, incarnation, lost });
-        this.removeExpired(windowMs);
     }
 
     /** Returns the reports of all VMs that are still fresh. */
     listFreshReports(): readonly WorkspaceUsage[] {
-        return [...this.peers.values()].filter(peer => this.isFresh(peer));
+        const oldestFresh = this.timers.now() - FRESH_REPORT_MS;
+        return [...this.peers.values()].filter(({ receivedAt }) => receivedAt >= oldestFresh);
     }
 
     /** Returns the units that this VM used in the window. */
@@ -73,18 +73,20 @@
      * `unreportedUnits`.
      */
     estimateTotal(windowMs: number, vmCount: number, unreportedUnits: number): number {
-        const oldest = this.timers.now() - windowMs;
+        const now = this.timers.now();
+        this.removeExpired(now - windowMs);
         const unknown = Math.max(0, vmCount - 1 - this.peers.size) * unreportedUnits;
-        return [...this.peers.values()].reduce((sum, peer) => {
-            const used = peer.receivedAt < oldest ? 0 : peer.usedUnits;
-            const atMost = this.isFresh(peer) ? used : Math.max(used, unreportedUnits);
-            return sum + this.getLostUnits(peer, windowMs) + atMost;
-        }, this.local.getTotal(windowMs) + unknown);
+        let total = this.local.getTotal(windowMs) + unknown;
+        for (const { receivedAt, usedUnits, lost } of this.peers.values()) {
+            const isFresh = receivedAt >= now - FRESH_REPORT_MS;
+            total += isFresh ? usedUnits : Math.max(usedUnits, unreportedUnits);
+            total += lost.receivedAt < now - windowMs ? 0 : lost.units;
+        }
+        return total;
     }
 
     /** Removes VMs whose usage has left the window; those that still exist count as unreported again. */
-    private removeExpired(windowMs: number): void {
-        const oldest = this.timers.now() - windowMs;
+    private removeExpired(oldest: number): void {
         for (const [vm, { receivedAt }] of this.peers) {
             if (receivedAt < oldest) {
                 this.peers.delete(vm);
@@ -95,8 +97,4 @@
     private getLostUnits({ lost }: PeerUsage, windowMs: number): number {
         return lost.receivedAt < this.timers.now() - windowMs ? 0 : lost.units;
     }
-
-    private isFresh({ receivedAt }: PeerUsage): boolean {
-        return receivedAt >= this.timers.now() - FRESH_REPORT_MS;
-    }
 }
