--- a/packages/wigeonpulley/src/platform/vm-list.ts
+++ b/packages/wigeonpulley/src/platform/vm-list.ts
@@ -10,6 +10,8 @@
     dataCentre: z.string(),
     /** Base URL at which peers call this VM. */
     peerUrl: z.string(),
+    /** IP address and port at which it takes requests that other VMs pass on; undefined if it takes none. */
+    requestAddress: z.string().regex(/^[\d.]+:\d+$/).optional(),
     state: z.enum(["live", "leaving"]),
 });
 
--- a/packages/wigeonpulley/src/routed-vm/routed-settings.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-settings.ts
@@ -56,6 +56,9 @@
         operators: optionalAddressSchema.describe("Address for operators."),
         metrics: optionalAddressSchema.describe("Address of the metrics."),
         peers: addressSchema.describe("Address for the other VMs."),
+        peerRequests: optionalAddressSchema.describe(
+            "Address for requests that other VMs pass on; without it, this VM takes none.",
+        ),
     }).describe("Addresses to listen on."),
     store: z.object({
         address: addressSchema.describe("Address of the platform's store."),
