Pass requests on to other VMs while this VM reaches too few instances

Cause: a VM had no way to an instance but its own. It tried three instances of which each took 400 ms to time out, ejected all of them, and queued the rest until their wait limit. Evidence: from 5.7 s on the four cut VMs log connect timeouts (30 to 41 ejections each by 15 s), then RequestNotPlaced; the other three log none. Ruled out: instances that are down, since the other VMs reach all of them; the store, which answered throughout. A VM that reaches less than half of a service's instances passes a request on to another VM, unless it reaches an instance with a free slot. A send that never left the VM no longer takes from the retry budget.

--- a/packages/wigeonpulley/src/errors/error-catalogue.ts
+++ b/packages/wigeonpulley/src/errors/error-catalogue.ts
@@ -315,5 +315,8 @@
 /** The name of an entry of the catalogue. */
 export type ErrorName = keyof typeof errorCatalogue;
 
+/** True for the name of an entry of the catalogue. */
+export const isErrorName = (name: string): name is ErrorName => Object.hasOwn(errorCatalogue, name);
+
 /** The details that one kind of error carries. */
 export type ErrorDetails<Name extends ErrorName> = Parameters<(typeof errorCatalogue)[Name]["message"]>[0];
--- a/packages/wigeonpulley/src/errors/index.ts
+++ b/packages/wigeonpulley/src/errors/index.ts
@@ -1,5 +1,11 @@
 /** Errors: the error catalogue, the error type and its application/problem+json body. Imports no other domain. */
-export { errorCatalogue, type ErrorDetails, type ErrorEntry, type ErrorName } from "./error-catalogue.js";
+export {
+    errorCatalogue,
+    type ErrorDetails,
+    type ErrorEntry,
+    type ErrorName,
+    isErrorName,
+} from "./error-catalogue.js";
 export {
     computeRetryAfterSeconds,
     createProblemBody,
--- a/packages/wigeonpulley/src/forwarding/attempt.ts
+++ b/packages/wigeonpulley/src/forwarding/attempt.ts
@@ -1,4 +1,5 @@
 /** One attempt: a request sent to one instance, and the relay of its response to the caller. */
+import { errorCatalogue, type ErrorName, isErrorName } from "../errors/index.js";
 import type { EventLogger } from "../logging/index.js";
 import type { Placement, RequestOutcome } from "../placement/index.js";
 import type { Quarantine } from "../quarantine/index.js";
@@ -13,6 +14,7 @@
 } from "./endpoint-transport.js";
 import type { HeaderCodec } from "./header-codec.js";
 import { listForwardedRequestHeaders } from "./hop-by-hop.js";
+import { VM_ERROR_HEADER } from "./peer-headers.js";
 import type { ResponseWriter } from "./response-writer.js";
 import { computeCallerTimeoutMs, isRetryable, type RoutedRequest } from "./routed-request.js";
 import type { StreamRelay } from "./stream-relay.js";
@@ -26,6 +28,10 @@
         readonly reason: string;
         /** True when the instance refused it for lack of capacity, false when the instance was not reached. */
         readonly isFull: boolean;
+        /** False when the request never left this VM. */
+        readonly hasArrived: boolean;
+        /** Time after which a VM that was asked instead of the instance wants the caller to retry, in milliseconds. */
+        readonly retryAfterMs?: number | undefined;
     }
     | {
         readonly kind: "failed";
@@ -50,6 +56,8 @@
     readonly quarantine: Quarantine;
     /** Traits of the request. */
     readonly traits: readonly string[];
+    /** Creates the headers that identify this VM to another one. */
+    readonly createPeerHeaders: (elapsedMs: number) => readonly string[];
 }
 
 /** Longest response that is buffered before it is sent to the caller; a longer one is relayed as it arrives. */
@@ -57,6 +65,8 @@
 /** Multiple of the target latency after which a silent instance is abandoned for a retry. */
 const SILENCE_TARGET_FACTOR = 3;
 const MIN_SILENCE_MS = 400;
+/** Multiple of the silence limit for a request at another VM, which itself abandons a silent instance. */
+const PEER_SILENCE_FACTOR = 2;
 /** Share of the caller's timeout after which a silent stream is resumed at another instance. */
 const SILENCE_TIMEOUT_SHARE = 0.5;
 /** Silence after which a request that was cancelled counts as a failure of the instance. */
@@ -68,6 +78,13 @@
 const HTTP_SERVER_ERROR = 500;
 /** Statuses that tell a caller that its request did not run. Without a proof they are not forwarded. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
+/** Errors of another VM that any VM would respond with. */
+const FINAL_PEER_ERRORS: ReadonlySet<ErrorName> = new Set([
+    "Overloaded",
+    "PromptQuarantined",
+    "RequestQuarantined",
+]);
+const MILLISECONDS_PER_SECOND = 1_000;
 const BODILESS_STATUSES = new Set([204, 304]);
 
 /** One attempt. */
@@ -100,7 +117,7 @@
         this.abortWhenSilent();
         try {
             const outcome = await this.relayResponse();
-            if (outcome.kind === "failed" && outcome.isConnectionLost) {
+            if (outcome.kind === "failed" && outcome.isConnectionLost && !placement.isPeer) {
                 this.evidence.recordConnectionLoss(outcome.reason, this.relayedEvents);
             }
             placement.release(this.computeRequestOutcome(outcome), "reason" in outcome ? outcome.reason : "");
@@ -115,17 +132,25 @@
     }
 
     private send(): EndpointExchange {
-        const { codec, transport, request, placement, relay } = this.options;
+        const { codec, transport, request, placement, relay, createPeerHeaders } = this.options;
         const headers = listForwardedRequestHeaders(
             request.rawHeaders,
             name => codec.isReserved(name) || (relay.lastEventId !== undefined && name === "last-event-id"),
         );
-        headers.push(...codec.createDispatchHeaders({
-            deadlineMs: Math.max(1, Math.floor(request.lifetime.remainingMs)),
-            instanceId: placement.instance.id,
-            workspace: request.workspace?.name,
-            lastEventId: relay.lastEventId,
-        }));
+        const deadlineMs = Math.max(1, Math.floor(request.lifetime.remainingMs));
+        headers.push(
+            ...(placement.isPeer
+                ? [
+                    ...codec.createPeerHeaders({ deadlineMs, key: request.metadata.key }),
+                    ...createPeerHeaders(this.startedAt - request.arrivedAt + request.earlierAttemptsMs),
+                ]
+                : codec.createDispatchHeaders({
+                    deadlineMs,
+                    instanceId: placement.instance.id,
+                    workspace: request.workspace?.name,
+                    lastEventId: relay.lastEventId,
+                })),
+        );
         return transport.send(placement.instance, {
             method: request.method,
             path: request.path,
@@ -154,18 +179,27 @@
     /** Returns the outcome of a response that must not reach the caller; undefined for one to relay. */
     private checkHead(head: ResponseHead): AttemptOutcome | undefined {
         const { codec, request, placement } = this.options;
+        const peerError = placement.isPeer ? findPeerError(head) : undefined;
+        if (peerError !== undefined) {
+            return peerError;
+        }
         const metadata = codec.parseResponse(head.status, head.headers);
         if (metadata.attemptId !== undefined && metadata.attemptId !== request.metadata.attemptId) {
             return createFailedOutcome(`the answer belongs to ${metadata.attemptId}`);
         }
         if (metadata.isMisdirected) {
-            return { kind: "not-run", reason: "another instance has the address", isFull: false };
+            return {
+                kind: "not-run",
+                reason: "another instance has the address",
+                isFull: false,
+                hasArrived: true,
+            };
         }
         if (metadata.limitPerS !== undefined || (metadata.isSigned && !metadata.isNotRun)) {
             placement.recordRateLimit(metadata.limitPerS);
         }
         if (metadata.isNotRun) {
-            return { kind: "not-run", reason: `status ${head.status}`, isFull: true };
+            return { kind: "not-run", reason: `status ${head.status}`, isFull: true, hasArrived: true };
         }
         if (!metadata.isSigned) {
             return createFailedOutcome(`status ${head.status} without a signature`);
@@ -299,9 +333,10 @@
             return;
         }
         const { route } = request;
-        const limitMs = route.kind === "stream"
-            ? computeCallerTimeoutMs(request) * SILENCE_TIMEOUT_SHARE
-            : Math.max(MIN_SILENCE_MS, SILENCE_TARGET_FACTOR * route.targetLatencyMs);
+        const limitMs = (this.options.placement.isPeer ? PEER_SILENCE_FACTOR : 1)
+            * (route.kind === "stream"
+                ? computeCallerTimeoutMs(request) * SILENCE_TIMEOUT_SHARE
+                : Math.max(MIN_SILENCE_MS, SILENCE_TARGET_FACTOR * route.targetLatencyMs));
         const check = (): void => {
             // Bytes that wait for a slow caller are not silence of the endpoint.
             const silentMs = this.exchange.hasChunk ? 0 : timers.now() - this.progressAt;
@@ -320,7 +355,7 @@
     private createExchangeOutcome({ mayHaveRun, isConnectionLost, reason }: ExchangeFailure): AttemptOutcome {
         return mayHaveRun
             ? createFailedOutcome(reason, isConnectionLost)
-            : { kind: "not-run", reason, isFull: false };
+            : { kind: "not-run", reason, isFull: false, hasArrived: false };
     }
 
     /** Returns the outcome that placement records; undefined when a cancelled request says nothing about the instance. */
@@ -342,6 +377,25 @@
     }
 }
 
+/** Returns the outcome of an error that another VM itself responded with; undefined for an instance's response. */
+const findPeerError = ({ status, headers }: ResponseHead): AttemptOutcome | undefined => {
+    const name = headers[VM_ERROR_HEADER];
+    if (typeof name !== "string" || !isErrorName(name)) {
+        return undefined;
+    }
+    const reason = `the other VM failed: ${name}`;
+    const retryAfterS = Number(headers["retry-after"]);
+    return errorCatalogue[name].notRun
+        ? {
+            kind: "not-run",
+            reason,
+            isFull: FINAL_PEER_ERRORS.has(name),
+            hasArrived: false,
+            retryAfterMs: Number.isFinite(retryAfterS) ? retryAfterS * MILLISECONDS_PER_SECOND : undefined,
+        }
+        : createFailedOutcome(`${reason}, status ${status}`);
+};
+
 const createFailedOutcome = (reason: string, isConnectionLost = false): AttemptOutcome => ({
     kind: "failed",
     reason,
--- a/packages/wigeonpulley/src/forwarding/forwarder.ts
+++ b/packages/wigeonpulley/src/forwarding/forwarder.ts
@@ -4,13 +4,15 @@
  */
 import { SchedulerError } from "../errors/index.js";
 import type { EventLogger } from "../logging/index.js";
-import type { Placement, PlacementService, VersionPolicy } from "../placement/index.js";
+import type { Placement, PlacementRequest, PlacementService, VersionPolicy } from "../placement/index.js";
 import type { Quarantine } from "../quarantine/index.js";
 import type { TimerService } from "../time/index.js";
 import type { RetryBudget } from "./admission-limits.js";
 import { Attempt, type AttemptOutcome } from "./attempt.js";
 import type { EndpointTransport } from "./endpoint-transport.js";
 import type { HeaderCodec } from "./header-codec.js";
+import { createPeerHeaders } from "./peer-headers.js";
+import type { PeerSelector } from "./peer-selector.js";
 import { type CancelReason } from "./request-lifetime.js";
 import { isFingerprint, listTraits } from "./request-traits.js";
 import type { ResponseWriter } from "./response-writer.js";
@@ -33,6 +35,10 @@
     readonly versions: VersionPolicy;
     readonly retryBudget: RetryBudget;
     readonly quarantine: Quarantine;
+    /** Selects other VMs for requests whose instances this VM doesn't reach. */
+    readonly peers: PeerSelector;
+    /** Name of this VM, and the key that all VMs share. */
+    readonly identity: { readonly vm: string; readonly peerKey: string; };
 }
 
 /** How a request ended. */
@@ -69,6 +75,8 @@
 const MIN_WAIT_LIMIT_MS = 600;
 /** Retries after sends that provably did not run. They don't count as attempts, so this bounds the work for a request. */
 const MAX_NOT_RUN_RETRIES = 2;
+/** VMs that a request is passed on to, one after the other, until one of them can serve it. */
+const MAX_PEER_SENDS = 3;
 
 /** Progress of one request over its attempts. */
 interface RequestProgress {
@@ -79,6 +87,9 @@
     /** Sends that an instance may have run. */
     attempts: number;
     notRunSends: number;
+    peerSends: number;
+    /** True when the last send was to another VM. */
+    isAtPeer: boolean;
     waitedMs: number | undefined;
     instance: string;
     predictedMs: number;
@@ -99,7 +110,9 @@
 
     /** Forwards a request; resolves when the response is complete or aborted. */
     async forward(request: RoutedRequest, writer: ResponseWriter): Promise<ForwardSummary> {
-        this.options.retryBudget.recordRequest(request.service);
+        if (request.peer === undefined) {
+            this.options.retryBudget.recordRequest(request.service);
+        }
         const progress: RequestProgress = {
             relay: StreamRelay.create(writer, this.options.timers),
             traits: listTraits(request),
@@ -107,6 +120,8 @@
             excludedInstances: new Set(),
             attempts: 0,
             notRunSends: 0,
+            peerSends: 0,
+            isAtPeer: false,
             waitedMs: undefined,
             instance: "",
             predictedMs: -1,
@@ -115,6 +130,7 @@
         };
         for (;;) {
             const placement = this.findQuarantineError(progress)
+                ?? this.acquireWhenCutOff(request, progress)
                 ?? await this.acquireUnlessObsolete(request, progress);
             if (placement instanceof SchedulerError) {
                 return this.finishWithError(
@@ -131,6 +147,34 @@
         }
     }
 
+    /**
+     * While this VM reaches too few instances, takes a free slot on one of them or another VM, which may reach more. A
+     * request that another VM has passed on goes no further. Undefined when the request is to wait for an instance.
+     */
+    private acquireWhenCutOff(
+        request: RoutedRequest,
+        progress: RequestProgress,
+    ): Placement | SchedulerError | undefined {
+        const { placement, peers } = this.options;
+        if (!placement.isCutOff(request.service)) {
+            return undefined;
+        }
+        const placed = placement.tryAcquire(this.createPlacementRequest(request, progress))
+            ?? (request.peer === undefined && progress.peerSends < MAX_PEER_SENDS
+                ? peers.select(request.service, progress.excludedInstances)
+                : undefined);
+        if (placed !== undefined) {
+            progress.waitedMs ??= this.options.timers.now() - request.arrivedAt;
+            return placed;
+        }
+        return request.peer === undefined
+            ? undefined
+            : SchedulerError.create("EndpointUnreachable", {
+                endpoint: request.service,
+                reason: "too few of its instances are reachable",
+            }, { retryAfterMs: placement.computeRetryAfterMs(request.lifetime.remainingMs) });
+    }
+
     /** Waits for an instance; meanwhile the request may be cancelled, or one of its traits quarantined. */
     private async acquireUnlessObsolete(
         request: RoutedRequest,
@@ -166,9 +210,19 @@
         progress: RequestProgress,
     ): Promise<Placement | SchedulerError> {
         const { timers, placement } = this.options;
+        const placed = await placement.acquire(
+            this.createPlacementRequest(request, progress),
+            { subscribe: listener => request.lifetime.subscribe(listener) },
+        );
+        progress.waitedMs ??= timers.now() - request.arrivedAt;
+        return placed.isOk() ? placed.value : placed.error;
+    }
+
+    private createPlacementRequest(request: RoutedRequest, progress: RequestProgress): PlacementRequest {
+        const { timers } = this.options;
         const { metadata, route, workspace, lifetime } = request;
         const callerTimeoutMs = Math.min(computeCallerTimeoutMs(request), lifetime.remainingMs);
-        const placed = await placement.acquire({
+        return {
             requestId: metadata.attemptId,
             service: request.service,
             route: route.name,
@@ -189,9 +243,7 @@
                 ),
             isCanary: progress.isCanary,
             excludedInstances: progress.excludedInstances,
-        }, { subscribe: listener => lifetime.subscribe(listener) });
-        progress.waitedMs ??= timers.now() - request.arrivedAt;
-        return placed.isOk() ? placed.value : placed.error;
+        };
     }
 
     private async send(
@@ -203,6 +255,16 @@
         progress.instance = placement.instance.id;
         progress.predictedMs = placement.predictedMs;
         progress.excludedInstances.add(placement.instance.id);
+        progress.isAtPeer = placement.isPeer;
+        if (placement.isPeer) {
+            progress.peerSends += 1;
+            this.options.logger.write("RequestPassedOn", {
+                id: request.metadata.attemptId,
+                service: request.service,
+                to: placement.instance.id,
+                sends: progress.peerSends,
+            });
+        }
         try {
             return await Attempt.create({
                 ...this.options,
@@ -211,6 +273,11 @@
                 relay: progress.relay,
                 traits: progress.traits,
                 placement,
+                createPeerHeaders: elapsedMs =>
+                    createPeerHeaders(
+                        { vm: this.options.identity.vm, elapsedMs },
+                        this.options.identity.peerKey,
+                    ),
             })
                 .run();
         }
@@ -234,19 +301,30 @@
         progress.reason = outcome.reason;
         const isNotRun = outcome.kind === "not-run";
         progress.attempts += isNotRun ? 0 : 1;
-        progress.notRunSends += isNotRun ? 1 : 0;
+        progress.notRunSends += isNotRun && !progress.isAtPeer ? 1 : 0;
         const { cancelReason } = request.lifetime;
         if (cancelReason !== undefined) {
             return this.finishWithError(writer, progress, this.createCancelError(cancelReason, progress));
         }
+        if (isNotRun && progress.isAtPeer && outcome.isFull) {
+            const { retryAfterMs = this.options.placement.computeRetryAfterMs() } = outcome;
+            return this.finishWithError(
+                writer,
+                progress,
+                SchedulerError.create("Overloaded", { tier: "any" }, { retryAfterMs }),
+            );
+        }
         const canRetry = isNotRun
             ? progress.notRunSends <= MAX_NOT_RUN_RETRIES
-            : isRetryable(request.route) && progress.attempts < request.route.maxAttempts
+            // The other VM has used the attempts of a request that it sent to an instance.
+            : !progress.isAtPeer && isRetryable(request.route)
+                && progress.attempts < request.route.maxAttempts
                 // A response that has started can be continued only as a stream.
                 && (!writer.hasStarted || progress.relay.hasStarted)
                 && !(outcome.isConnectionLost
                     && this.options.quarantine.isSuspicious(progress.traits));
-        if (canRetry && this.options.retryBudget.tryRetry(request.service)) {
+        const isFree = isNotRun && !outcome.hasArrived;
+        if (canRetry && (isFree || this.options.retryBudget.tryRetry(request.service))) {
             this.options.logger.write("RequestRepeated", {
                 id: request.metadata.attemptId,
                 instance: progress.instance,
--- a/packages/wigeonpulley/src/forwarding/front-server.ts
+++ b/packages/wigeonpulley/src/forwarding/front-server.ts
@@ -19,6 +19,7 @@
 import { CallerRetryDetector } from "./caller-retry-detector.js";
 import type { Forwarder, ForwardSummary } from "./forwarder.js";
 import type { HeaderCodec, RequestMetadata } from "./header-codec.js";
+import { parsePeerHeaders, type PeerRequestOrigin, removePeerHeaders } from "./peer-headers.js";
 import { waitForPendingInput } from "./pending-input.js";
 import { RequestLifetime } from "./request-lifetime.js";
 import { ResponseWriter } from "./response-writer.js";
@@ -38,6 +39,8 @@
     readonly port: number;
     readonly maxOpenRequests: number;
     readonly admission: AdmissionCheck;
+    /** Key that all VMs share, for a server that takes requests of other VMs only; undefined for callers. */
+    readonly peerKey?: string | undefined;
 }
 
 /** Interval at which Node checks connections for request heads that exceed their timeout. */
@@ -49,7 +52,7 @@
 /** Retry-After of requests that this VM itself can't serve, whatever their route. */
 const RETRY_AFTER_MS = 500;
 
-/** HTTP server for callers. */
+/** HTTP server for callers, or for other VMs that pass on requests of their callers. */
 export class FrontServer {
     private readonly server: Server;
     private readonly callerRetryDetector: CallerRetryDetector;
@@ -142,7 +145,11 @@
     private async handleRequest(message: IncomingMessage, response: ServerResponse): Promise<void> {
         const { logger, timers } = this.options;
         const arrivedAt = timers.now();
-        const writer = ResponseWriter.create(response, () => this.isDraining);
+        const writer = ResponseWriter.create(
+            response,
+            () => this.isDraining,
+            this.options.peerKey !== undefined,
+        );
         this.openRequests += 1;
         this.updateRequestCount(message.socket, 1);
         try {
@@ -177,6 +184,12 @@
         writer: ResponseWriter,
         arrivedAt: number,
     ): Promise<void> {
+        const { peerKey } = this.options;
+        const origin = peerKey === undefined ? undefined : parsePeerHeaders(message.headers, peerKey);
+        if (peerKey !== undefined && origin === undefined) {
+            this.refuse(writer, "", "", SchedulerError.create("NotPermitted", {}));
+            return;
+        }
         const metadata = this.options.codec.parseRequest(message.headers);
         if (metadata.isErr()) {
             this.refuse(writer, "", "", metadata.error);
@@ -202,16 +215,16 @@
         const readAt = this.options.timers.now();
         await waitForPendingInput();
         const loopDelayMs = this.options.timers.now() - readAt;
-        const request = this.createRequest(message, metadata.value, admitted.value, body.value, arrivedAt);
+        const request = this.createRequest(
+            message,
+            metadata.value,
+            admitted.value,
+            body.value,
+            arrivedAt,
+            origin,
+        );
         this.lifetimes.add(request.lifetime);
-        response.once("close", () => {
-            if (!response.writableFinished) {
-                request.lifetime.cancel("caller-gone");
-            }
-        });
-        if (message.socket.destroyed) {
-            request.lifetime.cancel("caller-gone");
-        }
+        cancelWhenCallerLeaves(request, message, response);
         try {
             await this.forward(request, writer, loopDelayMs);
         }
@@ -229,17 +242,20 @@
         const { quotaLimiter, forwarder, logger } = this.options;
         const { workspace } = request;
         const units = countQuotaUnits(request);
+        // The VM that passed a request on has counted it.
+        const quota = request.peer === undefined ? workspace?.quota : undefined;
         if (
-            workspace?.quota !== undefined && !quotaLimiter.tryConsume(workspace.name, workspace.quota, units)
+            workspace !== undefined && quota !== undefined
+            && !quotaLimiter.tryConsume(workspace.name, quota, units)
         ) {
             logger.write("QuotaRefused", {
                 id: request.metadata.attemptId,
                 workspace: workspace.name,
                 units,
-                quotaPerS: workspace.quota.ratePerS,
+                quotaPerS: quota.ratePerS,
                 ...quotaLimiter.getState(workspace.name),
             });
-            const retryAfterMs = quotaLimiter.estimateWaitMs(workspace.name, workspace.quota, units);
+            const retryAfterMs = quotaLimiter.estimateWaitMs(workspace.name, quota, units);
             this.refuse(
                 writer,
                 request.metadata.attemptId,
@@ -249,7 +265,7 @@
             return;
         }
         const summary = await forwarder.forward(request, writer);
-        if (workspace?.quota !== undefined && !summary.mayHaveRun) {
+        if (workspace !== undefined && quota !== undefined && !summary.mayHaveRun) {
             quotaLimiter.refund(workspace.name, units);
         }
         this.writeSummary(request, summary, loopDelayMs);
@@ -273,6 +289,7 @@
         { table, route, workspace }: AdmittedRequest,
         body: Buffer | undefined,
         arrivedAt: number,
+        origin: PeerRequestOrigin | undefined,
     ): RoutedRequest {
         const { timers, random } = this.options;
         const limitMs = Math.min(route.timeoutMs, metadata.deadlineMs ?? route.timeoutMs);
@@ -281,19 +298,18 @@
             metadata,
             method: message.method ?? "GET",
             path: message.url ?? "/",
-            rawHeaders: message.rawHeaders,
+            rawHeaders: origin === undefined ? message.rawHeaders : removePeerHeaders(message.rawHeaders),
             body,
             route,
             service,
             tokensPerEvent: Option.toUndefined(table.findService(service))?.engine?.tokensPerEvent,
             workspace,
             arrivedAt,
-            earlierAttemptsMs: this.callerRetryDetector.estimateEarlierAttemptsMs(
-                route.name,
-                metadata.deadlineMs,
-            ),
+            earlierAttemptsMs: origin?.elapsedMs
+                ?? this.callerRetryDetector.estimateEarlierAttemptsMs(route.name, metadata.deadlineMs),
             configurationVersion: table.configuration.version,
             lifetime: RequestLifetime.create(timers, arrivedAt + limitMs),
+            peer: origin?.vm,
         };
     }
 
@@ -326,6 +342,7 @@
             status: summary.status,
             outcome: summary.outcome,
             instance: summary.instance,
+            peer: request.peer ?? "",
             sends: summary.sends,
             rank: computeRank(request.route, request.workspace),
             promptTokens: request.metadata.tokens?.prompt ?? 0,
@@ -343,6 +360,21 @@
     }
 }
 
+const cancelWhenCallerLeaves = (
+    { lifetime }: RoutedRequest,
+    { socket }: IncomingMessage,
+    response: ServerResponse,
+): void => {
+    response.once("close", () => {
+        if (!response.writableFinished) {
+            lifetime.cancel("caller-gone");
+        }
+    });
+    if (socket.destroyed) {
+        lifetime.cancel("caller-gone");
+    }
+};
+
 const getPath = (message: IncomingMessage): string => (message.url ?? "").split("?", 1)[0] ?? "";
 
 /** Resolves when the response has been handed to the operating system, or when its connection is closed. */
--- a/packages/wigeonpulley/src/forwarding/header-codec.ts
+++ b/packages/wigeonpulley/src/forwarding/header-codec.ts
@@ -37,6 +37,14 @@
     readonly lastEventId: string | undefined;
 }
 
+/** Metadata of a request that is passed on to another VM. */
+export interface PeerMetadata {
+    /** Remaining time, in milliseconds. */
+    readonly deadlineMs: number;
+    /** Key of the caller; the other VM checks it again. */
+    readonly key: string | undefined;
+}
+
 /** Metadata of an endpoint's response. */
 export interface ResponseMetadata {
     readonly attemptId: string | undefined;
@@ -64,6 +72,12 @@
     /** Creates the headers that the VM adds for the endpoint, as alternating names and values. */
     abstract createDispatchHeaders(metadata: DispatchMetadata): readonly string[];
 
+    /**
+     * Creates the headers of a request to another VM in place of the caller's reserved ones, as alternating names and
+     * values.
+     */
+    abstract createPeerHeaders(metadata: PeerMetadata): readonly string[];
+
     /** Parses the status and headers of an endpoint's response. */
     abstract parseResponse(status: number, headers: ParsedHeaders): ResponseMetadata;
 }
--- a/packages/wigeonpulley/src/forwarding/index.ts
+++ b/packages/wigeonpulley/src/forwarding/index.ts
@@ -27,11 +27,13 @@
     type DispatchMetadata,
     HeaderCodec,
     type ParsedHeaders,
+    type PeerMetadata,
     type PromptPrefixBlock,
     type RequestMetadata,
     type ResponseMetadata,
 } from "./header-codec.js";
 export { listForwardedRequestHeaders, listForwardedResponseHeaders } from "./hop-by-hop.js";
+export { PeerSelector, type PeerSelectorOptions, type RequestPeer } from "./peer-selector.js";
 export { type CancelReason, RequestLifetime } from "./request-lifetime.js";
 export { listTraits } from "./request-traits.js";
 export { ResponseWriter } from "./response-writer.js";
--- /dev/null
+++ b/packages/wigeonpulley/src/forwarding/peer-headers.ts
@@ -0,0 +1,43 @@
+/** Headers of requests that one VM passes on to another, and of the refusals of the other VM. */
+import { isPeerKey, PEER_KEY_HEADER, VM_HEADER } from "../peers/index.js";
+import type { ParsedHeaders } from "./header-codec.js";
+
+/** Time that the caller has waited so far, in milliseconds. */
+const ELAPSED_HEADER = "x-vm-elapsed-ms";
+/** Name of the error of a VM that could not serve a request that another VM passed on. */
+export const VM_ERROR_HEADER = "x-vm-error";
+
+const PEER_HEADERS = new Set([VM_HEADER, PEER_KEY_HEADER, ELAPSED_HEADER]);
+
+/** What a VM tells about a request that it passes on. */
+export interface PeerRequestOrigin {
+    /** Name of the VM that passes the request on. */
+    readonly vm: string;
+    /** Time that the caller has waited so far, in milliseconds. */
+    readonly elapsedMs: number;
+}
+
+/** Creates the headers of a request to another VM, as alternating names and values. */
+export const createPeerHeaders = ({ vm, elapsedMs }: PeerRequestOrigin, key: string): readonly string[] => [
+    VM_HEADER,
+    vm,
+    PEER_KEY_HEADER,
+    key,
+    ELAPSED_HEADER,
+    String(Math.max(0, Math.round(elapsedMs))),
+];
+
+/** Parses the headers of a request of another VM; undefined when they don't have the shared key. */
+export const parsePeerHeaders = (headers: ParsedHeaders, key: string): PeerRequestOrigin | undefined => {
+    const read = (name: string): string => String(headers[name] ?? "");
+    const elapsedMs = Number(read(ELAPSED_HEADER));
+    return isPeerKey(read(PEER_KEY_HEADER), key)
+        ? { vm: read(VM_HEADER), elapsedMs: Number.isFinite(elapsedMs) ? elapsedMs : 0 }
+        : undefined;
+};
+
+/** Removes the headers that only VMs read from alternating names and values. */
+export const removePeerHeaders = (rawHeaders: readonly string[]): readonly string[] =>
+    rawHeaders.filter((unused, index) =>
+        !PEER_HEADERS.has((rawHeaders[index - index % 2] ?? "").toLowerCase())
+    );
--- /dev/null
+++ b/packages/wigeonpulley/src/forwarding/peer-selector.ts
@@ -0,0 +1,157 @@
+/**
+ * Selects the VM that a request is passed on to when this VM reaches too few instances of its service: one of two random
+ * VMs, the one with fewer requests of this VM in progress. A VM that can't serve a service is left out for a moment.
+ */
+import type { Instance } from "../discovery/index.js";
+import { Placement, type ReleaseOutcome } from "../placement/index.js";
+import type { RandomSource } from "../random/index.js";
+import type { TimerService } from "../time/index.js";
+
+/** A VM that takes requests of other VMs. */
+export interface RequestPeer {
+    readonly name: string;
+    readonly dataCentre: string;
+    readonly region: string;
+    /** IP address and port for the requests. */
+    readonly host: string;
+    readonly port: number;
+}
+
+/** Dependencies of the selector. */
+export interface PeerSelectorOptions {
+    readonly timers: TimerService;
+    readonly random: RandomSource;
+    /** Region of this VM, whose VMs are preferred. */
+    readonly region: string;
+    /** Returns the other VMs that are live and take requests. */
+    readonly listPeers: () => readonly RequestPeer[];
+}
+
+/** Time for which a VM that could not serve a service gets no requests for it, in milliseconds. */
+const UNABLE_MS = 2_000;
+const CHOICES = 2;
+
+/** Selector of one VM. */
+export class PeerSelector {
+    private readonly inFlight = new Map<string, number>();
+    /** Monotonic time until which a VM is left out, in milliseconds, by VM and service. */
+    private readonly unableUntil = new Map<string, number>();
+
+    private constructor(private readonly options: PeerSelectorOptions) {}
+
+    /** Creates a selector that knows of no failure. */
+    static create(options: PeerSelectorOptions): PeerSelector {
+        return new PeerSelector(options);
+    }
+
+    /** Selects a VM whose id is not excluded; undefined when there is none. */
+    select(service: string, excludedIds: ReadonlySet<string>): Placement | undefined {
+        const { timers, listPeers, region } = this.options;
+        const now = timers.now();
+        const able = listPeers().filter(({ name }) =>
+            !excludedIds.has(createPeerId(name))
+            && (this.unableUntil.get(createKey(name, service)) ?? Number.NEGATIVE_INFINITY) <= now
+        );
+        const near = able.filter(peer => peer.region === region);
+        const peer = this.pickLeastBusy(near.length > 0 ? near : able);
+        return peer === undefined ? undefined : this.occupy(peer, service);
+    }
+
+    private pickLeastBusy(peers: readonly RequestPeer[]): RequestPeer | undefined {
+        const remaining = [...peers];
+        const picked = Array.from(
+            { length: Math.min(CHOICES, remaining.length) },
+            () => remaining.splice(this.options.random.pickInteger(remaining.length), 1),
+        ).flat();
+        return picked.toSorted((left, right) => this.countInFlight(left) - this.countInFlight(right))[0];
+    }
+
+    private countInFlight({ name }: RequestPeer): number {
+        return this.inFlight.get(name) ?? 0;
+    }
+
+    private occupy(peer: RequestPeer, service: string): Placement {
+        this.inFlight.set(peer.name, this.countInFlight(peer) + 1);
+        return PeerPlacement.create(peer, outcome => {
+            const left = this.countInFlight(peer) - 1;
+            if (left > 0) {
+                this.inFlight.set(peer.name, left);
+            }
+            else {
+                this.inFlight.delete(peer.name);
+            }
+            this.recordOutcome(createKey(peer.name, service), outcome);
+        });
+    }
+
+    private recordOutcome(key: string, outcome: ReleaseOutcome): void {
+        if (outcome === "unreachable") {
+            this.unableUntil.set(key, this.options.timers.now() + UNABLE_MS);
+        }
+        else if (outcome === "success") {
+            this.unableUntil.delete(key);
+        }
+    }
+}
+
+/** A request in progress at another VM. */
+class PeerPlacement extends Placement {
+    override readonly instance: Instance;
+    private isReleased = false;
+
+    private constructor(peer: RequestPeer, private readonly onRelease: (outcome: ReleaseOutcome) => void) {
+        super();
+        this.instance = {
+            id: createPeerId(peer.name),
+            service: "",
+            host: peer.host,
+            port: peer.port,
+            dataCentre: peer.dataCentre,
+            version: "",
+            slots: 1,
+            state: "ready",
+            coldMs: 0,
+            bornMs: 0,
+            sequence: 0,
+        };
+    }
+
+    static create(peer: RequestPeer, onRelease: (outcome: ReleaseOutcome) => void): PeerPlacement {
+        return new PeerPlacement(peer, onRelease);
+    }
+
+    override get isPeer(): boolean {
+        return true;
+    }
+
+    override get predictedMs(): number {
+        return -1;
+    }
+
+    override recordRateLimit(): void {
+        // The VM that sends the request to the instance keeps the limit.
+    }
+
+    override recordFirstEvent(): void {
+        // The VM that sends the request to the instance observes its latency.
+    }
+
+    override recordEvents(): void {
+        // The same holds for the gaps between events.
+    }
+
+    override recordResponse(): void {
+        // The same holds for whole responses.
+    }
+
+    override release(outcome: ReleaseOutcome): void {
+        if (!this.isReleased) {
+            this.isReleased = true;
+            this.onRelease(outcome);
+        }
+    }
+}
+
+const createPeerId = (vm: string): string => `vm:${vm}`;
+
+const createKey = (vm: string, service: string): string => `${vm}\n${service}`;
--- a/packages/wigeonpulley/src/forwarding/response-writer.ts
+++ b/packages/wigeonpulley/src/forwarding/response-writer.ts
@@ -3,6 +3,7 @@
 import { createProblemBody, type SchedulerError } from "../errors/index.js";
 import type { ResponseHead } from "./endpoint-transport.js";
 import { listForwardedResponseHeaders } from "./hop-by-hop.js";
+import { VM_ERROR_HEADER } from "./peer-headers.js";
 
 const MILLISECONDS_PER_SECOND = 1_000;
 const HTTP_1_1 = "1.1";
@@ -12,11 +13,15 @@
     private constructor(
         private readonly response: ServerResponse,
         private readonly isDraining: () => boolean,
+        private readonly isForPeer: boolean,
     ) {}
 
-    /** Creates a writer for a response that has not started; `isDraining` tells it to close the connection. */
-    static create(response: ServerResponse, isDraining: () => boolean): ResponseWriter {
-        return new ResponseWriter(response, isDraining);
+    /**
+     * Creates a writer for a response that has not started; `isDraining` tells it to close the connection. To another
+     * VM it names its errors, so that they can't be taken for responses of an endpoint.
+     */
+    static create(response: ServerResponse, isDraining: () => boolean, isForPeer = false): ResponseWriter {
+        return new ResponseWriter(response, isDraining, isForPeer);
     }
 
     /** True once the status has been sent. */
@@ -74,6 +79,7 @@
                 ? {}
                 : { "retry-after": (error.retryAfterMs / MILLISECONDS_PER_SECOND).toFixed(2) }),
             ...this.createConnectionHeader(),
+            ...(this.isForPeer ? { [VM_ERROR_HEADER]: error.name } : {}),
         });
         this.response.end(body);
     }
@@ -92,7 +98,9 @@
     private writeHead({ status, statusText, headers }: ResponseHead, added: readonly string[]): void {
         const connectionHeader = Object.entries(this.createConnectionHeader()).flat();
         this.response.writeHead(status, statusText, [
-            ...listForwardedResponseHeaders(headers),
+            ...listForwardedResponseHeaders(
+                this.isForPeer ? { ...headers, [VM_ERROR_HEADER]: undefined } : headers,
+            ),
             ...added,
             ...connectionHeader,
         ]);
--- a/packages/wigeonpulley/src/forwarding/routed-request.ts
+++ b/packages/wigeonpulley/src/forwarding/routed-request.ts
@@ -24,6 +24,8 @@
     /** Version of the configuration that admitted it. */
     readonly configurationVersion: number;
     readonly lifetime: RequestLifetime;
+    /** VM that passed the request on; undefined when a caller sent it to this VM. */
+    readonly peer: string | undefined;
 }
 
 /** By the platform's protocol, callers abandon a stream that is silent for the longest of these three limits. */
--- a/packages/wigeonpulley/src/logging/event-catalogue.ts
+++ b/packages/wigeonpulley/src/logging/event-catalogue.ts
@@ -158,6 +158,7 @@
             status: number;
             outcome: string;
             instance: string;
+            peer: string;
             sends: number;
             rank: number;
             promptTokens: number;
@@ -231,6 +232,12 @@
         ({ id, instance, reason, lastEventId }) =>
             `request ${id} failed at instance ${instance} (${reason}) and is retried after event ${lastEventId}`,
     ),
+    RequestPassedOn: defineEvent<{ id: string; service: string; to: string; sends: number; }>(
+        411,
+        "info",
+        ({ id, service, to }) =>
+            `request ${id} is passed on to ${to}, because this VM reaches too few instances of ${service}`,
+    ),
     InstanceSeen: defineEvent<
         { instance: string; service: string; address: string; state: string; version: string; }
     >(
--- a/packages/wigeonpulley/src/peers/connect-peer-transport.ts
+++ b/packages/wigeonpulley/src/peers/connect-peer-transport.ts
@@ -10,14 +10,12 @@
     type ServiceImpl,
 } from "@connectrpc/connect";
 import { connectNodeAdapter, createGrpcTransport, Http2SessionManager } from "@connectrpc/connect-node";
-import { timingSafeEqual } from "node:crypto";
 import { createServer, type Http2Server, type ServerHttp2Session } from "node:http2";
 import type { AddressInfo } from "node:net";
 import { Err, Ok, type Result } from "ts-results-es";
 import {
     type ConfigurationVersion,
     configurationVersionSchema,
-    hashKey,
     type ListenAddress,
 } from "../config/index.js";
 import { describeCause, SchedulerError } from "../errors/index.js";
@@ -35,11 +33,10 @@
 import type { VmListEntry } from "../platform/index.js";
 import type { TimerService } from "../time/index.js";
 import { GossipChannel } from "./gossip-channel.js";
+import { isPeerKey, PEER_KEY_HEADER, VM_HEADER } from "./peer-identity.js";
 import { type GossipHandler, PeerHandler, PeerTransport } from "./peer-transport.js";
 
 const CALL_TIMEOUT_MS = 2_000;
-const VM_HEADER = "x-vm-name";
-const KEY_HEADER = "x-peer-key";
 
 /** Length of the gRPC frame header of each message. */
 const GRPC_FRAME_HEADER_BYTES = 5;
@@ -54,7 +51,7 @@
 
 const createIdentityInterceptor = (vm: string, key: string): Interceptor => next => request => {
     request.header.set(VM_HEADER, vm);
-    request.header.set(KEY_HEADER, key);
+    request.header.set(PEER_KEY_HEADER, key);
     return next(request);
 };
 
@@ -231,8 +228,7 @@
 
 /** Returns the name of the calling VM. Throws Unauthenticated if the shared key is wrong. */
 const verifyIdentity = (headers: Headers, key: string): string => {
-    const presented = Buffer.from(hashKey(headers.get(KEY_HEADER) ?? ""));
-    if (!timingSafeEqual(presented, Buffer.from(hashKey(key)))) {
+    if (!isPeerKey(headers.get(PEER_KEY_HEADER) ?? "", key)) {
         throw new ConnectError("the peer key is wrong", Code.Unauthenticated);
     }
     return headers.get(VM_HEADER) ?? "";
--- a/packages/wigeonpulley/src/placement/instance-health.ts
+++ b/packages/wigeonpulley/src/placement/instance-health.ts
@@ -66,6 +66,12 @@
         return this.records.get(id)?.ejectedUntil === undefined;
     }
 
+    /** True from an attempt that did not reach the instance until a probe does. */
+    isUnreachable(id: string): boolean {
+        const record = this.records.get(id);
+        return record?.ejectedUntil !== undefined && record.isUnreachable;
+    }
+
     /** Moving average of the share of failed requests, from 0 to 1; 0 before the first outcome. */
     getFailureRate(id: string): number {
         return this.records.get(id)?.failureRate ?? 0;
@@ -94,7 +100,9 @@
         const failed = outcome === "success" ? 0 : 1;
         record.failureRate += (failed - record.failureRate) * NEWEST_WEIGHT;
         record.outcomes += 1;
-        record.isUnreachable = outcome === "unreachable";
+        if (record.ejectedUntil === undefined || outcome === "unreachable") {
+            record.isUnreachable = outcome === "unreachable";
+        }
         if (record.ejectedUntil !== undefined) {
             // Requests that were in flight before the ejection tell nothing new.
             if (record.isProbeInFlight) {
@@ -132,6 +140,7 @@
             record.ejectedUntil = undefined;
             record.failureRate = 0;
             record.outcomes = 0;
+            record.isUnreachable = false;
             this.logger.write("InstanceTrusted", { instance: id });
         }
     }
--- a/packages/wigeonpulley/src/placement/placement-service.ts
+++ b/packages/wigeonpulley/src/placement/placement-service.ts
@@ -14,7 +14,7 @@
 import type { InstanceRateLimits } from "./instance-rate-limits.js";
 import type { PeerLoads } from "./peer-loads.js";
 import type { PlacementRequest, WaitCancellation } from "./placement-request.js";
-import { Placement, type ReleaseOutcome } from "./placement.js";
+import { InstancePlacement, Placement, type ReleaseOutcome } from "./placement.js";
 import { RankFairness } from "./rank-fairness.js";
 import { type QueuedRequest, RankQueue } from "./rank-queue.js";
 import { RankReservation } from "./rank-reservation.js";
@@ -115,6 +115,28 @@
         });
     }
 
+    /**
+     * Occupies a slot at once; undefined when the request would have to wait. For requests that needn't wait here,
+     * since another VM can serve them.
+     */
+    tryAcquire(request: PlacementRequest): Placement | undefined {
+        const { queue, fairness } = this.getQueue(request.service);
+        if (queue.length > 0) {
+            return undefined;
+        }
+        const rank = fairness.computeEffectiveRank(request.rank, this.options.timers.now());
+        const placement = this.place(request, rank, 1);
+        return placement instanceof Placement ? placement : undefined;
+    }
+
+    /** True while this VM reaches fewer than half of a service's instances. Then other VMs may still reach them. */
+    isCutOff(service: string): boolean {
+        const ready = this.options.directory.list().filter(instance =>
+            instance.service === service && instance.state === "ready"
+        );
+        return ready.filter(({ id }) => this.health.isUnreachable(id)).length * 2 > ready.length;
+    }
+
     /** Dispatches every waiting request that can be placed now, for example after a load report of another VM. */
     dispatchAllQueues(): void {
         this.queues.forEach((unused, service) => this.dispatchQueue(service));
@@ -232,7 +254,7 @@
         this.options.rateLimits.recordDispatch(instance);
         this.health.recordDispatch(instance.id);
         this.options.versions.recordDispatch(instance);
-        return Placement.create({
+        return InstancePlacement.create({
             timers: this.options.timers,
             loads: this.loads,
             rateLimits: this.options.rateLimits,
--- a/packages/wigeonpulley/src/placement/placement.ts
+++ b/packages/wigeonpulley/src/placement/placement.ts
@@ -1,4 +1,4 @@
-/** The slot that one request holds on an instance. */
+/** Where one request is sent, and the slot that it holds there. */
 import type { Instance } from "../discovery/index.js";
 import type { TimerService } from "../time/index.js";
 import type { RequestOutcome } from "./instance-health.js";
@@ -11,8 +11,35 @@
  */
 export type ReleaseOutcome = RequestOutcome | "full" | undefined;
 
-/** Options of a placement. */
-export interface PlacementOptions {
+/** Holds a slot until `release` is called. */
+export abstract class Placement {
+    /** Instance that gets the request, or the VM that passes it on, at its address for requests of other VMs. */
+    abstract get instance(): Instance;
+
+    /** True when the request goes to another VM, which passes it on to an instance. */
+    abstract get isPeer(): boolean;
+
+    /** Expected time from dispatch to the first event or response, in milliseconds. */
+    abstract get predictedMs(): number;
+
+    /** Records the rate limit that the instance named in its response; undefined when it named none. */
+    abstract recordRateLimit(limitPerS: number | undefined): void;
+
+    /** Records that the first event of the response has arrived. */
+    abstract recordFirstEvent(): void;
+
+    /** Records how many events the stream has had so far. */
+    abstract recordEvents(count: number): void;
+
+    /** Records that the whole response of a plain service has arrived. */
+    abstract recordResponse(): void;
+
+    /** Releases the slot; further calls have no effect. */
+    abstract release(outcome: ReleaseOutcome, reason: string): void;
+}
+
+/** Options of a slot on an instance. */
+export interface InstancePlacementOptions {
     readonly timers: TimerService;
     readonly loads: InstanceLoads;
     readonly rateLimits: InstanceRateLimits;
@@ -26,40 +53,41 @@
     readonly onRelease: (outcome: ReleaseOutcome, reason: string, firstEventMs: number | undefined) => void;
 }
 
-/** Holds a slot until `release` is called. */
-export class Placement {
+/** A slot on an instance. */
+export class InstancePlacement extends Placement {
     private readonly startedAt: number;
     private isReleased = false;
     private isPrefillPending = true;
     private firstEventAt: number | undefined;
 
-    private constructor(private readonly options: PlacementOptions) {
+    private constructor(private readonly options: InstancePlacementOptions) {
+        super();
         this.startedAt = options.timers.now();
     }
 
     /** Creates a placement that starts now. */
-    static create(options: PlacementOptions): Placement {
-        return new Placement(options);
+    static create(options: InstancePlacementOptions): InstancePlacement {
+        return new InstancePlacement(options);
     }
 
-    /** Instance whose slot is held. */
-    get instance(): Instance {
+    override get instance(): Instance {
         return this.options.instance;
     }
 
-    /** Expected time from dispatch to the first event or response, in milliseconds. */
-    get predictedMs(): number {
+    override get isPeer(): boolean {
+        return false;
+    }
+
+    override get predictedMs(): number {
         return this.options.predictedMs;
     }
 
-    /** Records the rate limit that the instance named in its response; undefined when it named none. */
-    recordRateLimit(limitPerS: number | undefined): void {
+    override recordRateLimit(limitPerS: number | undefined): void {
         const { rateLimits, instance } = this.options;
         rateLimits.recordResponse(instance, limitPerS, this.startedAt);
     }
 
-    /** Records that the first event of the response has arrived. */
-    recordFirstEvent(): void {
+    override recordFirstEvent(): void {
         if (this.isPrefillPending) {
             const { timers, loads, instance, pendingPromptTokens, uncachedTokens } = this.options;
             this.finishPrefill();
@@ -72,22 +100,19 @@
         }
     }
 
-    /** Records how many events the stream has had so far. */
-    recordEvents(count: number): void {
+    override recordEvents(count: number): void {
         if (this.firstEventAt !== undefined) {
             const { timers, loads, instance } = this.options;
             loads.getLatencyModel(instance).observeEvents(count - 1, timers.now() - this.firstEventAt);
         }
     }
 
-    /** Records that the whole response of a plain service has arrived. */
-    recordResponse(): void {
+    override recordResponse(): void {
         const { timers, loads, instance } = this.options;
         loads.getLatencyModel(instance).observeResponse(timers.now() - this.startedAt);
     }
 
-    /** Releases the slot; further calls have no effect. */
-    release(outcome: ReleaseOutcome, reason: string): void {
+    override release(outcome: ReleaseOutcome, reason: string): void {
         if (!this.isReleased) {
             this.isReleased = true;
             this.finishPrefill();
--- a/packages/wigeonpulley/src/routed-vm/daemon.ts
+++ b/packages/wigeonpulley/src/routed-vm/daemon.ts
@@ -58,6 +58,7 @@
         metrics,
         adapter: options.createAdapter(timers),
         transport,
+        peerKey,
         peers: ConnectPeerTransport.create(settings.name, peerKey, {
             isCountingGossip: false,
             add: (kind, bytes) => metrics.recordControlBytes(kind, bytes),
--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -1,7 +1,14 @@
 /** Wires the parts of a VM for routed traffic: configuration, instances, placement, quotas, rollouts and forwarding. */
 import type { Server } from "node:net";
 import { type Instance, InstanceDirectory } from "../discovery/index.js";
-import { AdmissionCheck, type EndpointTransport, Forwarder, FrontServer } from "../forwarding/index.js";
+import {
+    AdmissionCheck,
+    type EndpointTransport,
+    Forwarder,
+    FrontServer,
+    PeerSelector,
+    type RequestPeer,
+} from "../forwarding/index.js";
 import type { MemberDigest } from "../gen/wigeonpulley/peer/v1/peer_pb.js";
 import type { EventLogger } from "../logging/index.js";
 import { MembershipService } from "../membership/index.js";
@@ -33,6 +40,8 @@
     readonly adapter: PlatformAdapter;
     readonly transport: EndpointTransport;
     readonly peers: GossipTransport;
+    /** Key that all VMs share. */
+    readonly peerKey: string;
 }
 
 /** Interval of the regular gossip, in milliseconds. */
@@ -67,6 +76,8 @@
     readonly membership: MembershipService;
     readonly forwarder: Forwarder;
     readonly frontServer: FrontServer;
+    /** Takes requests that other VMs pass on; undefined when this VM takes none. */
+    private readonly peerRequestServer: FrontServer | undefined;
     readonly quotaLimiter: SharedQuotaLimiter;
     readonly rollouts: RolloutService;
     readonly quarantine: Quarantine;
@@ -129,7 +140,11 @@
             rollouts: this.rollouts,
         });
         this.forwarder = this.createForwarder();
-        this.frontServer = this.createFrontServer();
+        this.frontServer = this.createFrontServer(settings.listen.callers, undefined);
+        const { peerRequests } = settings.listen;
+        this.peerRequestServer = peerRequests === undefined
+            ? undefined
+            : this.createFrontServer(peerRequests, options.peerKey);
     }
 
     /** Creates a VM that has not joined the system yet. */
@@ -146,7 +161,7 @@
     /** Starts reading the store and serving callers; `listener` may already listen on their address. */
     async startServing(listener?: Server): Promise<void> {
         this.startReading();
-        await this.frontServer.listen(listener);
+        await Promise.all([this.frontServer.listen(listener), this.peerRequestServer?.listen()]);
     }
 
     /**
@@ -200,14 +215,14 @@
         const { timers, logger } = this.options;
         const deadline = timers.now() + this.bounds.graceS * MS_PER_S - SHUTDOWN_RESERVE_MS;
         this.isStopping = true;
-        logger.write("VmStopping", { open: this.frontServer.openRequestCount });
-        this.frontServer.startDraining();
+        logger.write("VmStopping", { open: this.openRequestCount });
+        this.listServers().forEach(server => server.startDraining());
         void this.membership.announceLeaving();
         await timers.sleep(READINESS_PROPAGATION_MS);
-        this.frontServer.stopAccepting();
+        this.listServers().forEach(server => server.stopAccepting());
         const limit = new AbortController();
         const isGraceful = await Promise.race([
-            this.frontServer.waitUntilIdle().then(() => true),
+            Promise.all(this.listServers().map(server => server.waitUntilIdle())).then(() => true),
             timers.sleep(deadline - timers.now(), limit.signal).then(() => false),
         ]);
         limit.abort();
@@ -215,8 +230,8 @@
             logger.write("VmStopped", {});
         }
         else {
-            logger.write("StopLimitReached", { open: this.frontServer.openRequestCount });
-            this.frontServer.cancelAll();
+            logger.write("StopLimitReached", { open: this.openRequestCount });
+            this.listServers().forEach(server => server.cancelAll());
         }
         this.stopTasks();
         return isGraceful;
@@ -246,7 +261,7 @@
                 version: this.activeConfiguration.routeTable?.configuration.version,
                 ageMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined,
             },
-            openRequests: this.frontServer.openRequestCount,
+            openRequests: this.openRequestCount,
             members: this.membership.listMembers().map(({ entry, isLive, isLeaving }) => ({
                 vm: entry.name,
                 dataCentre: entry.dataCentre,
@@ -263,6 +278,26 @@
         };
     }
 
+    private get openRequestCount(): number {
+        return this.listServers().reduce((sum, server) => sum + server.openRequestCount, 0);
+    }
+
+    private listServers(): readonly FrontServer[] {
+        return this.peerRequestServer === undefined
+            ? [this.frontServer]
+            : [this.frontServer, this.peerRequestServer];
+    }
+
+    /** Returns the other live VMs that take requests, at the addresses that they announce themselves. */
+    private listRequestPeers(): readonly RequestPeer[] {
+        return this.membership.listLive().flatMap(entry => {
+            const port = Number(entry.requestAddress?.split(":")[1]);
+            return entry.name === this.options.settings.name || !Number.isInteger(port)
+                ? []
+                : [{ ...entry, host: new URL(entry.peerUrl).hostname, port }];
+        });
+    }
+
     /**
      * Returns the VMs that share the limits of instances: the live ones, unless most seem dead. Then this VM is probably
      * cut off, and the others go on.
@@ -312,6 +347,7 @@
             region: settings.region,
             dataCentre: settings.dataCentre,
             peerUrl: `http://${settings.listen.peers}`,
+            requestAddress: settings.listen.peerRequests,
             state: "live",
         };
         return MembershipService.create({
@@ -339,7 +375,7 @@
     }
 
     private createForwarder(): Forwarder {
-        const { timers, logger, adapter, transport } = this.options;
+        const { settings, timers, random, logger, adapter, transport, peerKey } = this.options;
         return Forwarder.create({
             timers,
             logger,
@@ -348,6 +384,13 @@
             placement: this.placement,
             versions: this.rollouts,
             quarantine: this.quarantine,
+            peers: PeerSelector.create({
+                timers,
+                random,
+                region: settings.region,
+                listPeers: () => this.listRequestPeers(),
+            }),
+            identity: { vm: settings.name, peerKey },
             retryBudget: SharedRetryBudget.create({
                 timers,
                 getLimits: () => ({
@@ -360,10 +403,10 @@
         });
     }
 
-    private createFrontServer(): FrontServer {
+    private createFrontServer(address: string, peerKey: string | undefined): FrontServer {
         const { settings, timers, random, logger, metrics, adapter } = this.options;
-        const { listen, memoryMb, mostDescriptors } = settings;
-        const [host = "", port = "0"] = listen.callers.split(":");
+        const { memoryMb, mostDescriptors } = settings;
+        const [host = "", port = "0"] = address.split(":");
         return FrontServer.create({
             timers,
             random,
@@ -384,6 +427,7 @@
                 getAgeLimits: () => computeAgeLimits(this.bounds),
                 refreshConfiguration: () => this.subscriptions.refreshOperatorRecords(),
             }),
+            peerKey,
         });
     }
 }
--- a/packages/wigeonpulley/test/forwarding/request-traits.test.ts
+++ b/packages/wigeonpulley/test/forwarding/request-traits.test.ts
@@ -28,6 +28,7 @@
         earlierAttemptsMs: 0,
         configurationVersion: 1,
         lifetime: RequestLifetime.create(VirtualTimerService.create(), 1_000),
+        peer: undefined,
         ...fields,
     };
 };
