Gossip with few members at a time

Cause: a VM called two members at random each 500 ms, or four times as often while slots are scarce, and kept a session with a stream open to each member it had ever called: 64 sessions each way at 65 VMs, each with pings every 2 s. Change: a VM calls eight partners, of which one is replaced every 2 s; one that could not be called is tried again first. The stream to a former partner ends after its pending exchange, and its session closes after 5 s. Up to nine VMs nothing changes.

--- a/packages/wigeonpulley/src/membership/index.ts
+++ b/packages/wigeonpulley/src/membership/index.ts
@@ -2,6 +2,7 @@
  * Decides which VMs are live and which of them owns a key.
  * Ownership is only a hint that spreads load; it may not be used where safety needs agreement.
  */
+export { GossipPartners, type GossipPartnersOptions } from "./gossip-partners.js";
 export { isNewerState, type MemberRecord, MemberTable } from "./member-table.js";
 export {
     ConfigurationFreshness,
--- a/packages/wigeonpulley/src/membership/membership-service.ts
+++ b/packages/wigeonpulley/src/membership/membership-service.ts
@@ -18,6 +18,7 @@
 import type { VmList, VmListEntry } from "../platform/index.js";
 import type { RandomSource } from "../random/index.js";
 import { type CancelTimer, ClockReading, type TimerService } from "../time/index.js";
+import { GossipPartners } from "./gossip-partners.js";
 import { isNewerState, MemberTable, resolveEntry } from "./member-table.js";
 
 /** Load reports that VMs send with their digests. */
@@ -108,6 +109,7 @@
 /** Membership as seen by one VM. */
 export class MembershipService {
     private readonly table: MemberTable;
+    private readonly partners: GossipPartners;
     private readonly listeners: (() => void)[] = [];
     private readonly cancelTimers: CancelTimer[] = [];
     private readonly incarnation: bigint;
@@ -125,6 +127,10 @@
         const { name, peerUrl } = options.self;
         this.self = create(MemberStateSchema, { name, peerUrl, incarnation: this.incarnation });
         this.table = MemberTable.create(options.peerTimeoutMs);
+        this.partners = GossipPartners.create({
+            ...options,
+            onDropped: peer => options.transport.releasePeer(peer),
+        });
     }
 
     /** Creates a service that knows only this VM. */
@@ -260,19 +266,13 @@
     }
 
     /**
-     * Exchanges digests with `count` random members; also called between rounds, for example when this VM's load
+     * Exchanges digests with `count` random partners; also called between rounds, for example when this VM's load
      * matters to others.
      */
     gossipWithMembers(count: number): void {
         this.updateConfiguration();
         this.notifyIfChanged();
-        const candidates = this.table.list().flatMap(record => resolveEntry(record) ?? []);
-        for (let call = 0; call < count && candidates.length > 0; call += 1) {
-            const [peer] = candidates.splice(this.options.random.pickInteger(candidates.length), 1);
-            if (peer !== undefined) {
-                void this.gossipWithMember(peer);
-            }
-        }
+        this.partners.pick(this.table.list(), count).forEach(peer => void this.gossipWithMember(peer));
     }
 
     private async gossipWithMember(peer: VmListEntry): Promise<void> {
--- a/packages/wigeonpulley/src/peers/connect-peer-transport.ts
+++ b/packages/wigeonpulley/src/peers/connect-peer-transport.ts
@@ -37,6 +37,8 @@
 import { type GossipHandler, PeerHandler, PeerTransport } from "./peer-transport.js";
 
 const CALL_TIMEOUT_MS = 2_000;
+/** Time after which a session without calls is closed, in milliseconds. */
+const IDLE_SESSION_TIMEOUT_MS = 5_000;
 
 /** Length of the gRPC frame header of each message. */
 const GRPC_FRAME_HEADER_BYTES = 5;
@@ -92,6 +94,11 @@
         return this.getOrCreateChannel(peer).exchangeDigests(digest);
     }
 
+    override releasePeer({ peerUrl }: VmListEntry): void {
+        this.channels.get(peerUrl)?.finish();
+        this.channels.delete(peerUrl);
+    }
+
     override openScheduleStream(
         peer: VmListEntry,
         outgoing: AsyncIterable<GatewayMessage>,
@@ -141,7 +148,10 @@
             // Messages are small: compression costs more processor time than the saved bytes are worth.
             acceptCompression: [],
             interceptors: [createIdentityInterceptor(this.vm, this.key)],
-            sessionManager: new Http2SessionManager(peer.peerUrl, { pingIntervalMs: CALL_TIMEOUT_MS }),
+            sessionManager: new Http2SessionManager(peer.peerUrl, {
+                pingIntervalMs: CALL_TIMEOUT_MS,
+                idleConnectionTimeoutMs: IDLE_SESSION_TIMEOUT_MS,
+            }),
         });
         const client = createClient(PeerService, transport);
         this.clients.set(peer.peerUrl, client);
--- a/packages/wigeonpulley/src/peers/gossip-channel.ts
+++ b/packages/wigeonpulley/src/peers/gossip-channel.ts
@@ -53,6 +53,12 @@
         });
     }
 
+    /** Ends the stream after the pending exchanges. */
+    finish(): void {
+        this.closed = true;
+        this.outgoing.close();
+    }
+
     private async readResponses(client: Client<typeof PeerService>): Promise<void> {
         try {
             for await (const digest of client.gossip(this.outgoing, { signal: this.abort.signal })) {
--- a/packages/wigeonpulley/src/peers/peer-transport.ts
+++ b/packages/wigeonpulley/src/peers/peer-transport.ts
@@ -18,6 +18,12 @@
         peer: VmListEntry,
         digest: MemberDigest,
     ): Promise<Result<MemberDigest, SchedulerError>>;
+
+    /** Closes what is kept open for exchanges with a peer, once the pending ones have ended. By default that is nothing. */
+    // eslint-disable-next-line @typescript-eslint/no-unused-vars -- overriding methods use it
+    releasePeer(peer: VmListEntry): void {
+        // Nothing is kept open.
+    }
 }
 
 /** Transport of all calls to other VMs. */
