Send brittle instances no more than they have room for

Operators reported servers that say in all their answers how many requests they may turn away in a second, and that fall over for some seconds when it becomes more (LIMIT by falls). Cause: a VM left an instance that had turned a request away alone for 150 ms, and its load reports lag, so several VMs together filled the queue of an instance and were turned away again and again. Change: while an instance names such a number, a VM has at most its part of the slots in flight there, and after a rejection sends it nothing for so long that all VMs together cause half of the number. It is kept beside the rate limits that instances name.

--- a/packages/wigeonpulley/src/forwarding/attempt.ts
+++ b/packages/wigeonpulley/src/forwarding/attempt.ts
@@ -195,8 +195,9 @@
                 hasArrived: true,
             };
         }
-        if (metadata.limitPerS !== undefined || (metadata.isSigned && !metadata.isNotRun)) {
-            placement.recordRateLimit(metadata.limitPerS);
+        const namesLimit = metadata.limitPerS !== undefined || metadata.rejectionsPerS !== undefined;
+        if (namesLimit || (metadata.isSigned && !metadata.isNotRun)) {
+            placement.recordLimits(metadata);
         }
         if (metadata.isNotRun) {
             return { kind: "not-run", reason: `status ${head.status}`, isFull: true, hasArrived: true };
--- a/packages/wigeonpulley/src/forwarding/header-codec.ts
+++ b/packages/wigeonpulley/src/forwarding/header-codec.ts
@@ -56,6 +56,8 @@
     readonly isMisdirected: boolean;
     /** Requests a second that the endpoint takes from all VMs together; undefined when it names no limit. */
     readonly limitPerS: number | undefined;
+    /** Requests that the endpoint may turn away in a second without failing; undefined when it names no number. */
+    readonly rejectionsPerS: number | undefined;
 }
 
 /** Headers by lower-case name, as undici gives them. */
--- a/packages/wigeonpulley/src/forwarding/peer-selector.ts
+++ b/packages/wigeonpulley/src/forwarding/peer-selector.ts
@@ -128,8 +128,8 @@
         return -1;
     }
 
-    override recordRateLimit(): void {
-        // The VM that sends the request to the instance keeps the limit.
+    override recordLimits(): void {
+        // The VM that sends the request to the instance keeps the limits.
     }
 
     override recordFirstEvent(): void {
--- a/packages/wigeonpulley/src/logging/event-catalogue.ts
+++ b/packages/wigeonpulley/src/logging/event-catalogue.ts
@@ -238,6 +238,12 @@
         ({ id, service, to }) =>
             `request ${id} is passed on to ${to}, because this VM reaches too few instances of ${service}`,
     ),
+    InstanceBrittle: defineEvent<{ instance: string; rejectionsPerS: number; before: number; }>(
+        512,
+        "info",
+        ({ instance, rejectionsPerS, before }) =>
+            `instance ${instance} may turn away ${rejectionsPerS} requests a second, ${before} before (-1: any number)`,
+    ),
     InstanceSeen: defineEvent<
         { instance: string; service: string; address: string; state: string; version: string; }
     >(
--- a/packages/wigeonpulley/src/placement/index.ts
+++ b/packages/wigeonpulley/src/placement/index.ts
@@ -10,6 +10,7 @@
     InstanceRateLimits,
     type InstanceRateLimitsOptions,
     type LimitReport,
+    type NamedLimits,
 } from "./instance-rate-limits.js";
 export { PeerLoadReports } from "./peer-load-reports.js";
 export { NoPeerLoads, PeerLoads } from "./peer-loads.js";
--- a/packages/wigeonpulley/src/placement/instance-chooser.ts
+++ b/packages/wigeonpulley/src/placement/instance-chooser.ts
@@ -164,7 +164,7 @@
             && versions.canUse(instance, request.isCanary)
             && health.canUse(instance.id)
             && !loads.isFull(instance.id)
-            && rateLimits.canSend(instance);
+            && rateLimits.canSend(instance, loads.countInFlight(instance.id));
     }
 
     /** Expected time to the first event or response when `tokens` have to be prefilled first, in milliseconds. */
--- a/packages/wigeonpulley/src/placement/instance-rate-limits.ts
+++ b/packages/wigeonpulley/src/placement/instance-rate-limits.ts
@@ -2,12 +2,21 @@
  * Keeps the rate limits that instances name in their responses, over all VMs together. A few VMs, chosen by rendezvous
  * hashing, share the rate in equal parts, each in a token bucket of one request; the others send the instance nothing. Every
  * VM computes this by itself, so no call between VMs is needed before a request. That a limit exists and that it ended is
- * gossiped.
+ * gossiped. Brittle instances are kept in a part of their own.
  */
 import { hashIncarnation, type Instance } from "../discovery/index.js";
 import { hashText } from "../hashing/index.js";
 import type { EventLogger } from "../logging/index.js";
 import type { TimerService } from "../time/index.js";
+import { BrittleInstances } from "./brittle-instances.js";
+
+/** What an instance names in a response. */
+export interface NamedLimits {
+    /** Requests a second from all VMs together; undefined when it names none. */
+    readonly limitPerS: number | undefined;
+    /** Requests that it may turn away in a second without failing; undefined when it names none. */
+    readonly rejectionsPerS: number | undefined;
+}
 
 /** State of one instance's limit, as VMs report it to each other. */
 export interface LimitReport {
@@ -64,15 +73,28 @@
     private otherVms: readonly string[] = [];
     private vmsListedAt = Number.NEGATIVE_INFINITY;
 
-    private constructor(private readonly options: InstanceRateLimitsOptions) {}
+    private readonly brittle: BrittleInstances;
+
+    private constructor(private readonly options: InstanceRateLimitsOptions) {
+        this.brittle = BrittleInstances.create({
+            ...options,
+            countVms: () => this.listOtherVms().length + 1,
+        });
+    }
 
     /** Creates an empty set of limits. */
     static create(options: InstanceRateLimitsOptions): InstanceRateLimits {
         return new InstanceRateLimits(options);
     }
 
-    /** True when the instance names no limit, or when this VM's part of it allows a request now. */
-    canSend(instance: Instance): boolean {
+    /**
+     * True when the instance names no limit, or when this VM's part of it allows a request now. `inFlight` is the number
+     * of requests that this VM has there.
+     */
+    canSend(instance: Instance, inFlight = 0): boolean {
+        if (!this.brittle.canSend(instance, inFlight)) {
+            return false;
+        }
         if (this.limits.size === 0) {
             return true;
         }
@@ -93,11 +115,17 @@
         }
     }
 
+    /** Records that the instance turned a request away for want of room. */
+    recordRejection(instance: Instance): void {
+        this.brittle.recordRejection(instance);
+    }
+
     /**
-     * Records the limit in a response that has just been received; undefined when the response names none. That ends a
-     * limit only if the request was sent after the limit was last named, since responses overtake each other.
+     * Records the limits in a response that has just been received. A response that names none ends a limit only if its
+     * request was sent after the limit was last named, since responses overtake each other.
      */
-    recordResponse(instance: Instance, limitPerS: number | undefined, sentAt: number): void {
+    recordResponse(instance: Instance, { limitPerS, rejectionsPerS }: NamedLimits, sentAt: number): void {
+        this.brittle.recordResponse(instance, rejectionsPerS, sentAt);
         const key = hashIncarnation(instance);
         const known = this.limits.get(key);
         if (limitPerS === undefined && (known === undefined || sentAt < known.observedAt)) {
@@ -139,6 +167,7 @@
 
     /** Forgets the limits of instances that are gone. */
     retain(instances: readonly Instance[]): void {
+        this.brittle.retain(instances);
         const oldestObservedAt = this.options.timers.now() - MAX_UNKNOWN_AGE_MS;
         const keys = new Set(this.limits.size === 0 ? [] : instances.map(hashIncarnation));
         for (const [key, { observedAt }] of this.limits) {
--- a/packages/wigeonpulley/src/placement/placement-service.ts
+++ b/packages/wigeonpulley/src/placement/placement-service.ts
@@ -282,6 +282,9 @@
     private release(instance: Instance, outcome: ReleaseOutcome, reason: string): void {
         const { id, service } = instance;
         this.loads.release(instance, outcome === "full");
+        if (outcome === "full") {
+            this.options.rateLimits.recordRejection(instance);
+        }
         if (outcome === undefined || outcome === "full") {
             this.health.recordInconclusive(id);
         }
@@ -324,7 +327,9 @@
             instances: usable.length,
             inFlight: usable.reduce((sum, instance) => sum + this.chooser.countInFlight(instance), 0),
             places: usable.reduce((sum, { slots }) => sum + slots, 0),
-            limited: usable.filter(instance => !this.options.rateLimits.canSend(instance)).length,
+            limited: usable.filter(instance =>
+                !this.options.rateLimits.canSend(instance, this.loads.countInFlight(instance.id))
+            ).length,
         });
     }
 
--- a/packages/wigeonpulley/src/placement/placement.ts
+++ b/packages/wigeonpulley/src/placement/placement.ts
@@ -3,7 +3,7 @@
 import type { TimerService } from "../time/index.js";
 import type { RequestOutcome } from "./instance-health.js";
 import type { InstanceLoads } from "./instance-loads.js";
-import type { InstanceRateLimits } from "./instance-rate-limits.js";
+import type { InstanceRateLimits, NamedLimits } from "./instance-rate-limits.js";
 
 /**
  * How a request ended when its slot is released: "full" when the instance refused it as full, undefined when it tells
@@ -22,8 +22,8 @@
     /** Expected time from dispatch to the first event or response, in milliseconds. */
     abstract get predictedMs(): number;
 
-    /** Records the rate limit that the instance named in its response; undefined when it named none. */
-    abstract recordRateLimit(limitPerS: number | undefined): void;
+    /** Records the limits that the instance named in its response. */
+    abstract recordLimits(limits: NamedLimits): void;
 
     /** Records that the first event of the response has arrived. */
     abstract recordFirstEvent(): void;
@@ -82,9 +82,9 @@
         return this.options.predictedMs;
     }
 
-    override recordRateLimit(limitPerS: number | undefined): void {
+    override recordLimits(limits: NamedLimits): void {
         const { rateLimits, instance } = this.options;
-        rateLimits.recordResponse(instance, limitPerS, this.startedAt);
+        rateLimits.recordResponse(instance, limits, this.startedAt);
     }
 
     override recordFirstEvent(): void {
--- a/packages/wigeonpulley/test/placement/instance-rate-limits.test.ts
+++ b/packages/wigeonpulley/test/placement/instance-rate-limits.test.ts
@@ -6,6 +6,7 @@
     type Instance,
     InstanceRateLimits,
     MemorySink,
+    type NamedLimits,
     VirtualTimerService,
 } from "wigeonpulley";
 import { computeAllowedRequests } from "../fixtures/limited-engines.js";
@@ -16,6 +17,11 @@
 const WINDOW_MS = 4_000;
 const STEP_MS = 20;
 
+const createNamedLimits = (limitPerS: number | undefined): NamedLimits => ({
+    limitPerS,
+    rejectionsPerS: undefined,
+});
+
 const createVms = (count: number, timers = VirtualTimerService.create()) => {
     const logger = EventLogger.create(MemorySink.create());
     const names = Array.from({ length: count }, (unused, index) => `vm-${index + 1}`);
@@ -55,7 +61,7 @@
     readPropertyParameters(15),
 )("however many VMs there are, they keep the limit together", async (vmCount, limitPerS) => {
     const system = createVms(vmCount);
-    system.vms.forEach(limits => limits.recordResponse(INSTANCE, limitPerS, 0));
+    system.vms.forEach(limits => limits.recordResponse(INSTANCE, createNamedLimits(limitPerS), 0));
     // All buckets are full when the requests begin.
     system.vms.forEach(limits => limits.canSend(INSTANCE));
     await system.timers.advance(60_000);
@@ -69,7 +75,7 @@
 
 test("an instance without a limit may always be sent to", () => {
     const { limits } = createVm();
-    limits.recordResponse(INSTANCE, undefined, 0);
+    limits.recordResponse(INSTANCE, createNamedLimits(undefined), 0);
     expect(limits.canSend(INSTANCE)).toBe(true);
 });
 
@@ -77,28 +83,28 @@
 test("a response without a limit ends it only if its request was sent after the limit was last named", async () => {
     const { timers, limits } = createVm();
     await timers.advance(1_000);
-    limits.recordResponse(INSTANCE, 1, 900);
-    limits.recordResponse(INSTANCE, undefined, 950);
+    limits.recordResponse(INSTANCE, createNamedLimits(1), 900);
+    limits.recordResponse(INSTANCE, createNamedLimits(undefined), 950);
     expect(limits.canSend(INSTANCE)).toBe(false);
-    limits.recordResponse(INSTANCE, undefined, 1_000);
+    limits.recordResponse(INSTANCE, createNamedLimits(undefined), 1_000);
     expect(limits.canSend(INSTANCE)).toBe(true);
 });
 
 test("the next incarnation of an instance is not bound by the limit of the previous one", () => {
     const { limits } = createVm();
-    limits.recordResponse(INSTANCE, 1, 0);
+    limits.recordResponse(INSTANCE, createNamedLimits(1), 0);
     expect(limits.canSend({ ...INSTANCE, bornMs: 5 })).toBe(true);
 });
 
 test("a limit of no requests at all leaves a few, so that its end is noticed", async () => {
     const system = createVms(1);
-    system.vms.forEach(limits => limits.recordResponse(INSTANCE, 0, 0));
+    system.vms.forEach(limits => limits.recordResponse(INSTANCE, createNamedLimits(0), 0));
     expect(await sendAll(system, INSTANCE, 60_000)).toHaveLength(5);
 });
 
 test("a VM keeps a limit that another one reports, and forgets it when the instance is gone", async () => {
     const { timers, vms: [left, right] } = createVms(2);
-    left?.recordResponse(INSTANCE, 1, 0);
+    left?.recordResponse(INSTANCE, createNamedLimits(1), 0);
     right?.applyReports(left?.listReports() ?? [], undefined);
     expect(right?.canSend(INSTANCE)).toBe(false);
     await timers.advance(60_000);
@@ -110,7 +116,7 @@
 test("the end of a limit in a report counts from the time of asking, and not at all if the report came unasked", async () => {
     const { timers, limits } = createVm();
     await timers.advance(1_000);
-    limits.recordResponse(INSTANCE, 1, 900);
+    limits.recordResponse(INSTANCE, createNamedLimits(1), 900);
     const report = { instance: hashIncarnation(INSTANCE), limitPerS: undefined, ageMs: 0 };
     await timers.advance(500);
     limits.applyReports([report], undefined);
