--- a/packages/wigeonpulley/test/forwarding/forwarder.test.ts
+++ b/packages/wigeonpulley/test/forwarding/forwarder.test.ts
@@ -82,6 +82,16 @@
     expect(["i-1", "i-2"].map(instance => placement.countInFlight(instance))).toEqual([0, 0]);
 });
 
+test("a refusal that an instance repeats on a kept connection proves nothing about the next request", async () => {
+    const { timers, transport, serve } = createForwarding({
+        script: () => [{ kind: "head", status: 503, headers: { "x-not-run": "1", "x-id": "r-0" } }],
+    });
+    const { summary, view } = serve({ kind: "once", maxAttempts: 3 });
+    expect(await timers.runUntilSettled(summary, LIMIT_MS)).toMatchObject({ mayHaveRun: true });
+    expect(transport.dispatches).toHaveLength(1);
+    expect(view.status).toBe(502);
+});
+
 test("a 503 without proof that the request did not run is not relayed", async () => {
     const { timers, serve } = createForwarding({ script: () => createSignedResponse("busy", 503) });
     const { summary, view } = serve({ kind: "once" });
