--- a/packages/wigeonpulley/test/forwarding/forwarder.test.ts
+++ b/packages/wigeonpulley/test/forwarding/forwarder.test.ts
@@ -82,6 +82,26 @@
     expect(["i-1", "i-2"].map(instance => placement.countInFlight(instance))).toEqual([0, 0]);
 });
 
+test("a request whose caller leaves while it waits for a slot is not sent", async () => {
+    const { timers, transport, serve } = createForwarding({
+        instances: [createInstance({ slots: 1 })],
+        script: () => createSignedResponse("done", 200, 500),
+    });
+    const earlier = Array.from({ length: 5 }, () => serve({}));
+    const last = serve({});
+    await timers.advance(100);
+    const dispatchedBefore = transport.dispatches.length;
+    last.lifetime.cancel("caller-gone");
+    expect(await timers.runUntilSettled(last.summary, LIMIT_MS)).toMatchObject({
+        outcome: "RequestCancelled",
+        mayHaveRun: false,
+    });
+    await timers.runUntilSettled(Promise.all(earlier.map(({ summary }) => summary)), LIMIT_MS);
+    await timers.advance(1_000);
+    expect(dispatchedBefore).toBeLessThan(earlier.length);
+    expect(transport.dispatches.length).toBeLessThanOrEqual(earlier.length);
+});
+
 test("a refusal that an instance repeats on a kept connection proves nothing about the next request", async () => {
     const { timers, transport, serve } = createForwarding({
         script: () => [{ kind: "head", status: 503, headers: { "x-not-run": "1", "x-id": "r-0" } }],
--- a/packages/wigeonpulley/test/forwarding/undici-transport.test.ts
+++ b/packages/wigeonpulley/test/forwarding/undici-transport.test.ts
@@ -204,3 +204,13 @@
     await closed;
     expect(errors).toEqual(["ECONNRESET"]);
 });
+
+test("a request that is aborted while its connection opens is not sent", async () => {
+    const heads: string[] = [];
+    const endpoint = await start((socket, head) => void heads.push(head));
+    const exchange = createTransport().send(endpoint.instance, GET);
+    exchange.abort("caller-gone");
+    expect(await readResponse(exchange)).toMatchObject({ failure: "caller-gone", mayHaveRun: false });
+    await new Promise(resolve => setTimeout(resolve, 100));
+    expect(heads).toEqual([]);
+});
