Send fewer, fuller digests between many VMs

While slots are scarce each VM called two members each 150 ms, though what a call costs is mostly the call and not the reports in it.

--- a/packages/wigeonpulley/src/placement/peer-load-reports.ts
+++ b/packages/wigeonpulley/src/placement/peer-load-reports.ts
@@ -14,7 +14,7 @@
 /** Age up to which a report is forwarded, in milliseconds. */
 const MAX_FORWARD_AGE_MS = 1_000;
 /** Maximum number of reports forwarded with one call; bounds its size. */
-const MAX_FORWARDED_REPORTS = 8;
+const MAX_FORWARDED_REPORTS = 16;
 
 interface ReceivedReport {
     readonly report: LoadReport;
--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -48,10 +48,13 @@
 const HEARTBEAT_MS = 500;
 /**
  * Faster gossip while slots are scarce, since an engine's slot is held for only about a second: interval in
- * milliseconds, and number of members called each time.
+ * milliseconds, and number of members called each time. Among many members one call is enough, since each call brings
+ * news of several members and costs more than the reports that it carries.
  */
 const CONTENDED_GOSSIP_INTERVAL_MS = 150;
 const CONTENDED_GOSSIP_FANOUT = 2;
+const CONTENDED_GOSSIP_FANOUT_AMONG_MANY = 1;
+const MANY_MEMBERS = 16;
 const PEER_TIMEOUT_MS = 2_000;
 const VM_LIST_POLL_MS = 8_000;
 /** Longest time for which a VM that has just started waits for its configuration before it joins the others. */
@@ -180,7 +183,11 @@
             CONTENDED_GOSSIP_INTERVAL_MS,
             () => {
                 if (this.placement.isContended()) {
-                    this.membership.gossipWithMembers(CONTENDED_GOSSIP_FANOUT);
+                    this.membership.gossipWithMembers(
+                        this.membership.memberCount < MANY_MEMBERS
+                            ? CONTENDED_GOSSIP_FANOUT
+                            : CONTENDED_GOSSIP_FANOUT_AMONG_MANY,
+                    );
                 }
             },
         );
