--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -141,6 +141,7 @@
             activeConfiguration: this.activeConfiguration,
             directory: this.directory,
             rollouts: this.rollouts,
+            drainMs: this.bounds.drainMs,
         });
         this.forwarder = this.createForwarder();
         this.frontServer = this.createFrontServer(settings.listen.callers, undefined);
--- a/packages/wigeonpulley/src/routed-vm/store-subscriptions.ts
+++ b/packages/wigeonpulley/src/routed-vm/store-subscriptions.ts
@@ -17,12 +17,17 @@
     readonly activeConfiguration: ActiveConfiguration;
     readonly directory: InstanceDirectory;
     readonly rollouts: RolloutService;
+    /** Time within which a leaving instance gets no more requests, in milliseconds. */
+    readonly drainMs: number;
 }
 
 /** Long-poll time of the operators' records, in milliseconds. */
 const OPERATOR_LONG_POLL_MS = 4_000;
-/** Pause between reads of the instances, in milliseconds; their records change too often for a long poll. */
-const INSTANCE_PAUSE_MS = 1_000;
+/**
+ * Pause between reads of the instances, as a share of the time within which a leaving one gets no more requests. Their
+ * records change too often for a long poll.
+ */
+const INSTANCE_PAUSE_SHARE = 0.4;
 
 /** Subscriptions of one VM. */
 export class StoreSubscriptions {
@@ -110,7 +115,7 @@
     }
 
     private createInstanceFollower(): TopicFollower {
-        const { adapter, directory } = this.options;
+        const { adapter, directory, drainMs } = this.options;
         const parseAll = (records: readonly KeyedRecord[]): readonly InstanceChange[] =>
             records.map(record => ({ id: record.key, instance: this.parseInstance(record) }));
         return TopicFollower.create({
@@ -118,7 +123,7 @@
             store: adapter.store,
             topic: "instances",
             longPollMs: 0,
-            pauseMs: INSTANCE_PAUSE_MS,
+            pauseMs: drainMs * INSTANCE_PAUSE_SHARE,
             listener: {
                 applySnapshot: (records, isRestored) =>
                     directory.applySnapshot(parseAll(records), isRestored),
