Resume a stream through another VM after its last event

Cause: a stream that had begun at an instance and was passed on to another VM lost its Last-Event-Id, since the header is replaced by the VM that sends to an instance, and the headers for another VM had no place for it. The stream was run again from its start; callers saw each event once, since repeated ones are dropped. Change: the headers for another VM carry the last event. Result: 'a stream that loses its instance is resumed through another VM after its last event' failed before and passes.

--- a/packages/wigeonpulley/src/forwarding/attempt.ts
+++ b/packages/wigeonpulley/src/forwarding/attempt.ts
@@ -141,7 +141,11 @@
         headers.push(
             ...(placement.isPeer
                 ? [
-                    ...codec.createPeerHeaders({ deadlineMs, key: request.metadata.key }),
+                    ...codec.createPeerHeaders({
+                        deadlineMs,
+                        key: request.metadata.key,
+                        lastEventId: relay.lastEventId,
+                    }),
                     ...createPeerHeaders(this.startedAt - request.arrivedAt + request.earlierAttemptsMs),
                 ]
                 : codec.createDispatchHeaders({
--- a/packages/wigeonpulley/src/forwarding/header-codec.ts
+++ b/packages/wigeonpulley/src/forwarding/header-codec.ts
@@ -43,6 +43,8 @@
     readonly deadlineMs: number;
     /** Key of the caller; the other VM checks it again. */
     readonly key: string | undefined;
+    /** Event after which the stream is to be resumed; undefined leaves the caller's header. */
+    readonly lastEventId: string | undefined;
 }
 
 /** Metadata of an endpoint's response. */
--- /dev/null
+++ b/packages/wigeonpulley/test/forwarding/passed-on-requests.test.ts
@@ -0,0 +1,119 @@
+import { expect, test } from "vitest";
+import type { RequestPeer } from "wigeonpulley";
+import {
+    createForwarding,
+    createSignedHead,
+    createSignedResponse,
+    createStreamEvent,
+} from "../fixtures/forwarding-fixture.js";
+import type { ScriptedStep } from "../fixtures/scripted-transport.js";
+
+const LIMIT_MS = 30_000;
+const PEERS: readonly RequestPeer[] = ["vm-2", "vm-3"].map((name, index) => ({
+    name,
+    dataCentre: "south-1",
+    region: "south",
+    host: "127.0.0.1",
+    port: index + 1,
+}));
+const UNREACHABLE: readonly ScriptedStep[] = [{ kind: "fail", mayHaveRun: false }];
+const STREAM = {
+    kind: "stream",
+    isResumable: true,
+    maxAttempts: 2,
+    targetLatencyMs: 800,
+    gapTargetMs: 300,
+    timeoutMs: 15_000,
+} as const;
+
+/** A forwarder that has noticed that it reaches no instance; `steps` are the response of each other VM from then on. */
+const createCutOff = async (steps: readonly ScriptedStep[]) => {
+    let hasNoticed = false;
+    const forwarding = createForwarding({
+        peers: PEERS,
+        script: ({ id }) => {
+            if (!id.startsWith("vm:")) {
+                return UNREACHABLE;
+            }
+            return hasNoticed ? steps : createSignedResponse("noticed");
+        },
+    });
+    const { timers, transport, serve } = forwarding;
+    await timers.runUntilSettled(serve({}).summary, LIMIT_MS);
+    hasNoticed = true;
+    transport.dispatches.length = 0;
+    return forwarding;
+};
+
+const listDispatched = ({ transport }: Awaited<ReturnType<typeof createCutOff>>): readonly string[] =>
+    transport.dispatches.map(({ instance }) => instance);
+
+test("a request that one VM can't serve goes to the next one, each of them once", async () => {
+    const cutOff = await createCutOff([
+        { kind: "head", status: 503, headers: { "x-vm-error": "EndpointUnreachable" } },
+        { kind: "end" },
+    ]);
+    const { summary, view } = cutOff.serve({ kind: "once" });
+    expect(await cutOff.timers.runUntilSettled(summary, LIMIT_MS)).toMatchObject({ mayHaveRun: false });
+    expect(listDispatched(cutOff).filter(id => id.startsWith("vm:")).toSorted()).toEqual([
+        "vm:vm-2",
+        "vm:vm-3",
+    ]);
+    expect(view.status).toBe(503);
+    expect(view.headers.has("retry-after")).toBe(true);
+});
+
+test("the refusal of a VM without a free slot is passed on with its time to retry", async () => {
+    const cutOff = await createCutOff([
+        { kind: "head", status: 503, headers: { "x-vm-error": "Overloaded", "retry-after": "0.70" } },
+        { kind: "end" },
+    ]);
+    const { summary, view } = cutOff.serve({ kind: "once" });
+    await cutOff.timers.runUntilSettled(summary, LIMIT_MS);
+    expect(listDispatched(cutOff)).toHaveLength(1);
+    expect(view).toMatchObject({ status: 503 });
+    expect(view.headers.get("retry-after")).toBe("0.70");
+});
+
+test.each([
+    ["is lost", [{ kind: "fail", mayHaveRun: true }] satisfies readonly ScriptedStep[]],
+    [
+        "fails at its instance",
+        [
+            { kind: "head", status: 502, headers: { "x-vm-error": "EndpointFailed" } },
+            { kind: "end" },
+        ] satisfies readonly ScriptedStep[],
+    ],
+])("a request that was passed on and %s is not sent again", async (name, steps) => {
+    const cutOff = await createCutOff(steps);
+    const { summary, view } = cutOff.serve({ kind: "idempotent", maxAttempts: 3 });
+    expect(await cutOff.timers.runUntilSettled(summary, LIMIT_MS)).toMatchObject({ mayHaveRun: true });
+    expect(listDispatched(cutOff)).toHaveLength(1);
+    expect(view.status).toBe(502);
+});
+
+test("a stream that loses its instance is resumed through another VM after its last event", async () => {
+    const { timers, transport, serve } = createForwarding({
+        peers: PEERS,
+        script: ({ id }, count) => {
+            if (id.startsWith("vm:")) {
+                return [createSignedHead(), createStreamEvent(3), { kind: "end" }];
+            }
+            return count === 1
+                ? [createSignedHead(), createStreamEvent(1), createStreamEvent(2), {
+                    kind: "fail",
+                    mayHaveRun: true,
+                    afterMs: 500,
+                }]
+                : UNREACHABLE;
+        },
+    });
+    const stream = serve(STREAM);
+    await timers.advance(100);
+    await timers.runUntilSettled(Promise.all([serve({}).summary, serve({}).summary]), 300);
+    await timers.runUntilSettled(stream.summary, LIMIT_MS);
+    const last = transport.dispatches.findLast(({ instance }) => instance.startsWith("vm:"));
+    expect(last?.request.headers.slice(-8)).toEqual(expect.arrayContaining(["x-last", "2"]));
+    expect(stream.view).toMatchObject({ isComplete: true });
+    expect([...stream.view.body.matchAll(/piece (\d)/g)].map(([, piece]) => piece)).toEqual(["1", "2", "3"]);
+});
