Don't pass on a request whose caller has left

Cause: the way through another VM passed by the check for cancelled requests, which followed the wait for a slot only. Change: one check after either way, before anything is sent. Result: 'a request whose caller has left is not passed on' failed before and passes.

--- a/packages/wigeonpulley/src/forwarding/forwarder.ts
+++ b/packages/wigeonpulley/src/forwarding/forwarder.ts
@@ -130,7 +130,6 @@
         };
         for (;;) {
             const placement = this.findQuarantineError(progress)
-                ?? this.acquireWhenCutOff(request, progress)
                 ?? await this.acquireUnlessObsolete(request, progress);
             if (placement instanceof SchedulerError) {
                 return this.finishWithError(
@@ -175,12 +174,12 @@
             }, { retryAfterMs: placement.computeRetryAfterMs(request.lifetime.remainingMs) });
     }
 
-    /** Waits for an instance; meanwhile the request may be cancelled, or one of its traits quarantined. */
+    /** Finds where to send the request; meanwhile it may be cancelled, or one of its traits quarantined. */
     private async acquireUnlessObsolete(
         request: RoutedRequest,
         progress: RequestProgress,
     ): Promise<Placement | SchedulerError> {
-        const placement = await this.acquire(request, progress);
+        const placement = this.acquireWhenCutOff(request, progress) ?? await this.acquire(request, progress);
         const { cancelReason } = request.lifetime;
         const error = cancelReason === undefined
             ? this.findQuarantineError(progress)
--- a/packages/wigeonpulley/test/forwarding/passed-on-requests.test.ts
+++ b/packages/wigeonpulley/test/forwarding/passed-on-requests.test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from "vitest";
-import type { RequestPeer } from "wigeonpulley";
+import { RequestLifetime, type RequestPeer } from "wigeonpulley";
 import {
     createForwarding,
     createSignedHead,
@@ -48,6 +48,16 @@
 const listDispatched = ({ transport }: Awaited<ReturnType<typeof createCutOff>>): readonly string[] =>
     transport.dispatches.map(({ instance }) => instance);
 
+// Guards against GONE: the way through another VM must not pass by the check for callers that have left.
+test("a request whose caller has left is not passed on", async () => {
+    const cutOff = await createCutOff(createSignedResponse("too late"));
+    const lifetime = RequestLifetime.create(cutOff.timers, cutOff.timers.now() + LIMIT_MS);
+    lifetime.cancel("caller-gone");
+    const { summary } = cutOff.serve({}, { lifetime });
+    expect(await cutOff.timers.runUntilSettled(summary, LIMIT_MS)).toMatchObject({ mayHaveRun: false });
+    expect(listDispatched(cutOff)).toEqual([]);
+});
+
 test("a request that one VM can't serve goes to the next one, each of them once", async () => {
     const cutOff = await createCutOff([
         { kind: "head", status: 503, headers: { "x-vm-error": "EndpointUnreachable" } },
