Take no requests of other VMs while this VM itself is late, and leave out only VMs that can't serve a service

Cause: three gaps of the way through other VMs, found by reading. A VM that is late for its own callers took on what others passed on. A caller that sent the VMs' own headers had them sent along twice, so that every VM refused its request. Change: a VM whose event loop took more than 250 ms to poll refuses requests of other VMs as not run; only errors that hold for any request of the service leave a VM out; the VMs' own headers of a caller are dropped when its request is passed on.

--- a/packages/wigeonpulley/src/forwarding/attempt.ts
+++ b/packages/wigeonpulley/src/forwarding/attempt.ts
@@ -14,7 +14,7 @@
 } from "./endpoint-transport.js";
 import type { HeaderCodec } from "./header-codec.js";
 import { listForwardedRequestHeaders } from "./hop-by-hop.js";
-import { VM_ERROR_HEADER } from "./peer-headers.js";
+import { removePeerHeaders, VM_ERROR_HEADER } from "./peer-headers.js";
 import type { ResponseWriter } from "./response-writer.js";
 import { computeCallerTimeoutMs, isRetryable, type RoutedRequest } from "./routed-request.js";
 import type { StreamRelay } from "./stream-relay.js";
@@ -26,8 +26,8 @@
     | {
         readonly kind: "not-run";
         readonly reason: string;
-        /** True when the instance refused it for lack of capacity, false when the instance was not reached. */
-        readonly isFull: boolean;
+        /** Whether the target refused it for lack of capacity or could not serve any, or neither. */
+        readonly cause: "full" | "unreachable" | "request";
         /** False when the request never left this VM. */
         readonly hasArrived: boolean;
         /** Time after which a VM that was asked instead of the instance wants the caller to retry, in milliseconds. */
@@ -78,6 +78,16 @@
 const HTTP_SERVER_ERROR = 500;
 /** Statuses that tell a caller that its request did not run. Without a proof they are not forwarded. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
+/** Errors by which another VM says that it can't serve any request for the service now. */
+const UNABLE_PEER_ERRORS: ReadonlySet<ErrorName> = new Set([
+    "ConfigurationStale",
+    "ConfigurationUnavailable",
+    "EndpointUnreachable",
+    "NoEndpoint",
+    "NotPermitted",
+    "Stopping",
+    "TooManyStreams",
+]);
 /** Errors of another VM that any VM would respond with. */
 const FINAL_PEER_ERRORS: ReadonlySet<ErrorName> = new Set([
     "Overloaded",
@@ -134,7 +144,7 @@
     private send(): EndpointExchange {
         const { codec, transport, request, placement, relay, createPeerHeaders } = this.options;
         const headers = listForwardedRequestHeaders(
-            request.rawHeaders,
+            placement.isPeer ? removePeerHeaders(request.rawHeaders) : request.rawHeaders,
             name => codec.isReserved(name) || (relay.lastEventId !== undefined && name === "last-event-id"),
         );
         const deadlineMs = Math.max(1, Math.floor(request.lifetime.remainingMs));
@@ -195,7 +205,7 @@
             return {
                 kind: "not-run",
                 reason: "another instance has the address",
-                isFull: false,
+                cause: "unreachable",
                 hasArrived: true,
             };
         }
@@ -204,7 +214,7 @@
             placement.recordLimits(metadata);
         }
         if (metadata.isNotRun) {
-            return { kind: "not-run", reason: `status ${head.status}`, isFull: true, hasArrived: true };
+            return { kind: "not-run", reason: `status ${head.status}`, cause: "full", hasArrived: true };
         }
         if (!metadata.isSigned) {
             return createFailedOutcome(`status ${head.status} without a signature`);
@@ -360,7 +370,7 @@
     private createExchangeOutcome({ mayHaveRun, isConnectionLost, reason }: ExchangeFailure): AttemptOutcome {
         return mayHaveRun
             ? createFailedOutcome(reason, isConnectionLost)
-            : { kind: "not-run", reason, isFull: false, hasArrived: false };
+            : { kind: "not-run", reason, cause: "unreachable", hasArrived: false };
     }
 
     /** Returns the outcome that placement records; undefined when a cancelled request says nothing about the instance. */
@@ -375,7 +385,7 @@
             case "answered":
                 return "success";
             case "not-run":
-                return outcome.isFull ? "full" : "unreachable";
+                return outcome.cause === "request" ? undefined : outcome.cause;
             case "failed":
                 return "failure";
         }
@@ -394,7 +404,11 @@
         ? {
             kind: "not-run",
             reason,
-            isFull: FINAL_PEER_ERRORS.has(name),
+            cause: FINAL_PEER_ERRORS.has(name)
+                ? "full"
+                : UNABLE_PEER_ERRORS.has(name)
+                ? "unreachable"
+                : "request",
             hasArrived: false,
             retryAfterMs: Number.isFinite(retryAfterS) ? retryAfterS * MILLISECONDS_PER_SECOND : undefined,
         }
--- a/packages/wigeonpulley/src/forwarding/forwarder.ts
+++ b/packages/wigeonpulley/src/forwarding/forwarder.ts
@@ -305,7 +305,7 @@
         if (cancelReason !== undefined) {
             return this.finishWithError(writer, progress, this.createCancelError(cancelReason, progress));
         }
-        if (isNotRun && progress.isAtPeer && outcome.isFull) {
+        if (isNotRun && progress.isAtPeer && outcome.cause === "full") {
             const { retryAfterMs = this.options.placement.computeRetryAfterMs() } = outcome;
             return this.finishWithError(
                 writer,
--- a/packages/wigeonpulley/src/forwarding/front-server.ts
+++ b/packages/wigeonpulley/src/forwarding/front-server.ts
@@ -43,6 +43,18 @@
     readonly peerKey?: string | undefined;
 }
 
+/** A request that has been read and admitted. */
+interface ReceivedRequest {
+    readonly message: IncomingMessage;
+    readonly metadata: RequestMetadata;
+    readonly admitted: AdmittedRequest;
+    readonly body: Buffer | undefined;
+    /** Monotonic time of arrival, in milliseconds. */
+    readonly arrivedAt: number;
+    /** VM that passed it on; undefined when a caller sent it to this VM. */
+    readonly origin: PeerRequestOrigin | undefined;
+}
+
 /** Interval at which Node checks connections for request heads that exceed their timeout. */
 const CONNECTION_CHECK_INTERVAL_MS = 500;
 /** Connections that the operating system accepts while this process is busy. */
@@ -51,6 +63,8 @@
 const INITIAL_MAX_HEADER_BYTES = 16_384;
 /** Retry-After of requests that this VM itself can't serve, whatever their route. */
 const RETRY_AFTER_MS = 500;
+/** Delay of the event loop above which this VM takes no requests of other VMs: it is late for its own callers. */
+const MAX_PEER_LOOP_DELAY_MS = 250;
 
 /** HTTP server for callers, or for other VMs that pass on requests of their callers. */
 export class FrontServer {
@@ -212,17 +226,35 @@
             );
             return;
         }
-        const readAt = this.options.timers.now();
-        await waitForPendingInput();
-        const loopDelayMs = this.options.timers.now() - readAt;
-        const request = this.createRequest(
+        const received: ReceivedRequest = {
             message,
-            metadata.value,
-            admitted.value,
-            body.value,
+            metadata: metadata.value,
+            admitted: admitted.value,
+            body: body.value,
             arrivedAt,
             origin,
-        );
+        };
+        await this.serveAdmitted(received, response, writer);
+    }
+
+    private async serveAdmitted(
+        received: ReceivedRequest,
+        response: ServerResponse,
+        writer: ResponseWriter,
+    ): Promise<void> {
+        const { timers, maxOpenRequests } = this.options;
+        const { message, metadata, admitted, origin } = received;
+        const readAt = timers.now();
+        await waitForPendingInput();
+        const loopDelayMs = timers.now() - readAt;
+        if (origin !== undefined && loopDelayMs > MAX_PEER_LOOP_DELAY_MS) {
+            const error = SchedulerError.create("TooManyStreams", { limit: maxOpenRequests }, {
+                retryAfterMs: RETRY_AFTER_MS,
+            });
+            this.refuse(writer, metadata.attemptId, admitted.route.name, error);
+            return;
+        }
+        const request = this.createRequest(received);
         this.lifetimes.add(request.lifetime);
         cancelWhenCallerLeaves(request, message, response);
         try {
@@ -284,13 +316,9 @@
     }
 
     private createRequest(
-        message: IncomingMessage,
-        metadata: RequestMetadata,
-        { table, route, workspace }: AdmittedRequest,
-        body: Buffer | undefined,
-        arrivedAt: number,
-        origin: PeerRequestOrigin | undefined,
+        { message, metadata, admitted, body, arrivedAt, origin }: ReceivedRequest,
     ): RoutedRequest {
+        const { table, route, workspace } = admitted;
         const { timers, random } = this.options;
         const limitMs = Math.min(route.timeoutMs, metadata.deadlineMs ?? route.timeoutMs);
         const service = selectTarget(route, random.pickFraction());
--- a/packages/wigeonpulley/test/forwarding/passed-on-requests.test.ts
+++ b/packages/wigeonpulley/test/forwarding/passed-on-requests.test.ts
@@ -73,6 +73,25 @@
     expect(view.headers.has("retry-after")).toBe(true);
 });
 
+test("a request that a VM refuses for its own sake takes that VM away from no other request", async () => {
+    const cutOff = await createCutOff([
+        { kind: "head", status: 401, headers: { "x-vm-error": "UnknownCaller" } },
+        { kind: "end" },
+    ]);
+    await cutOff.timers.runUntilSettled(cutOff.serve({}).summary, LIMIT_MS);
+    const before = listDispatched(cutOff).length;
+    await cutOff.timers.runUntilSettled(cutOff.serve({}).summary, LIMIT_MS);
+    expect(listDispatched(cutOff).slice(before).some(id => id.startsWith("vm:"))).toBe(true);
+});
+
+test("a caller can't set the headers by which VMs recognise each other", async () => {
+    const cutOff = await createCutOff(createSignedResponse("served"));
+    const rawHeaders = ["Host", "wax.example", "X-Peer-Key", "guessed", "X-VM-Name", "vm-9"];
+    await cutOff.timers.runUntilSettled(cutOff.serve({}, { rawHeaders }).summary, LIMIT_MS);
+    expect(cutOff.transport.dispatches[0]?.request.headers).not.toEqual(expect.arrayContaining(["guessed"]));
+    expect(cutOff.transport.dispatches[0]?.request.headers).not.toEqual(expect.arrayContaining(["vm-9"]));
+});
+
 test("the refusal of a VM without a free slot is passed on with its time to retry", async () => {
     const cutOff = await createCutOff([
         { kind: "head", status: 503, headers: { "x-vm-error": "Overloaded", "retry-after": "0.70" } },
