Count what other VMs reported before a workspace's first request

Cause: a VM kept what the others report of a workspace only from that workspace's first request on. At that request all other VMs counted as ones that may have used their whole part of the bound, 0.89 of it among 65 VMs, so a request of more than 0.014 of the bound was refused, at each VM and for each workspace until the others had reported again. Change: the last report of each VM is kept and applied when a workspace is first seen, with the time at which it arrived.

--- a/packages/wigeonpulley/src/quotas/shared-quota-limiter.ts
+++ b/packages/wigeonpulley/src/quotas/shared-quota-limiter.ts
@@ -62,9 +62,18 @@
     readonly usage: UsageTracker;
 }
 
+/** What another VM reported last. */
+interface PeerReport {
+    readonly incarnation: bigint;
+    readonly usageByWorkspace: ReadonlyMap<string, WorkspaceUsage>;
+    readonly receivedAt: number;
+}
+
 /** Quota limiter of one VM. */
 export class SharedQuotaLimiter extends QuotaLimiter {
     private readonly buckets = new Map<string, Bucket>();
+    /** By the name of the VM. */
+    private readonly peerReports = new Map<string, PeerReport>();
     private report: { readonly validUntil: number; readonly usage: readonly WorkspaceUsage[]; } | undefined;
 
     private constructor(private readonly options: SharedQuotaLimiterOptions) {
@@ -133,12 +142,13 @@
 
     /** Applies another VM's report; a workspace that is missing from it counts as unused there. */
     applyPeerUsage(vm: string, incarnation: bigint, reports: readonly WorkspaceUsage[]): void {
-        const { windowMs } = this.options.getTolerance();
-        const usageByWorkspace = new Map(reports.map(usage => [usage.workspace, usage]));
-        for (const [workspace, bucket] of this.buckets) {
-            const usage = usageByWorkspace.get(workspace) ?? this.createUnused(workspace, bucket);
-            bucket.usage.applyPeerReport(vm, incarnation, usage, windowMs);
-        }
+        const report: PeerReport = {
+            incarnation,
+            usageByWorkspace: new Map(reports.map(usage => [usage.workspace, usage])),
+            receivedAt: this.options.timers.now(),
+        };
+        this.peerReports.set(vm, report);
+        this.buckets.forEach((bucket, workspace) => this.applyPeerReport(vm, report, workspace, bucket));
     }
 
     private computeUsage(): readonly WorkspaceUsage[] {
@@ -180,9 +190,38 @@
             usage: UsageTracker.create(this.options.timers),
         };
         this.buckets.set(workspace, bucket);
+        this.applyEarlierReports(workspace, bucket);
         return bucket;
     }
 
+    /** Without what the other VMs reported before, each of them would count as one that may have used its whole part. */
+    private applyEarlierReports(workspace: string, bucket: Bucket): void {
+        const oldest = this.options.timers.now() - this.options.getTolerance().windowMs;
+        for (const [vm, report] of this.peerReports) {
+            if (report.receivedAt < oldest) {
+                this.peerReports.delete(vm);
+            }
+            else {
+                this.applyPeerReport(vm, report, workspace, bucket);
+            }
+        }
+    }
+
+    private applyPeerReport(
+        vm: string,
+        { incarnation, usageByWorkspace, receivedAt }: PeerReport,
+        workspace: string,
+        bucket: Bucket,
+    ): void {
+        bucket.usage.applyPeerReport(
+            vm,
+            incarnation,
+            usageByWorkspace.get(workspace) ?? this.createUnused(workspace, bucket),
+            receivedAt,
+            this.options.getTolerance().windowMs,
+        );
+    }
+
     private refill(bucket: Bucket): void {
         const now = this.options.timers.now();
         const rate = this.computeRate(bucket);
--- a/packages/wigeonpulley/src/quotas/usage-tracker.ts
+++ b/packages/wigeonpulley/src/quotas/usage-tracker.ts
@@ -45,8 +45,13 @@
     }
 
     /** Applies what another VM reported; usage that a restarted VM has lost still counts for a window. */
-    applyPeerReport(vm: string, incarnation: bigint, usage: WorkspaceUsage, windowMs: number): void {
-        const receivedAt = this.timers.now();
+    applyPeerReport(
+        vm: string,
+        incarnation: bigint,
+        usage: WorkspaceUsage,
+        receivedAt: number,
+        windowMs: number,
+    ): void {
         const previous = this.peers.get(vm);
         const lost = previous === undefined || previous.incarnation === incarnation
             ? previous?.lost ?? { units: 0, receivedAt }
