--- a/packages/wigeonpulley/src/forwarding/attempt.ts
+++ b/packages/wigeonpulley/src/forwarding/attempt.ts
@@ -1,10 +1,10 @@
 /** One attempt: a request sent to one instance, and the relay of its response to the caller. */
-import { errorCatalogue, type ErrorName, isErrorName } from "../errors/index.js";
 import type { EventLogger } from "../logging/index.js";
 import type { Placement, RequestOutcome } from "../placement/index.js";
 import type { Quarantine } from "../quarantine/index.js";
 import type { TimerService } from "../time/index.js";
 import { AttemptEvidence } from "./attempt-evidence.js";
+import { type AttemptOutcome, createFailedOutcome } from "./attempt-outcome.js";
 import {
     type EndpointExchange,
     type EndpointTransport,
@@ -14,35 +14,12 @@
 } from "./endpoint-transport.js";
 import type { HeaderCodec } from "./header-codec.js";
 import { listForwardedRequestHeaders } from "./hop-by-hop.js";
-import { removePeerHeaders, VM_ERROR_HEADER } from "./peer-headers.js";
+import { removePeerHeaders } from "./peer-headers.js";
+import { findPeerError } from "./peer-response.js";
 import type { ResponseWriter } from "./response-writer.js";
 import { computeCallerTimeoutMs, isRetryable, type RoutedRequest } from "./routed-request.js";
 import type { StreamRelay } from "./stream-relay.js";
 
-/** How an attempt ended. */
-export type AttemptOutcome =
-    | { readonly kind: "answered"; readonly status: number; }
-    /** The endpoint provably did not run the request. */
-    | {
-        readonly kind: "not-run";
-        readonly reason: string;
-        /** Whether the target refused it for lack of capacity or could not serve any, or neither. */
-        readonly cause: "full" | "unreachable" | "request";
-        /** False when the request never left this VM. */
-        readonly hasArrived: boolean;
-        /** Time after which a VM that was asked instead of the instance wants the caller to retry, in milliseconds. */
-        readonly retryAfterMs?: number | undefined;
-    }
-    | {
-        readonly kind: "failed";
-        readonly reason: string;
-        readonly status: number;
-        /** True when the endpoint closed the connection before its response was complete. */
-        readonly isConnectionLost: boolean;
-        /** Sends the endpoint's own error response to the caller; undefined when there is none. */
-        readonly forwardResponse: (() => void) | undefined;
-    };
-
 /** Dependencies of an attempt. */
 export interface AttemptOptions {
     readonly timers: TimerService;
@@ -78,23 +55,6 @@
 const HTTP_SERVER_ERROR = 500;
 /** Statuses that tell a caller that its request did not run. Without a proof they are not forwarded. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
-/** Errors by which another VM says that it can't serve any request for the service now. */
-const UNABLE_PEER_ERRORS: ReadonlySet<ErrorName> = new Set([
-    "ConfigurationStale",
-    "ConfigurationUnavailable",
-    "EndpointUnreachable",
-    "NoEndpoint",
-    "NotPermitted",
-    "Stopping",
-    "TooManyStreams",
-]);
-/** Errors of another VM that any VM would respond with. */
-const FINAL_PEER_ERRORS: ReadonlySet<ErrorName> = new Set([
-    "Overloaded",
-    "PromptQuarantined",
-    "RequestQuarantined",
-]);
-const MILLISECONDS_PER_SECOND = 1_000;
 const BODILESS_STATUSES = new Set([204, 304]);
 
 /** One attempt. */
@@ -392,35 +352,4 @@
     }
 }
 
-/** Returns the outcome of an error that another VM itself responded with; undefined for an instance's response. */
-const findPeerError = ({ status, headers }: ResponseHead): AttemptOutcome | undefined => {
-    const name = headers[VM_ERROR_HEADER];
-    if (typeof name !== "string" || !isErrorName(name)) {
-        return undefined;
-    }
-    const reason = `the other VM failed: ${name}`;
-    const retryAfterS = Number(headers["retry-after"]);
-    return errorCatalogue[name].notRun
-        ? {
-            kind: "not-run",
-            reason,
-            cause: FINAL_PEER_ERRORS.has(name)
-                ? "full"
-                : UNABLE_PEER_ERRORS.has(name)
-                ? "unreachable"
-                : "request",
-            hasArrived: false,
-            retryAfterMs: Number.isFinite(retryAfterS) ? retryAfterS * MILLISECONDS_PER_SECOND : undefined,
-        }
-        : createFailedOutcome(`${reason}, status ${status}`);
-};
-
-const createFailedOutcome = (reason: string, isConnectionLost = false): AttemptOutcome => ({
-    kind: "failed",
-    reason,
-    status: 0,
-    isConnectionLost,
-    forwardResponse: undefined,
-});
-
 const isSuccess = (status: number): boolean => status >= HTTP_OK && status < HTTP_REDIRECT;
--- a/packages/wigeonpulley/src/forwarding/forwarder.ts
+++ b/packages/wigeonpulley/src/forwarding/forwarder.ts
@@ -8,7 +8,8 @@
 import type { Quarantine } from "../quarantine/index.js";
 import type { TimerService } from "../time/index.js";
 import type { RetryBudget } from "./admission-limits.js";
-import { Attempt, type AttemptOutcome } from "./attempt.js";
+import { type AttemptOutcome } from "./attempt-outcome.js";
+import { Attempt } from "./attempt.js";
 import type { EndpointTransport } from "./endpoint-transport.js";
 import type { HeaderCodec } from "./header-codec.js";
 import { createPeerHeaders } from "./peer-headers.js";
--- a/packages/wigeonpulley/src/forwarding/index.ts
+++ b/packages/wigeonpulley/src/forwarding/index.ts
@@ -9,7 +9,8 @@
     type RequestTarget,
 } from "./admission-check.js";
 export { QuotaLimiter, type QuotaState, RetryBudget } from "./admission-limits.js";
-export { Attempt, type AttemptOptions, type AttemptOutcome } from "./attempt.js";
+export { type AttemptOutcome } from "./attempt-outcome.js";
+export { Attempt, type AttemptOptions } from "./attempt.js";
 export { CallerRetryDetector } from "./caller-retry-detector.js";
 export { ConnectionPool, type ConnectionPoolOptions } from "./connection-pool.js";
 export {
--- a/packages/wigeonpulley/src/forwarding/peer-headers.ts
+++ b/packages/wigeonpulley/src/forwarding/peer-headers.ts
@@ -9,7 +9,7 @@
 
 const PEER_HEADERS = new Set([VM_HEADER, PEER_KEY_HEADER, ELAPSED_HEADER]);
 
-/** What a VM tells about a request that it passes on. */
+/** Origin of a request that another VM has passed on. */
 export interface PeerRequestOrigin {
     /** Name of the VM that passes the request on. */
     readonly vm: string;
--- a/packages/wigeonpulley/src/forwarding/response-writer.ts
+++ b/packages/wigeonpulley/src/forwarding/response-writer.ts
@@ -17,8 +17,8 @@
     ) {}
 
     /**
-     * Creates a writer for a response that has not started; `isDraining` tells it to close the connection. To another
-     * VM it names its errors, so that they can't be taken for responses of an endpoint.
+     * Creates a writer for a response that has not started; the connection is closed after it while `isDraining` returns
+     * true. Errors for another VM carry their names, so that they can't be taken for responses of an endpoint.
      */
     static create(response: ServerResponse, isDraining: () => boolean, isForPeer = false): ResponseWriter {
         return new ResponseWriter(response, isDraining, isForPeer);
--- a/packages/wigeonpulley/test/quotas/first-requests.test.ts
+++ b/packages/wigeonpulley/test/quotas/first-requests.test.ts
@@ -5,7 +5,7 @@
 const OTHER_USAGE = { workspace: "other", keptPerS: 100, demandPerS: 100, usedUnits: 100, knownUnits: 100 };
 const LARGE_REQUEST = 30_000;
 
-/** A limiter that has heard of other VMs; none of them has used the quota of the workspace "new". */
+/** A limiter with reports of other VMs, none of which has used the quota of the workspace "new". */
 const createLimiter = (vmCount: number, reportingCount: number) => {
     const timers = VirtualTimerService.create();
     const limiter = SharedQuotaLimiter.create({
