--- a/packages/wigeonpulley/src/forwarding/peer-response.ts
+++ b/packages/wigeonpulley/src/forwarding/peer-response.ts
@@ -1,4 +1,4 @@
-/** Tells the errors of a VM that a request was passed on to from the responses of instances. */
+/** Distinguishes errors of another VM from responses of instances that it relays. */
 import { errorCatalogue, type ErrorName, isErrorName } from "../errors/index.js";
 import { type AttemptOutcome, createFailedOutcome } from "./attempt-outcome.js";
 import type { ResponseHead } from "./endpoint-transport.js";
