--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -65,6 +65,7 @@
         this.storePort = storePort;
         this.folder = mkdtempSync(join(tmpdir(), "review-"));
         this.children = [];
+        this.isEnded = false;
     }
 
     /** Starts one VM; resolves at once. */
@@ -85,22 +86,45 @@
             .replace(":9464", `:${metrics}`);
         const path = join(this.folder, `${name}.json`);
         writeFileSync(path, text);
-        const [program, ...words] = run;
+        const vm = { name, front, ready, control, run, path, log: "", child: undefined, exit: undefined };
+        this.startProcess(vm);
+        return vm;
+    }
+
+    /** Starts the process of a VM, also again after it has ended. */
+    startProcess(vm) {
+        const [program, ...words] = vm.run;
         const child = spawn(program, words, {
             cwd: ROOT,
-            env: { PATH: process.env.PATH, HOME: process.env.HOME, WIGEONPULLEY_CONFIG: path },
+            env: { PATH: process.env.PATH, HOME: process.env.HOME, WIGEONPULLEY_CONFIG: vm.path },
             stdio: ["ignore", "pipe", "pipe"],
         });
-        const vm = { name, child, front, ready, control, log: "", exit: undefined };
+        vm.child = child;
+        vm.exit = undefined;
         child.stdout.on("data", data => vm.log += data);
         child.stderr.on("data", data => vm.log += data);
         child.once("exit", (code, signal) => vm.exit = { code, signal, at: performance.now() });
         this.children.push(child);
-        return vm;
+    }
+
+    /** Restarts a process that ends, after a short delay, as the platform does. */
+    keepRunning(vm, delayMs, onEnd) {
+        vm.child.once("exit", (code, signal) => {
+            if (!this.isEnded) {
+                onEnd(code, signal);
+                setTimeout(() => {
+                    if (!this.isEnded) {
+                        this.startProcess(vm);
+                        this.keepRunning(vm, delayMs, onEnd);
+                    }
+                }, delayMs);
+            }
+        });
     }
 
     /** Ends every process that was started, and removes the folder. */
     end() {
+        this.isEnded = true;
         this.children.filter(child => (child.exitCode ?? child.signalCode ?? undefined) === undefined)
             .forEach(child => child.kill("SIGKILL"));
         rmSync(this.folder, { recursive: true, force: true });
--- a/review/lib/traffic.mjs
+++ b/review/lib/traffic.mjs
@@ -57,41 +57,53 @@
     ...fields,
 });
 
-/** Sends one request on a new connection; resolves with the status, or 0 when the connection ended first. */
-export const send = ({ port, path, id, method = "POST", deadlineMs, headers = {}, body = "" }) =>
-    new Promise(resolve => {
-        const sentAt = performance.now();
-        let status = 0;
-        let bytes = 0;
-        const finish = isComplete =>
-            resolve({
-                id,
-                status: isComplete ? status : 0,
-                headStatus: status,
-                bytes,
-                isComplete,
-                tookMs: performance.now() - sentAt,
-            });
-        const request = sendRequest({
-            host: HOST,
-            port,
-            path,
-            method,
-            agent: false,
-            headers: {
-                "host": CALLERS_HOST,
-                "x-wigeonpulley-attempt-id": id,
-                "x-wigeonpulley-deadline-ms": deadlineMs,
-                "content-length": Buffer.byteLength(body),
-                ...headers,
-            },
-        }, response => {
-            status = response.statusCode;
-            response.on("data", chunk => bytes += chunk.length);
-            response.on("end", () => finish(response.complete));
-            response.on("error", () => finish(false));
+/** Sends one request, on a new connection unless there is an agent; resolves with the status, or 0 when the connection ended first. */
+export const send = (
+    {
+        port,
+        path,
+        id,
+        method = "POST",
+        deadlineMs,
+        patienceMs = deadlineMs + 1_000,
+        headers = {},
+        body = "",
+        agent = false,
+    },
+) => new Promise(resolve => {
+    const sentAt = performance.now();
+    let status = 0;
+    let bytes = 0;
+    const finish = isComplete =>
+        resolve({
+            id,
+            status: isComplete ? status : 0,
+            headStatus: status,
+            bytes,
+            isComplete,
+            isOnKeptConnection: request.reusedSocket,
+            tookMs: performance.now() - sentAt,
         });
-        request.on("error", () => finish(false));
-        request.setTimeout(deadlineMs + 1_000, () => request.destroy());
-        request.end(body);
+    const request = sendRequest({
+        host: HOST,
+        port,
+        path,
+        method,
+        agent,
+        headers: {
+            "host": CALLERS_HOST,
+            "x-wigeonpulley-attempt-id": id,
+            "x-wigeonpulley-deadline-ms": deadlineMs,
+            "content-length": Buffer.byteLength(body),
+            ...headers,
+        },
+    }, response => {
+        status = response.statusCode;
+        response.on("data", chunk => bytes += chunk.length);
+        response.on("end", () => finish(response.complete));
+        response.on("error", () => finish(false));
     });
+    request.on("error", () => finish(false));
+    request.setTimeout(patienceMs, () => request.destroy());
+    request.end(body);
+});
