--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,114 +1,182 @@
-// A machine gets SIGTERM while it answers its first requests after a start, and the platform's store is slow.
-import { Deployment, sleep } from "../lib/deployment.mjs";
+// A server spoils the first line of a few of its answers. No machine may end by that, and with it the requests that it has
+// passed on to sound servers.
+import { Agent } from "node:http";
+import { Deployment, sleep, waitUntilReady } from "../lib/deployment.mjs";
 import { Store } from "../lib/store.mjs";
 import { CALLERS_HOST, createEntry, Record, send, startServer } from "../lib/traffic.mjs";
 
 const HAS_TROUBLE = process.env.TROUBLE !== "0";
-const SERVICE = "floor-app";
-const USUAL_STORE_MS = 4;
-/** The pages name 60 times as long for this site, in the list of its disruptions. */
-const STORE_MS = HAS_TROUBLE ? USUAL_STORE_MS * 60 : USUAL_STORE_MS;
-const DEADLINE_MS = 1_500;
-const SEND_INTERVAL_MS = 50;
-const STARTS = 6;
-const WORK_MS = 60;
-/** Time from the first request that a server runs to SIGTERM. */
-const STOP_AFTER_MS = 100;
-const CYCLE_MS = 3_000;
-const GRACE_MS = 8_000;
+/** The dose of the trouble: its share of the servers, its part of their answers, and its length: two times 6 s. */
+const FAULTY_SERVERS = 2;
+const SPOILED_EACH = 20;
+const TROUBLE_MS = 12_000;
+const CONTACT_MS = 4_000;
+const AFTERWARDS_MS = 3_000;
+const RESTART_MS = 300;
+const ZONES = ["hobart-a", "launceston-a", "huon-b"];
+const SETTLES_PER_S = 17.6;
+const BRIEFS_PER_S = 32.7;
+const SETTLE_DEADLINE_MS = 1_500;
+const BRIEF_DEADLINE_MS = 15_000;
+const FIRST_EVENT_MS = 400;
+const EVENT_MS = 50;
+const EVENTS = 30;
+/** The rule allows three. */
+const MOST_LOST = 3;
 
 const record = new Record("record.txt");
-/** Time at which a server began to run a request, by its id. */
-const runAtById = new Map();
+/** Server that ran a request, by its id. */
+const serverById = new Map();
+const faultyIds = new Set();
+const answers = [];
 let sentCount = 0;
-let notifyRun = () => undefined;
+let isTrouble = false;
+let ends = 0;
 
-const run = (request, response) => {
-    const id = request.headers["x-wigeonpulley-attempt-id"];
-    runAtById.set(id, performance.now());
-    record.write(`${id} run`);
-    notifyRun();
-    setTimeout(() => {
-        record.write(`${id} ended with 200`);
-        response.end("done");
-    }, WORK_MS);
+const createRoute = (name, kind, service, timeoutMs) => ({
+    name,
+    host: CALLERS_HOST,
+    path_prefix: `/${name}/`,
+    route_type: kind,
+    timeout_ms: timeoutMs,
+    target_latency_ms: name === "settle" ? 171 : 800,
+    priority: 1,
+    service,
+    max_attempts: 1,
+    public_access: true,
+});
+
+/** Sends an answer whose status line holds bytes that no status line may hold; all else is as it should be. */
+const sendSpoiled = (request, id) => {
+    const bytes = Buffer.from(
+        [
+            "HTTP/1.1 200 O\u0001K",
+            `X-Wigeonpulley-Attempt-Id: ${request.headers["x-wigeonpulley-attempt-id"]}`,
+            `X-Wigeonpulley-Server-Seal: seal-of-${id}`,
+            "Content-Length: 4",
+            "",
+            "done",
+        ].join("\r\n"),
+        "latin1",
+    );
+    request.socket.end(bytes);
 };
 
-const sendOne = async (vm, answers) => {
+const startOrderServer = async (id, isFaulty) => {
+    let answerCount = 0;
+    return startServer(id, (request, response) => {
+        const attempt = request.headers["x-wigeonpulley-attempt-id"];
+        serverById.set(attempt, id);
+        setTimeout(() => {
+            answerCount += isTrouble ? 1 : 0;
+            if (isFaulty && isTrouble && answerCount % SPOILED_EACH === 0) {
+                record.write(`${attempt} answered by ${id} with a spoiled status line`);
+                sendSpoiled(request, id);
+                return;
+            }
+            response.end("done");
+        }, 10 + 20 * Math.random());
+    });
+};
+
+const startModelServer = id =>
+    startServer(id, async (request, response) => {
+        serverById.set(request.headers["x-wigeonpulley-attempt-id"], id);
+        await sleep(FIRST_EVENT_MS);
+        response.setHeader("content-type", "text/event-stream");
+        for (let index = 0; index < EVENTS; index += 1) {
+            response.write(`id: ${index}\ndata: piece ${index}\n\n`);
+            await sleep(EVENT_MS);
+        }
+        response.end();
+    });
+
+const sendOne = async (vms, agents, route, deadlineMs) => {
     sentCount += 1;
-    const id = `settle-${sentCount}`;
-    record.write(`${id} sent to ${vm.name}`);
+    const id = `${route}-${sentCount}`;
+    const index = sentCount % vms.length;
     const answer = await send({
-        port: vm.front,
-        path: `/settle/${id}`,
+        port: vms[index].front,
+        path: `/${route}/${id}`,
         id,
-        deadlineMs: DEADLINE_MS,
-        body: "amount=1",
+        deadlineMs,
+        patienceMs: deadlineMs,
+        body: "text=1",
+        agent: agents[index],
     });
+    const server = serverById.get(id);
     record.write(
-        `${id} ${answer.isComplete ? `answered ${answer.status}` : "connection ended without an answer"}`,
+        `${id} sent to ${vms[index].name}, run by ${server ?? "none"}, ${
+            answer.isComplete ? `answered ${answer.status}` : `connection ended after ${answer.bytes} bytes`
+        }${answer.isOnKeptConnection ? ", on a kept connection" : ""}`,
     );
-    answers.push({ ...answer, hasRun: runAtById.has(id) });
+    answers.push({ ...answer, server });
 };
 
-/** Starts a machine, sends it requests, and stops it as soon as a server runs one of them; returns the answers. */
-const playStart = async (deployment, index) => {
-    const answers = [];
-    const vm = await deployment.startVm(`vm-${index}`);
-    const firstRun = new Promise(resolve => notifyRun = resolve);
-    const endAt = performance.now() + CYCLE_MS;
-    let stoppedAt;
-    void firstRun.then(() => sleep(STOP_AFTER_MS)).then(() => {
-        if (HAS_TROUBLE) {
-            stoppedAt = performance.now();
-            record.write(`SIGTERM to ${vm.name}`);
-            vm.child.kill("SIGTERM");
-        }
-    });
-    const sending = [];
-    while (performance.now() < endAt && vm.exit === undefined) {
-        sending.push(sendOne(vm, answers));
-        await sleep(SEND_INTERVAL_MS);
-    }
-    await Promise.all(sending);
-    while (stoppedAt !== undefined && vm.exit === undefined && performance.now() < stoppedAt + GRACE_MS) {
-        await sleep(SEND_INTERVAL_MS);
-    }
-    if (vm.exit !== undefined) {
-        const tookMs = Math.round(vm.exit.at - stoppedAt);
-        record.write(
-            `${vm.name} ended ${tookMs} ms after SIGTERM, by ${vm.exit.signal ?? `code ${vm.exit.code}`}`,
-        );
+const sendSteadily = async (perS, isOver, sendNext) => {
+    while (!isOver()) {
+        void sendNext();
+        await sleep(1_000 / perS * (0.5 + Math.random()));
     }
-    return answers;
 };
 
-/**
- * Requests that the rule calls lost: passed on to a server and not answered. Those that were read and not passed on count
- * only if the connection ended later than `loss_slack_ms` after their last byte; none of them is needed here.
- */
-const countLost = answers => answers.filter(({ isComplete, hasRun }) => hasRun && !isComplete).length;
+/** Requests from kept connections that a sound server ran, and that ended without a byte of an answer. */
+const judge = () => {
+    const lost = answers.filter(({ isOnKeptConnection, headStatus, isComplete, server }) =>
+        isOnKeptConnection && !isComplete && headStatus === 0 && server !== undefined
+        && !faultyIds.has(server)
+    );
+    const cut = answers.filter(({ isComplete, headStatus }) => !isComplete && headStatus !== 0);
+    record.write(`processes that ended by themselves: ${ends}`);
+    record.write(`streams cut in the middle: ${cut.length}`);
+    record.write(
+        `sent on a kept connection, passed on to a sound server, not answered (LOST): ${lost.length}`,
+    );
+    return lost.length > MOST_LOST;
+};
+
+const play = async deployment => {
+    const vms = await Promise.all(ZONES.map((zone, index) => deployment.startVm(`vm-${index + 1}`, zone)));
+    if (!(await Promise.all(vms.map(vm => waitUntilReady(vm)))).every(Boolean)) {
+        return 2;
+    }
+    vms.forEach(vm =>
+        deployment.keepRunning(vm, RESTART_MS, (code, signal) => {
+            ends += 1;
+            const reason = /^\w*Error.*$/m.exec(vm.log)?.[0] ?? "";
+            record.write(`${vm.name} ended by itself: ${signal ?? `code ${code}`} ${reason}`);
+        })
+    );
+    const agents = vms.map(() => new Agent({ keepAlive: true }));
+    let isOver = false;
+    const traffic = [
+        sendSteadily(SETTLES_PER_S, () => isOver, () => sendOne(vms, agents, "settle", SETTLE_DEADLINE_MS)),
+        sendSteadily(BRIEFS_PER_S, () => isOver, () => sendOne(vms, agents, "brief", BRIEF_DEADLINE_MS)),
+    ];
+    await sleep(CONTACT_MS + 1_000);
+    isTrouble = HAS_TROUBLE;
+    await sleep(TROUBLE_MS);
+    isTrouble = false;
+    await sleep(AFTERWARDS_MS);
+    isOver = true;
+    await Promise.all(traffic);
+    await sleep(FIRST_EVENT_MS + EVENT_MS * EVENTS + 1_000);
+    return judge() ? 1 : 0;
+};
 
 const main = async () => {
     const store = await new Store().listen();
-    store.answerMs = STORE_MS;
     const deployment = new Deployment(store.port);
-    const server = await startServer("i-1", run);
     store.write("keyed.op", "config", {
         version: 1,
-        routes: [{
-            name: "settle",
-            host: CALLERS_HOST,
-            path_prefix: "/settle/",
-            route_type: "non_idempotent",
-            timeout_ms: DEADLINE_MS,
-            target_latency_ms: 171,
-            priority: 2,
-            service: SERVICE,
-            max_attempts: 1,
-            public_access: true,
-        }],
-        services: [{ name: SERVICE, health_path: "/healthz", max_connections: 100 }],
+        routes: [
+            createRoute("settle", "non_idempotent", "floor-app", SETTLE_DEADLINE_MS),
+            createRoute("brief", "streaming", "leaf-model", BRIEF_DEADLINE_MS),
+        ],
+        services: [
+            { name: "floor-app", health_path: "/healthz", max_connections: 100 },
+            { name: "leaf-model", health_path: "/healthz", max_connections: 360 },
+        ],
         limits: {
             max_header_bytes: 16384,
             max_body_bytes: 4194304,
@@ -116,16 +184,27 @@
             idle_timeout_ms: 15000,
         },
     });
-    store.write("keyed.servers", server.id, createEntry(server, SERVICE, "v1"));
-    try {
-        const answers = [];
-        for (let index = 1; index <= STARTS; index += 1) {
-            answers.push(...await playStart(deployment, index));
+    for (const index of [1, 2, 3]) {
+        const server = await startOrderServer(`order-${index}`, index <= FAULTY_SERVERS);
+        if (index <= FAULTY_SERVERS) {
+            faultyIds.add(server.id);
         }
-        const runCount = answers.filter(({ hasRun }) => hasRun).length;
-        const lostCount = countLost(answers);
-        record.write(`requests run: ${runCount}; of them without an answer (LOST): ${lostCount}`);
-        return runCount === 0 ? 2 : lostCount > 0 ? 1 : 0;
+        store.write(
+            "keyed.servers",
+            server.id,
+            createEntry(server, "floor-app", "v1", { zone: ZONES[index - 1] }),
+        );
+    }
+    for (const index of [1, 2, 3, 4, 5, 6, 7, 8]) {
+        const server = await startModelServer(`model-${index}`);
+        store.write(
+            "keyed.servers",
+            server.id,
+            createEntry(server, "leaf-model", "v1", { zone: ZONES[index % 3], slots: 12 }),
+        );
+    }
+    try {
+        return await play(deployment);
     }
     finally {
         deployment.end();
