--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -66,6 +66,10 @@
         this.folder = mkdtempSync(join(tmpdir(), "review-"));
         this.children = [];
         this.isEnded = false;
+        process.once("SIGTERM", () => {
+            this.end();
+            process.exit(2);
+        });
     }
 
     /** Starts one VM; resolves at once. */
