Gossip what VMs reported of quotas, and not what one of them guesses

Cause: a VM counts each silent VM with an equal part of the bound, and gossiped this estimate in the place of what it knows; all VMs take the highest number. A report older than 1.2 s also counted with the whole part, so that among 195 VMs somewhat late reports alone used up the quota. The class: an estimate made in ignorance, passed on as knowledge.

Ruled out: buckets that are empty (nearly all refusals came with units left in the bucket).

Change: knownUnits is the sum of reports. A silent VM counts with what it can have used since its last report, by its rate and burst, or with an equal part if it may borrow. What the predecessor of a restarted VM may have used unreported counts for a window; before, only the guess of others covered that.

--- a/packages/wigeonpulley/src/quotas/shared-quota-limiter.ts
+++ b/packages/wigeonpulley/src/quotas/shared-quota-limiter.ts
@@ -11,7 +11,7 @@
 import { QuotaLimiter, type QuotaState } from "../forwarding/index.js";
 import type { Quota } from "../routing/index.js";
 import type { TimerService } from "../time/index.js";
-import { UsageTracker, type WorkspaceUsage } from "./usage-tracker.js";
+import { type UnreportedUsage, UsageTracker, type WorkspaceUsage } from "./usage-tracker.js";
 
 /** Options of the limiter. */
 export interface SharedQuotaLimiterOptions {
@@ -152,14 +152,15 @@
     }
 
     private computeUsage(): readonly WorkspaceUsage[] {
+        const { windowMs } = this.options.getTolerance();
         return [...this.buckets].map(([workspace, bucket]) => {
             this.decayDemand(bucket);
             return {
                 workspace,
                 keptPerS: this.computeKeptRate(bucket),
                 demandPerS: bucket.demandPerSecond,
-                usedUnits: bucket.usage.getLocalTotal(this.options.getTolerance().windowMs),
-                knownUnits: this.estimateUsage(bucket),
+                usedUnits: bucket.usage.getLocalTotal(windowMs),
+                knownUnits: bucket.usage.getKnownTotal(windowMs),
             };
         });
     }
@@ -219,6 +220,7 @@
             usageByWorkspace.get(workspace) ?? this.createUnused(workspace, bucket),
             receivedAt,
             this.options.getTolerance().windowMs,
+            this.computeUnreportedUsage(bucket),
         );
     }
 
@@ -261,10 +263,24 @@
         return ratePerS * windowMs / MS_PER_SECOND + burst * (1 + overrun) + this.computeTolerance(bucket);
     }
 
-    /** Estimates the units used in the window; a VM without a fresh report may have used an equal part of the bound. */
+    /** Estimates the units used in the window by all VMs. */
     private estimateUsage(bucket: Bucket): number {
-        const equalPart = KNOWN_USAGE_FRACTION * this.computeUsageBound(bucket) / this.countVms();
-        return bucket.usage.estimateTotal(this.options.getTolerance().windowMs, this.countVms(), equalPart);
+        return bucket.usage.estimateTotal(
+            this.options.getTolerance().windowMs,
+            this.countVms(),
+            this.computeUnreportedUsage(bucket),
+        );
+    }
+
+    /** Returns what a VM may use of a quota without its reports reaching this VM. */
+    private computeUnreportedUsage(bucket: Bucket): UnreportedUsage {
+        const vmCount = this.countVms();
+        return {
+            equalPart: KNOWN_USAGE_FRACTION * this.computeUsageBound(bucket) / vmCount,
+            atOnce: bucket.quota.burst / vmCount + this.computeOverdraft(bucket),
+            perMs: this.computeEqualShare(bucket) / MS_PER_SECOND,
+            borrowingDemandPerS: this.computeEqualShare(bucket) / KEPT_DEMAND_FACTOR,
+        };
     }
 
     /**
--- a/packages/wigeonpulley/src/quotas/usage-tracker.ts
+++ b/packages/wigeonpulley/src/quotas/usage-tracker.ts
@@ -11,10 +11,21 @@
     readonly demandPerS: number;
     /** Units that the VM used in the window. */
     readonly usedUnits: number;
-    /** Units that all VMs used in the window, as far as the VM knows. */
+    /** Units that all VMs reported for the window, as far as the VM knows; without what it only estimates. */
     readonly knownUnits: number;
 }
 
+/** What a VM may use without its reports reaching this VM. */
+export interface UnreportedUsage {
+    /** Most units that a VM may use in a window. */
+    readonly equalPart: number;
+    /** Units that a VM may use at once, on top of those that it may use each millisecond. */
+    readonly atOnce: number;
+    readonly perMs: number;
+    /** Demand from which a VM may also borrow from the others, in units per second. */
+    readonly borrowingDemandPerS: number;
+}
+
 /** Age up to which a peer's report is fresh and lends its unused rate; covers a few intervals between reports. */
 const FRESH_REPORT_MS = 1_200;
 
@@ -44,20 +55,25 @@
         this.local.add(units);
     }
 
-    /** Applies what another VM reported; usage that a restarted VM has lost still counts for a window. */
+    /**
+     * Applies what another VM reported. What its predecessor used still counts for a window when the VM was restarted, with
+     * what it may have used since its last report.
+     */
     applyPeerReport(
         vm: string,
         incarnation: bigint,
         usage: WorkspaceUsage,
         receivedAt: number,
         windowMs: number,
+        unreported: UnreportedUsage,
     ): void {
         const previous = this.peers.get(vm);
         const lost = previous === undefined || previous.incarnation === incarnation
             ? previous?.lost ?? { units: 0, receivedAt }
             : {
-                units: previous.usedUnits + this.getLostUnits(previous, windowMs),
-                receivedAt: previous.receivedAt,
+                units: previous.usedUnits + this.getLostUnits(previous, windowMs)
+                    + estimateUsedSince(previous, receivedAt, unreported),
+                receivedAt,
             };
         this.peers.set(vm, { ...usage, receivedAt, incarnation, lost });
     }
@@ -73,23 +89,29 @@
         return this.local.getTotal(windowMs);
     }
 
-    /**
-     * Estimates the units that `vmCount` VMs used in the window; one without a fresh report may have used
-     * `unreportedUnits`.
-     */
-    estimateTotal(windowMs: number, vmCount: number, unreportedUnits: number): number {
-        const now = this.timers.now();
-        this.removeExpired(now - windowMs);
-        const unknown = Math.max(0, vmCount - 1 - this.peers.size) * unreportedUnits;
-        let total = this.local.getTotal(windowMs) + unknown;
-        for (const { receivedAt, usedUnits, lost } of this.peers.values()) {
-            const isFresh = receivedAt >= now - FRESH_REPORT_MS;
-            total += isFresh ? usedUnits : Math.max(usedUnits, unreportedUnits);
-            total += lost.receivedAt < now - windowMs ? 0 : lost.units;
+    /** Returns the units that this VM used in the window and that the others reported for it. */
+    getKnownTotal(windowMs: number): number {
+        const oldest = this.timers.now() - windowMs;
+        this.removeExpired(oldest);
+        let total = this.local.getTotal(windowMs);
+        for (const { usedUnits, lost } of this.peers.values()) {
+            total += usedUnits + (lost.receivedAt < oldest ? 0 : lost.units);
         }
         return total;
     }
 
+    /** Estimates the units that `vmCount` VMs used in the window, with what they may have used unreported. */
+    estimateTotal(windowMs: number, vmCount: number, unreported: UnreportedUsage): number {
+        const now = this.timers.now();
+        const known = this.getKnownTotal(windowMs);
+        const unknownVms = Math.max(0, vmCount - 1 - this.peers.size);
+        let usedSince = 0;
+        for (const peer of this.peers.values()) {
+            usedSince += estimateUsedSince(peer, now, unreported);
+        }
+        return known + unknownVms * unreported.equalPart + usedSince;
+    }
+
     /** Removes VMs whose usage has left the window; those that still exist count as unreported again. */
     private removeExpired(oldest: number): void {
         for (const [vm, { receivedAt }] of this.peers) {
@@ -103,3 +125,17 @@
         return lost.receivedAt < this.timers.now() - windowMs ? 0 : lost.units;
     }
 }
+
+/** Estimates the units that a VM has used by `now` since its last report; none while that is fresh. */
+const estimateUsedSince = (
+    { receivedAt, usedUnits, demandPerS }: PeerUsage,
+    now: number,
+    { equalPart, atOnce, perMs, borrowingDemandPerS }: UnreportedUsage,
+): number => {
+    const ageMs = now - receivedAt;
+    if (ageMs <= FRESH_REPORT_MS) {
+        return 0;
+    }
+    const usable = demandPerS > borrowingDemandPerS ? equalPart : atOnce + perMs * ageMs;
+    return Math.max(0, Math.min(equalPart - usedUnits, usable));
+};
