Count and find other VMs also while the list of VMs can't be read

A VM that starts while the store is slow failed to read the list once and tried again 8 s later.

Change: VMs that gossip names count, listed or not; the list is read again after 0.4 to 0.8 s until it has been read once.

--- a/packages/wigeonpulley/src/membership/member-table.ts
+++ b/packages/wigeonpulley/src/membership/member-table.ts
@@ -45,7 +45,6 @@
 /** Table of the other VMs. */
 export class MemberTable {
     private readonly records = new Map<string, MemberRecord>();
-    private listed = 0;
 
     private constructor(private readonly suspicionMs: number) {}
 
@@ -59,9 +58,9 @@
         return [...this.records.values()];
     }
 
-    /** Number of records that the platform has listed. */
-    get listedCount(): number {
-        return this.listed;
+    /** Number of known VMs, whether the platform has listed them or only peers know them. */
+    get size(): number {
+        return this.records.size;
     }
 
     /** Returns the record of a VM; undefined for an unknown one. */
@@ -86,7 +85,6 @@
                 this.records.delete(name);
             }
         }
-        this.listed = this.list().filter(({ entry }) => entry !== undefined).length;
     }
 
     /** Merges a state that a peer sent; one that isn't newer than the known state has no effect. */
--- a/packages/wigeonpulley/src/membership/membership-service.ts
+++ b/packages/wigeonpulley/src/membership/membership-service.ts
@@ -97,6 +97,9 @@
 /** Delay before a failed registration is repeated, in milliseconds; up to twice as long at random. */
 const REGISTRATION_RETRY_MS = 1_000;
 
+/** Delay before the list is read again while it has never been read, in milliseconds; up to twice as long at random. */
+const LIST_RETRY_MS = 400;
+
 /** Members called in each gossip round. */
 const GOSSIP_FANOUT = 2;
 
@@ -116,6 +119,8 @@
     private self: MemberState;
     private leavingEndpoints: ReadonlySet<string> = new Set();
     private isRegistered = false;
+    private hasList = false;
+    private cancelListRetry: CancelTimer = () => undefined;
     /** The newest registration, which may be under way. */
     private registering: Promise<unknown> = Promise.resolve();
     private liveNames = "";
@@ -171,6 +176,7 @@
     /** Stops the timers. */
     stop(): void {
         this.abortController.abort();
+        this.cancelListRetry();
         this.cancelTimers.forEach(cancel => cancel());
     }
 
@@ -217,9 +223,9 @@
         return [self, ...others];
     }
 
-    /** Number of all known VMs, including this one. */
+    /** Number of all known VMs, including this one and those that aren't listed yet. */
     get memberCount(): number {
-        return this.table.listedCount + 1;
+        return this.table.size + 1;
     }
 
     /** True when the VM is live in the given incarnation as far as is known. */
@@ -371,8 +377,10 @@
         if (listing.isErr()) {
             // The last known list stays in use.
             this.options.logger.writeError(listing.error);
+            this.retryFirstList();
             return;
         }
+        this.hasList = true;
         this.leavingEndpoints = new Set(
             listing.value.endpoints.filter(endpoint => endpoint.state === "leaving").map(endpoint =>
                 endpoint.name
@@ -387,6 +395,18 @@
         this.notify();
     }
 
+    /** Reads the list again soon while it has never been read: until then, this VM calls no other one. */
+    private retryFirstList(): void {
+        const { timers, random } = this.options;
+        if (!this.hasList && !this.abortController.signal.aborted) {
+            this.cancelListRetry();
+            this.cancelListRetry = timers.schedule(
+                LIST_RETRY_MS * (1 + random.pickFraction()),
+                () => void this.readVmList(),
+            );
+        }
+    }
+
     /**
      * Notifies listeners if the live members have changed; a suspicion may also have become final through time alone.
      */
