--- a/packages/wigeonpulley/src/forwarding/admission-check.ts
+++ b/packages/wigeonpulley/src/forwarding/admission-check.ts
@@ -42,6 +42,8 @@
  */
 const MAX_START_WAIT_SHARE = 0.125;
 const MAX_START_WAIT_MS = 1_000;
+/** Time for which a request waits for a refresh: a long record may take many times as long over a full link. */
+const MAX_REFRESH_WAIT_MS = 1_000;
 
 /** Admission check of one VM. */
 export class AdmissionCheck {
@@ -53,8 +55,8 @@
     }
 
     /**
-     * Finds the route and workspace. Waits a moment for the first configuration, and refreshes the configuration before
-     * refusing a request because of its age.
+     * Finds the route and workspace. Waits a moment for the first configuration, and for a refresh of the configuration
+     * before refusing a request because of its age.
      * Fails with ConfigurationUnavailable, ConfigurationStale, NoRoute or UnknownCaller.
      */
     async admit(
@@ -68,15 +70,18 @@
         if (first.isOk() || first.error.name !== "ConfigurationStale") {
             return first;
         }
-        await this.options.refreshConfiguration();
+        await this.waitAtMost(MAX_REFRESH_WAIT_MS, this.options.refreshConfiguration());
         return this.match(target, metadata);
     }
 
     private async waitForConfiguration(deadlineMs = 0): Promise<void> {
-        const { activeConfiguration, timers } = this.options;
-        const limit = new AbortController();
         const waitMs = Math.min(MAX_START_WAIT_MS, deadlineMs * MAX_START_WAIT_SHARE);
-        await Promise.race([activeConfiguration.waitUntilLoaded(), timers.sleep(waitMs, limit.signal)]);
+        await this.waitAtMost(waitMs, this.options.activeConfiguration.waitUntilLoaded());
+    }
+
+    private async waitAtMost(waitMs: number, event: Promise<void>): Promise<void> {
+        const limit = new AbortController();
+        await Promise.race([event, this.options.timers.sleep(waitMs, limit.signal)]);
         limit.abort();
     }
 
--- a/packages/wigeonpulley/test/forwarding/admission-check.test.ts
+++ b/packages/wigeonpulley/test/forwarding/admission-check.test.ts
@@ -15,14 +15,21 @@
 /** An eighth of the deadline. */
 const LIMIT_MS = 500;
 
-const createAdmission = () => {
+/** Age above which no key is admitted. */
+const MAX_AGE_FOR_KEYS_MS = 3_000;
+
+const createAdmission = (refreshMs = 0) => {
     const timers = VirtualTimerService.create();
     const activeConfiguration = ActiveConfiguration.create(timers, EventLogger.create(MemorySink.create()));
     const admission = AdmissionCheck.create({
         timers,
         activeConfiguration,
-        getAgeLimits: () => ({ maxAgeForKeysMs: 3_000, maxAgeForUnknownMs: 2_000 }),
-        refreshConfiguration: () => Promise.resolve(),
+        getAgeLimits: () => ({ maxAgeForKeysMs: MAX_AGE_FOR_KEYS_MS, maxAgeForUnknownMs: 2_000 }),
+        refreshConfiguration: async () => {
+            const sentAt = ClockReading.create(timers);
+            await timers.sleep(refreshMs);
+            activeConfiguration.confirm(sentAt);
+        },
     });
     const route = createRouteInput({});
     const load = (): void => {
@@ -54,3 +61,17 @@
     expect(admitted.isErr() && admitted.error.name).toBe("ConfigurationUnavailable");
     expect(admitted.isErr() && admitted.error.retryAfterMs).toBeGreaterThan(0);
 });
+
+// Guards against SHORT and CONFIG: a request would be held as long as a long record takes over a full link.
+test.each([[900, true], [5_000, false]])(
+    "a request whose configuration is too old waits a second for a read: admitted after one of %i ms: %s",
+    async (refreshMs, isAdmitted) => {
+        const { timers, load, admit } = createAdmission(refreshMs);
+        load();
+        await timers.advance(MAX_AGE_FOR_KEYS_MS + 1);
+        const admitted = await timers.runUntilSettled(admit(DEADLINE_MS), 1_000);
+        expect(admitted.isErr() ? admitted.error.name : "admitted").toBe(
+            isAdmitted ? "admitted" : "ConfigurationStale",
+        );
+    },
+);
