Let no refresh receive records that another read is receiving already

Cause: a refresh is due from an age of about a second on and was sent in parallel to the regular read, from the same position. While that read was receiving a long record, the refresh received the same bytes over the same link.

Ruled out: a refresh that takes over the outcome of the read that is receiving.

Why the fix works: the store's client tells when the body of a response begins to arrive. A read that is asked for meanwhile is sent when that response has ended or failed, from the position then reached, so it is short and dated by its own sending. The wait is bounded by the limits of the client.

Left as it was: a refresh and a long poll that are both on their way when a record is written both receive it.

--- a/packages/wigeonpulley/src/store/keyed-store.ts
+++ b/packages/wigeonpulley/src/store/keyed-store.ts
@@ -27,17 +27,25 @@
 
 /** The platform's store. */
 export abstract class KeyedStore {
-    /** Reads the newest record of each key. Fails with StoreUnavailable. */
-    abstract readSnapshot(topic: Topic): Promise<Result<RecordBatch, SchedulerError>>;
+    /**
+     * Reads the newest record of each key. Calls `onReceiving` later, when the response begins to arrive. Fails with
+     * StoreUnavailable.
+     */
+    abstract readSnapshot(
+        topic: Topic,
+        onReceiving?: () => void,
+    ): Promise<Result<RecordBatch, SchedulerError>>;
 
     /**
-     * Reads records from a position on; waits up to `waitMs` milliseconds for the first one. Fails with StoreUnavailable,
-     * or with StoreHistoryLost when records from the position on were trimmed or the store was restored since.
+     * Reads records from a position on; waits up to `waitMs` milliseconds for the first one. Calls `onReceiving` when the
+     * response begins to arrive after that. Fails with StoreUnavailable, or with StoreHistoryLost when records from the
+     * position on were trimmed or the store was restored since.
      */
     abstract readFrom(
         topic: Topic,
         position: TopicPosition,
         waitMs: number,
+        onReceiving?: () => void,
     ): Promise<Result<RecordBatch, SchedulerError>>;
 
     /**
--- a/packages/wigeonpulley/src/store/topic-follower.ts
+++ b/packages/wigeonpulley/src/store/topic-follower.ts
@@ -66,6 +66,8 @@
     private storeLostAt: ClockReading | undefined;
     private readonly abortController = new AbortController();
     private ongoingRefresh: Promise<void> | undefined;
+    /** Read whose response is arriving. */
+    private receivingRead: Promise<ReadOutcome> | undefined;
     private lossWaiters: ((outcome: "failed") => void)[] = [];
 
     private constructor(private readonly options: TopicFollowerOptions) {}
@@ -93,7 +95,10 @@
         this.abortController.abort();
     }
 
-    /** Reads immediately, in parallel to the regular reads; resolves when the read has ended, also when it failed. */
+    /**
+     * Reads immediately, in parallel to a regular read that waits for records, or as soon as one that receives them has
+     * ended; resolves when the read has ended, also when it failed.
+     */
     refresh(): Promise<void> {
         this.ongoingRefresh ??= this.readOnce(0).then(() => {
             this.ongoingRefresh = undefined;
@@ -122,13 +127,37 @@
         }
     }
 
+    /**
+     * Reads after the response that is arriving, if any: it would be received twice over the same link otherwise. Its
+     * confirmation doesn't do instead, since the store may have composed it before this call.
+     */
     private async readOnce(waitMs: number): Promise<ReadOutcome> {
+        if (this.receivingRead !== undefined) {
+            await this.receivingRead;
+        }
+        if (this.abortController.signal.aborted) {
+            return "failed";
+        }
+        const read: Promise<ReadOutcome> = this.readNow(waitMs, () => {
+            this.receivingRead = read;
+        });
+        try {
+            return await read;
+        }
+        finally {
+            if (this.receivingRead === read) {
+                this.receivingRead = undefined;
+            }
+        }
+    }
+
+    private async readNow(waitMs: number, onReceiving: () => void): Promise<ReadOutcome> {
         const { store, topic, timers, listener } = this.options;
         const sentAt = ClockReading.create(timers);
         const from = this.position;
         const batch = from === undefined
-            ? await store.readSnapshot(topic)
-            : await store.readFrom(topic, from, waitMs);
+            ? await store.readSnapshot(topic, onReceiving)
+            : await store.readFrom(topic, from, waitMs, onReceiving);
         if (this.abortController.signal.aborted) {
             return "failed";
         }
