Pass the operators' records from VM to VM within a region

Cause: every VM reads every record from the store itself, over one link between regions. A configuration of 1,510 routes is some 330 KB; reads that fail on the full link are repeated and keep it full. Gossip carries the confirmation of a version but not the version. The class: bytes on a shared link that grow with the number of VMs.

Ruled out: the limit of 900 ms alone.

Change: a VM that gossip shows to be behind asks a live VM of its region for what it has read further, after 0.3 to 1 s, so that its own read mostly ends first. A VM answers three in half a second; the others find more VMs that have it. The records continue the VM's own reading of the store, whose next read is then short. Only the store, or a confirmation that began there, makes them count as the newest.

Tests: operator-record-exchange.test.ts; the first two fail without the exchange.

--- a/packages/wigeonpulley/src/logging/event-catalogue.ts
+++ b/packages/wigeonpulley/src/logging/event-catalogue.ts
@@ -148,6 +148,14 @@
         "info",
         ({ key, offset }) => `the operators' record ${key} was read at offset ${offset}`,
     ),
+    OperatorRecordsFetched: defineEvent<
+        { from: string; offset: number; records: number; tookMs: number; }
+    >(
+        208,
+        "info",
+        ({ from, offset, records, tookMs }) =>
+            `${records} operators' records up to offset ${offset} came from ${from} in ${tookMs} ms`,
+    ),
     RequestEnded: defineEvent<
         {
             id: string;
--- a/packages/wigeonpulley/src/peers/connect-peer-transport.ts
+++ b/packages/wigeonpulley/src/peers/connect-peer-transport.ts
@@ -23,6 +23,8 @@
     type ClaimRequest,
     type ClaimResponse,
     FetchConfigurationResponseSchema,
+    type FetchOperatorRecordsResponse,
+    FetchOperatorRecordsResponseSchema,
     type GatewayMessage,
     GatewayMessageSchema,
     type MemberDigest,
@@ -31,12 +33,15 @@
     type SchedulerMessage,
 } from "../gen/wigeonpulley/peer/v1/peer_pb.js";
 import type { VmListEntry } from "../platform/index.js";
+import type { RecordBatch, TopicPosition } from "../store/index.js";
 import type { TimerService } from "../time/index.js";
 import { GossipChannel } from "./gossip-channel.js";
 import { isPeerKey, PEER_KEY_HEADER, VM_HEADER } from "./peer-identity.js";
 import { type GossipHandler, PeerHandler, PeerTransport } from "./peer-transport.js";
 
 const CALL_TIMEOUT_MS = 2_000;
+/** Records may be long, and the link of the peer slow. */
+const RECORDS_TIMEOUT_MS = 5_000;
 /** Time after which a session without calls is closed, in milliseconds. */
 const IDLE_SESSION_TIMEOUT_MS = 5_000;
 
@@ -94,6 +99,23 @@
         return this.getOrCreateChannel(peer).exchangeDigests(digest);
     }
 
+    override async fetchOperatorRecords(
+        peer: VmListEntry,
+        position: TopicPosition | undefined,
+    ): Promise<Result<RecordBatch | undefined, SchedulerError>> {
+        const response = await this.call(
+            peer,
+            client =>
+                client.fetchOperatorRecords(
+                    position === undefined
+                        ? {}
+                        : { position: { era: position.era, offset: BigInt(position.offset) } },
+                    { timeoutMs: RECORDS_TIMEOUT_MS },
+                ),
+        );
+        return response.map(decodeRecordBatch);
+    }
+
     override releasePeer({ peerUrl }: VmListEntry): void {
         this.channels.get(peerUrl)?.finish();
         this.channels.delete(peerUrl);
@@ -184,6 +206,33 @@
     }
 }
 
+const decodeRecordBatch = ({ records, next }: FetchOperatorRecordsResponse): RecordBatch | undefined =>
+    next === undefined
+        ? undefined
+        : {
+            records: records.map(({ key, value, offset }) => ({
+                key,
+                value: value === undefined ? undefined : Buffer.from(value),
+                offset: Number(offset),
+            })),
+            next: { era: next.era, offset: Number(next.offset) },
+        };
+
+const encodeRecordBatch = (batch: RecordBatch | undefined): FetchOperatorRecordsResponse =>
+    create(
+        FetchOperatorRecordsResponseSchema,
+        batch === undefined
+            ? {}
+            : {
+                records: batch.records.map(({ key, value, offset }) => ({
+                    key,
+                    ...(value === undefined ? {} : { value }),
+                    offset: BigInt(offset),
+                })),
+                next: { era: batch.next.era, offset: BigInt(batch.next.offset) },
+            },
+    );
+
 const parseConfigurationVersion = (
     peer: VmListEntry,
     json: string,
@@ -253,6 +302,14 @@
                 yield handler.handleDigest(digest);
             }
         },
+        fetchOperatorRecords: ({ position }, context) => {
+            verifyIdentity(context.requestHeader, key);
+            return encodeRecordBatch(handler.handleFetchOperatorRecords(
+                position === undefined
+                    ? undefined
+                    : { era: position.era, offset: Number(position.offset) },
+            ));
+        },
         ...(handler instanceof PeerHandler ? createSchedulerRoutes(handler, key) : {}),
     });
 };
--- a/packages/wigeonpulley/src/peers/peer-transport.ts
+++ b/packages/wigeonpulley/src/peers/peer-transport.ts
@@ -1,5 +1,5 @@
 /** Defines the calls between VMs: the transport of the calling side and the handlers of the called side. */
-import type { Result } from "ts-results-es";
+import { Ok, type Result } from "ts-results-es";
 import type { ConfigurationVersion } from "../config/index.js";
 import type { SchedulerError } from "../errors/index.js";
 import type {
@@ -10,6 +10,7 @@
     SchedulerMessage,
 } from "../gen/wigeonpulley/peer/v1/peer_pb.js";
 import type { VmListEntry } from "../platform/index.js";
+import type { RecordBatch, TopicPosition } from "../store/index.js";
 
 /** Transport of the call that every VM makes to others. */
 export abstract class GossipTransport {
@@ -19,6 +20,19 @@
         digest: MemberDigest,
     ): Promise<Result<MemberDigest, SchedulerError>>;
 
+    /**
+     * Fetches the operators' records that a peer has read beyond a position; undefined when it has none or is busy. Fails with
+     * PeerUnavailable. By default no VM has any.
+     */
+    fetchOperatorRecords(
+        // eslint-disable-next-line @typescript-eslint/no-unused-vars -- overriding methods use it
+        peer: VmListEntry,
+        // eslint-disable-next-line @typescript-eslint/no-unused-vars -- overriding methods use it
+        position: TopicPosition | undefined,
+    ): Promise<Result<RecordBatch | undefined, SchedulerError>> {
+        return Promise.resolve(Ok(undefined));
+    }
+
     /** Closes what is kept open for exchanges with a peer, once the pending ones have ended. By default that is nothing. */
     // eslint-disable-next-line @typescript-eslint/no-unused-vars -- overriding methods use it
     releasePeer(peer: VmListEntry): void {
@@ -57,6 +71,15 @@
 export abstract class GossipHandler {
     /** Merges a digest and returns this VM's. */
     abstract handleDigest(digest: MemberDigest): MemberDigest;
+
+    /**
+     * Returns the operators' records beyond a position; undefined when there are none, as by default, or when too many VMs
+     * ask.
+     */
+    // eslint-disable-next-line @typescript-eslint/no-unused-vars -- overriding methods use it
+    handleFetchOperatorRecords(position: TopicPosition | undefined): RecordBatch | undefined {
+        return undefined;
+    }
 }
 
 /** Calls that a VM with schedulers accepts from its peers. */
--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -21,10 +21,11 @@
 import type { RandomSource } from "../random/index.js";
 import { RolloutService, RolloutStateStore } from "../rollouts/index.js";
 import { ActiveConfiguration, computeAgeLimits } from "../routing/index.js";
-import { StoreVmList } from "../store/index.js";
+import { type RecordBatch, StoreVmList, type TopicPosition } from "../store/index.js";
 import type { CancelTimer, TimerService } from "../time/index.js";
 import { GossipedEvidence } from "./gossiped-evidence.js";
 import { GossipedFreshness } from "./gossiped-freshness.js";
+import { OperatorRecordExchange } from "./operator-record-exchange.js";
 import type { PlatformAdapter } from "./platform-adapter.js";
 import { ReportService } from "./report-service.js";
 import type { Bounds, RoutedSettings } from "./routed-settings.js";
@@ -90,6 +91,7 @@
     private readonly rateLimits: InstanceRateLimits;
     private readonly reports: PeerLoadReports;
     private readonly subscriptions: StoreSubscriptions;
+    private readonly recordExchange: OperatorRecordExchange;
     private cancelContendedGossip: CancelTimer = () => undefined;
     private isStopping = false;
     private bounds: Bounds;
@@ -145,6 +147,7 @@
             rollouts: this.rollouts,
             drainMs: this.bounds.drainMs,
         });
+        this.recordExchange = this.createRecordExchange();
         this.forwarder = this.createForwarder();
         this.frontServer = this.createFrontServer(settings.listen.callers, undefined);
         const { peerRequests } = settings.listen;
@@ -162,6 +165,7 @@
     startReading(): void {
         this.subscriptions.start();
         this.quarantineStore.start();
+        this.recordExchange.start();
     }
 
     /** Starts reading the store and serving callers; `listener` may already listen on their address. */
@@ -255,6 +259,7 @@
     /** Stops all background tasks at once, without waiting for open requests. */
     stopTasks(): void {
         this.subscriptions.stop();
+        this.recordExchange.stop();
         this.quarantineStore.stop();
         this.membership.stop();
         this.cancelContendedGossip();
@@ -265,6 +270,10 @@
         return this.membership.handleDigest(digest);
     }
 
+    override handleFetchOperatorRecords(position: TopicPosition | undefined): RecordBatch | undefined {
+        return this.recordExchange.handleFetch(position);
+    }
+
     /** Status of this VM as operators see it. */
     getStatus(): unknown {
         const { settings } = this.options;
@@ -394,6 +403,21 @@
         });
     }
 
+    private createRecordExchange(): OperatorRecordExchange {
+        const { settings, peers } = this.options;
+        return OperatorRecordExchange.create({
+            ...this.options,
+            self: settings.name,
+            region: settings.region,
+            transport: peers,
+            activeConfiguration: this.activeConfiguration,
+            getMembership: () => this.membership,
+            getPosition: () => this.subscriptions.operatorPosition,
+            listRecordsSince: position => this.subscriptions.listOperatorRecordsSince(position),
+            applyRecords: (position, batch) => this.subscriptions.applyOperatorRecords(position, batch),
+        });
+    }
+
     private createForwarder(): Forwarder {
         const { settings, timers, random, logger, adapter, transport, peerKey } = this.options;
         return Forwarder.create({
--- a/packages/wigeonpulley/src/routed-vm/store-subscriptions.ts
+++ b/packages/wigeonpulley/src/routed-vm/store-subscriptions.ts
@@ -4,7 +4,14 @@
 import type { RandomSource } from "../random/index.js";
 import type { RolloutService } from "../rollouts/index.js";
 import type { ActiveConfiguration } from "../routing/index.js";
-import { FreshnessKeeper, type KeyedRecord, TopicFollower } from "../store/index.js";
+import {
+    FreshnessKeeper,
+    type KeyedRecord,
+    RecordArchive,
+    type RecordBatch,
+    TopicFollower,
+    type TopicPosition,
+} from "../store/index.js";
 import type { TimerService } from "../time/index.js";
 import type { PlatformAdapter } from "./platform-adapter.js";
 
@@ -32,6 +39,7 @@
 /** Subscriptions of one VM. */
 export class StoreSubscriptions {
     private readonly operatorFollower: TopicFollower;
+    private readonly operatorRecords = RecordArchive.create();
     private readonly instanceFollower: TopicFollower;
     private readonly freshnessKeeper: FreshnessKeeper;
 
@@ -75,11 +83,30 @@
         return this.operatorFollower.catchUp();
     }
 
+    /** Position up to which the operators' records were read; undefined before that. */
+    get operatorPosition(): TopicPosition | undefined {
+        return this.operatorFollower.readPosition;
+    }
+
+    /** Returns the operators' records that a VM at a position lacks. */
+    listOperatorRecordsSince(position: TopicPosition | undefined): RecordBatch | undefined {
+        return this.operatorRecords.listSince(position);
+    }
+
+    /** Applies operators' records that another VM has read from a position on. */
+    applyOperatorRecords(position: TopicPosition | undefined, batch: RecordBatch): void {
+        this.operatorFollower.applyFetched(position, batch);
+    }
+
     private createOperatorFollower(): TopicFollower {
         const { adapter, activeConfiguration, rollouts } = this.options;
         const apply = (records: readonly KeyedRecord[], isRestored: boolean): void =>
             records.forEach(record => this.applyOperatorRecord(record, isRestored));
         const applySnapshot = (records: readonly KeyedRecord[], isRestored: boolean): void => {
+            const { operatorPosition } = this;
+            if (operatorPosition !== undefined) {
+                this.operatorRecords.applySnapshot(records, operatorPosition);
+            }
             apply(records, isRestored);
             if (isRestored) {
                 rollouts.handleStoreRestored();
@@ -93,7 +120,13 @@
             pauseMs: 0,
             listener: {
                 applySnapshot,
-                applyChanges: records => apply(records, false),
+                applyChanges: records => {
+                    const { operatorPosition } = this;
+                    if (operatorPosition !== undefined) {
+                        this.operatorRecords.applyChanges(records, operatorPosition);
+                    }
+                    apply(records, false);
+                },
                 confirm: sentAt => {
                     activeConfiguration.confirm(sentAt);
                     rollouts.recordOrdersRead(sentAt);
--- a/packages/wigeonpulley/src/routing/active-configuration.ts
+++ b/packages/wigeonpulley/src/routing/active-configuration.ts
@@ -74,6 +74,12 @@
         this.newestVersion = Math.max(this.newestVersion, version);
     }
 
+    /** True while another VM has a newer version. */
+    get isBehind(): boolean {
+        return this.newestVersion >= 0
+            && (this.table?.configuration.version ?? Number.NEGATIVE_INFINITY) < this.newestVersion;
+    }
+
     /**
      * Records that a read sent at `sentAt` found nothing newer than what has been applied. Has no effect while another VM
      * has a newer version: then the store was restored from a copy without it.
--- a/packages/wigeonpulley/src/store/index.ts
+++ b/packages/wigeonpulley/src/store/index.ts
@@ -10,5 +10,6 @@
     type Topic,
     type TopicPosition,
 } from "./keyed-store.js";
+export { RecordArchive } from "./record-archive.js";
 export { StoreVmList } from "./store-vm-list.js";
 export { TopicFollower, type TopicFollowerOptions, type TopicListener } from "./topic-follower.js";
--- a/packages/wigeonpulley/src/store/topic-follower.ts
+++ b/packages/wigeonpulley/src/store/topic-follower.ts
@@ -106,6 +106,23 @@
         return this.ongoingRefresh;
     }
 
+    /** Position up to which records were applied; undefined while the topic has to be read as a snapshot. */
+    get readPosition(): TopicPosition | undefined {
+        return this.position;
+    }
+
+    /**
+     * Applies records that another VM has read from a position on, unless this one has read on since. They confirm nothing;
+     * the next read of the store starts after them.
+     */
+    applyFetched(position: TopicPosition | undefined, batch: RecordBatch): void {
+        const isCurrent = this.position?.era === position?.era && this.position?.offset === position?.offset;
+        const isContinued = this.applied === undefined || this.applied.era === batch.next.era;
+        if (isCurrent && isContinued && !this.abortController.signal.aborted) {
+            this.apply(position, batch);
+        }
+    }
+
     /** Reads immediately unless the topic was never read or the store did not respond last time. */
     refreshWhenAvailable(): void {
         if (this.position !== undefined && this.storeLostAt === undefined) {
--- /dev/null
+++ b/packages/wigeonpulley/test/routed-vm/operator-record-exchange.test.ts
@@ -0,0 +1,56 @@
+/** Operators' records that VMs pass on to those whose own reads of the store don't end. */
+import { expect, test } from "vitest";
+import { createSignedResponse } from "../fixtures/forwarding-fixture.js";
+import { createEngineInstances, RoutedFleet } from "../fixtures/routed-fleet.js";
+
+const VM_COUNT = 8;
+const NEW_VERSION = 2;
+
+const createFleet = (): Promise<RoutedFleet> =>
+    RoutedFleet.create(VM_COUNT, createEngineInstances(2), () => createSignedResponse("ok"));
+
+const listVersions = (fleet: RoutedFleet): readonly (number | undefined)[] =>
+    fleet.vmNames.map(name => fleet.getVm(name).vm.activeConfiguration.routeTable?.configuration.version);
+
+// Guards against SHORT: VMs whose reads of a long record over a full link never ended kept the old version, and refused keys.
+test("VMs that can't read the store get a new configuration from one that can", async () => {
+    const fleet = await createFleet();
+    fleet.vmNames.slice(1).forEach(name => {
+        fleet.getVm(name).isCutFromStore = true;
+    });
+    fleet.publish(NEW_VERSION);
+    await fleet.timers.advance(6_000);
+    expect(listVersions(fleet)).toEqual(fleet.vmNames.map(() => NEW_VERSION));
+    expect(fleet.log.events.some(({ name }) => name === "OperatorRecordsFetched")).toBe(true);
+});
+
+test("a configuration from another VM is confirmed by gossip only while a VM reads the store", async () => {
+    const fleet = await createFleet();
+    fleet.vmNames.slice(1).forEach(name => {
+        fleet.getVm(name).isCutFromStore = true;
+    });
+    fleet.publish(NEW_VERSION);
+    await fleet.timers.advance(8_000);
+    const getAgeMs = (name: string): number => fleet.getVm(name).vm.activeConfiguration.getAgeMs();
+    expect(Math.max(...fleet.vmNames.map(getAgeMs))).toBeLessThan(5_000);
+    fleet.getVm("vm-1").isCutFromStore = true;
+    await fleet.timers.advance(10_000);
+    expect(Math.min(...fleet.vmNames.map(getAgeMs))).toBeGreaterThan(9_000);
+});
+
+test("VMs that read the store themselves ask nobody", async () => {
+    const fleet = await createFleet();
+    fleet.publish(NEW_VERSION);
+    await fleet.timers.advance(3_000);
+    expect(listVersions(fleet)).toEqual(fleet.vmNames.map(() => NEW_VERSION));
+    expect(fleet.log.events.some(({ name }) => name === "OperatorRecordsFetched")).toBe(false);
+});
+
+test("a VM answers few of those that ask at the same time", async () => {
+    const fleet = await createFleet();
+    const { vm } = fleet.getVm("vm-1");
+    const answers = Array.from({ length: 20 }, () => vm.handleFetchOperatorRecords(undefined));
+    expect(answers.filter(answer => answer !== undefined)).toHaveLength(3);
+    await fleet.timers.advance(1_000);
+    expect(vm.handleFetchOperatorRecords(undefined)).toBeDefined();
+});
