Read what has arrived before a stopping VM closes connections

Callers of a VM that stops got a closed connection and no answer to a request that had arrived on a connection without a request in progress.

Cause: the VM ended such connections at once, although the event loop may not have read their input yet. After end() it still read the request and could answer no more. Node's http.Server.close() moreover destroys connections whose response has ended and is not flushed yet, so that a slow caller got a part of a complete answer.

Now the event loop polls twice before anything is closed: once to accept the connections that wait, once to read their requests, which are served. While a turn was long, it polls again, at most ten times; what that brings is refused as not run. Connections without a request are then destroyed, so that nothing that comes later is read. The listener is closed without Node's closing of idle connections.

Ruled out: connections with a request in progress were not closed before either.

--- a/packages/wigeonpulley/src/forwarding/front-server.ts
+++ b/packages/wigeonpulley/src/forwarding/front-server.ts
@@ -5,7 +5,7 @@
  */
 import * as Option from "fp-ts/lib/Option.js";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import type { Server as NetServer, Socket } from "node:net";
+import { Server as NetServer, type Socket } from "node:net";
 import { Err, Ok, type Result } from "ts-results-es";
 import { SchedulerError } from "../errors/index.js";
 import type { EventLogger } from "../logging/index.js";
@@ -20,7 +20,7 @@
 import type { Forwarder, ForwardSummary } from "./forwarder.js";
 import type { HeaderCodec, RequestMetadata } from "./header-codec.js";
 import { parsePeerHeaders, type PeerRequestOrigin, removePeerHeaders } from "./peer-headers.js";
-import { waitForPendingInput } from "./pending-input.js";
+import { waitForPendingInput, waitUntilLoopIsInTime } from "./pending-input.js";
 import { RequestLifetime } from "./request-lifetime.js";
 import { ResponseWriter } from "./response-writer.js";
 import { computeRank, countQuotaUnits, type RoutedRequest } from "./routed-request.js";
@@ -125,14 +125,28 @@
         this.isDraining = true;
     }
 
-    /** Accepts no new connections or requests, and closes connections without a request in progress. */
-    stopAccepting(): void {
+    /** Refuses all further requests as not run. */
+    refuseNew(): void {
         this.isRefusingNew = true;
-        this.server.close();
+    }
+
+    /**
+     * Accepts no new connections or requests, and closes connections without a request in progress. Requests that have
+     * arrived before are served, or refused if the event loop is late.
+     */
+    async stopAccepting(): Promise<void> {
+        // The first poll accepts the connections that wait, the second one reads their requests.
+        await waitForPendingInput();
+        await waitForPendingInput();
+        this.refuseNew();
+        // The method of the HTTP server would also cut responses that have ended and are not flushed yet.
+        NetServer.prototype.close.call(this.server);
+        await waitUntilLoopIsInTime(this.options.timers);
         // Node counts a connection that has sent nothing yet as busy, so requests are counted here.
         this.requestCountBySocket.forEach((requestCount, socket) => {
             if (requestCount === 0) {
-                socket.end();
+                // After end(), a request that still arrives would be read and couldn't be answered.
+                socket.destroy();
             }
         });
     }
--- a/packages/wigeonpulley/src/forwarding/pending-input.ts
+++ b/packages/wigeonpulley/src/forwarding/pending-input.ts
@@ -1,4 +1,10 @@
 /** Lets the event loop handle input that has arrived but was not read yet. */
+import type { TimerService } from "../time/index.js";
+
+/** Duration up to which a turn of the event loop is short: little input can have arrived during it. */
+const SHORT_TURN_MS = 50;
+/** Turns after which a loop that stays late is no longer waited for. */
+const MAX_TURNS = 10;
 
 /**
  * Resolves once the event loop has polled again. A callback that runs in one turn finds the end of a caller's connection
@@ -9,3 +15,14 @@
         // The first immediate still runs in this turn, the second one after the next poll.
         setImmediate(() => setImmediate(resolve));
     });
+
+/** Resolves once the event loop has polled and was not late, or after some turns if it stays late. */
+export const waitUntilLoopIsInTime = async (timers: TimerService): Promise<void> => {
+    for (let turn = 0; turn < MAX_TURNS; turn += 1) {
+        const startedAt = timers.now();
+        await waitForPendingInput();
+        if (timers.now() - startedAt <= SHORT_TURN_MS) {
+            return;
+        }
+    }
+};
--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -236,7 +236,7 @@
         this.listServers().forEach(server => server.startDraining());
         void this.membership.announceLeaving();
         await timers.sleep(READINESS_PROPAGATION_MS);
-        this.listServers().forEach(server => server.stopAccepting());
+        await Promise.all(this.listServers().map(server => server.stopAccepting()));
         const limit = new AbortController();
         const isGraceful = await Promise.race([
             this.waitUntilIdle().then(() => true),
