Count the times of a stop from when its signal can have come

Callers of a VM that was stopped while its event loop was late got no answer: the process was killed with requests that it still had.

Cause: the VM counted the time until it takes no more requests, and the grace period, from when the handler of SIGTERM ran. While the event loop is blocked, or the daemon loads, that is later than the signal by the length of the block.

Lateness of more than the grace period isn't believed, because the process would have been killed. If the time until the VM takes no more has passed, it refuses new requests at once and still answers open ones. VmStopping says how late the request for the stop was handled at most (lateMs).

--- a/packages/wigeonpulley/src/logging/event-catalogue.ts
+++ b/packages/wigeonpulley/src/logging/event-catalogue.ts
@@ -33,10 +33,11 @@
         "info",
         ({ vm, callers, peers }) => `VM ${vm} listens on ${callers} for callers and on ${peers} for peers`,
     ),
-    VmStopping: defineEvent<{ open: number; }>(
+    VmStopping: defineEvent<{ open: number; lateMs?: number; }>(
         102,
         "info",
-        ({ open }) => `graceful shutdown began with ${open} open requests`,
+        ({ open, lateMs = 0 }) =>
+            `graceful shutdown began with ${open} open requests, up to ${lateMs} ms after its request`,
     ),
     VmStopped: defineEvent<NoDetails>(103, "info", () => "graceful shutdown is complete"),
     StopLimitReached: defineEvent<{ open: number; }>(
--- a/packages/wigeonpulley/src/routed-vm/daemon.ts
+++ b/packages/wigeonpulley/src/routed-vm/daemon.ts
@@ -109,9 +109,12 @@
         this.logger.writeError(SchedulerError.fromUnknown(cause));
     }
 
-    /** Shuts down gracefully; resolves when all connections are closed. Rejects when the VM could not start to listen. */
-    async stop(): Promise<void> {
-        await this.drain();
+    /**
+     * Shuts down gracefully; resolves when all connections are closed. Rejects when the VM could not start to listen. The
+     * grace period began at `requestedAt`, a monotonic time in milliseconds.
+     */
+    async stop(requestedAt?: number): Promise<void> {
+        await this.drain(requestedAt);
         this.transport.close();
         this.operatorServer.close();
         await this.peerServer.close();
@@ -119,9 +122,9 @@
     }
 
     /** Finishes the open requests within the grace period; the first call starts it, every call resolves at its end. */
-    private drain(): Promise<boolean> {
+    private drain(requestedAt = this.timers.now()): Promise<boolean> {
         // Callers of a VM that has just started may already wait in the backlog of its port.
-        this.draining ??= this.listening.then(() => this.vm.stop());
+        this.draining ??= this.listening.then(() => this.vm.stop(requestedAt));
         return this.draining;
     }
 
--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -227,15 +227,28 @@
             && this.directory.isLoaded;
     }
 
-    /** Shuts down gracefully within the grace period. Resolves with true when no open request was cancelled. */
-    async stop(): Promise<boolean> {
+    /**
+     * Shuts down gracefully within the grace period, which began at `requestedAt`, a monotonic time in milliseconds.
+     * Resolves with true when no open request was cancelled.
+     */
+    async stop(requestedAt = this.options.timers.now()): Promise<boolean> {
         const { timers, logger } = this.options;
-        const deadline = timers.now() + this.bounds.graceS * MS_PER_S - SHUTDOWN_RESERVE_MS;
+        const graceMs = this.bounds.graceS * MS_PER_S;
+        // A process whose grace period is over would have been killed.
+        const lateMs = Math.min(Math.max(0, timers.now() - requestedAt), graceMs);
+        const startedAt = timers.now() - lateMs;
+        const deadline = startedAt + graceMs - SHUTDOWN_RESERVE_MS;
         this.isStopping = true;
-        logger.write("VmStopping", { open: this.openRequestCount });
+        logger.write("VmStopping", { open: this.openRequestCount, lateMs: Math.round(lateMs) });
         this.listServers().forEach(server => server.startDraining());
         void this.membership.announceLeaving();
-        await timers.sleep(READINESS_PROPAGATION_MS);
+        const remainingMs = startedAt + READINESS_PROPAGATION_MS - timers.now();
+        if (remainingMs > 0) {
+            await timers.sleep(remainingMs);
+        }
+        else {
+            this.listServers().forEach(server => server.refuseNew());
+        }
         await Promise.all(this.listServers().map(server => server.stopAccepting()));
         const limit = new AbortController();
         const isGraceful = await Promise.race([
