End a stop although another VM doesn't close its connection

A VM that stopped was killed at the end of its grace period, half a second after it had reached the limit of its stop.

One cause that can be shown: PeerServer.close destroyed its sessions and waited for their sockets. A session that the other VM has begun to close (GOAWAY) is only ended then, and its socket waits for the other VM's end, which never comes from one that hangs or is cut off.

Now the sockets are destroyed too. Whatever else hangs at the end, such as a log that nobody reads, is waited for 100 ms at most; the flush of answers to callers comes before that and is as it was. Whether this is what held the process of the incident is not known.

Evidence: stopping-vm.test.ts, "a VM stops although another VM doesn't close its connection": not stopped after 6 s before. It passes with the change of PeerServer alone. The bound of 100 ms has no test of its own.

--- a/packages/wigeonpulley/src/peers/connect-peer-transport.ts
+++ b/packages/wigeonpulley/src/peers/connect-peer-transport.ts
@@ -11,7 +11,7 @@
 } from "@connectrpc/connect";
 import { connectNodeAdapter, createGrpcTransport, Http2SessionManager } from "@connectrpc/connect-node";
 import { createServer, type Http2Server, type ServerHttp2Session } from "node:http2";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import { Err, Ok, type Result } from "ts-results-es";
 import {
     type ConfigurationVersion,
@@ -249,8 +249,13 @@
 /** Server that other VMs call. */
 export class PeerServer {
     private readonly sessions = new Set<ServerHttp2Session>();
+    private readonly sockets = new Set<Socket>();
 
     private constructor(private readonly server: Http2Server) {
+        server.on("connection", (socket: Socket) => {
+            this.sockets.add(socket);
+            socket.once("close", () => this.sockets.delete(socket));
+        });
         server.on("session", session => {
             this.sessions.add(session);
             session.on("close", () => this.sessions.delete(session));
@@ -279,6 +284,8 @@
     /** Closes all connections and stops listening. */
     close(): Promise<void> {
         this.sessions.forEach(session => session.destroy());
+        // A session that the other VM has begun to close would wait for that VM.
+        this.sockets.forEach(socket => socket.destroy());
         return new Promise(resolve => {
             this.server.close(() => resolve());
         });
--- a/packages/wigeonpulley/src/routed-vm/daemon.ts
+++ b/packages/wigeonpulley/src/routed-vm/daemon.ts
@@ -19,6 +19,9 @@
 /** The same for requests that may run at most once: a connection that the endpoint is just closing would fail them. */
 const AT_MOST_ONCE_MAX_IDLE_MS = 600;
 
+/** Time for other VMs' connections and the log to close, in milliseconds; nothing that callers wait for is open then. */
+const CLOSE_LIMIT_MS = 100;
+
 /** Interval in milliseconds and number of further tries to open an address that another process holds. */
 const ADDRESS_RETRY_MS = 100;
 const ADDRESS_RETRIES = 50;
@@ -117,8 +120,10 @@
         await this.drain(requestedAt);
         this.transport.close();
         this.operatorServer.close();
-        await this.peerServer.close();
-        await this.logger.close();
+        await Promise.race([
+            this.peerServer.close().then(() => this.logger.close()),
+            this.timers.sleep(CLOSE_LIMIT_MS),
+        ]);
     }
 
     /** Finishes the open requests within the grace period; the first call starts it, every call resolves at its end. */
