Wait for the last attempt of a request until its time is over

Callers of idempotent requests and of streams got 502, or a stream that broke off, although their time wasn't over and the instance was about to answer.

Cause: an attempt was given up after a silence of the instance whether or not another attempt could follow: also the last one that the route allows, and one at another VM, after which nothing is tried. The users' rule: a server's silence is no reason to end an answer sooner.

Ruled out: the route's time-out, which ends such requests on time as before.

Change: only an attempt that another one may follow is given up after a silence. With this the longer limit for requests at other VMs has no use and is gone.

Tests: forwarder.test.ts, "... gets the late answer of its last attempt", both failed before (502). That this is what the users saw as LOST is not shown.

--- a/packages/wigeonpulley/src/forwarding/attempt.ts
+++ b/packages/wigeonpulley/src/forwarding/attempt.ts
@@ -30,6 +30,8 @@
     readonly writer: ResponseWriter;
     readonly relay: StreamRelay;
     readonly placement: Placement;
+    /** True when no other attempt may follow this one. */
+    readonly isLast: boolean;
     readonly quarantine: Quarantine;
     /** Traits of the request. */
     readonly traits: readonly string[];
@@ -42,8 +44,6 @@
 /** Multiple of the target latency after which a silent instance is abandoned for a retry. */
 const SILENCE_TARGET_FACTOR = 3;
 const MIN_SILENCE_MS = 400;
-/** Multiple of the silence limit for a request at another VM, which itself abandons a silent instance. */
-const PEER_SILENCE_FACTOR = 2;
 /** Share of the caller's timeout after which a silent stream is resumed at another instance. */
 const SILENCE_TIMEOUT_SHARE = 0.5;
 /** Silence after which a request that was cancelled counts as a failure of the instance. */
@@ -304,17 +304,16 @@
         return this.options.relay.eventCount - this.eventsBefore;
     }
 
-    /** Aborts the exchange of a retryable request when the instance sends nothing for too long. */
+    /** Aborts the exchange when the instance sends nothing for too long and another attempt may follow. */
     private abortWhenSilent(): void {
-        const { timers, request } = this.options;
-        if (!isRetryable(request.route) || request.route.maxAttempts <= 1) {
+        const { timers, request, isLast } = this.options;
+        if (isLast) {
             return;
         }
         const { route } = request;
-        const limitMs = (this.options.placement.isPeer ? PEER_SILENCE_FACTOR : 1)
-            * (route.kind === "stream"
-                ? computeCallerTimeoutMs(request) * SILENCE_TIMEOUT_SHARE
-                : Math.max(MIN_SILENCE_MS, SILENCE_TARGET_FACTOR * route.targetLatencyMs));
+        const limitMs = route.kind === "stream"
+            ? computeCallerTimeoutMs(request) * SILENCE_TIMEOUT_SHARE
+            : Math.max(MIN_SILENCE_MS, SILENCE_TARGET_FACTOR * route.targetLatencyMs);
         const check = (): void => {
             // Bytes that wait for a slow caller are not silence of the endpoint.
             const silentMs = this.exchange.hasChunk ? 0 : timers.now() - this.progressAt;
--- a/packages/wigeonpulley/src/forwarding/forwarder.ts
+++ b/packages/wigeonpulley/src/forwarding/forwarder.ts
@@ -273,6 +273,8 @@
                 relay: progress.relay,
                 traits: progress.traits,
                 placement,
+                isLast: placement.isPeer || !isRetryable(request.route)
+                    || progress.attempts + 1 >= request.route.maxAttempts,
                 createPeerHeaders: elapsedMs =>
                     createPeerHeaders(
                         { vm: this.options.identity.vm, elapsedMs },
--- a/packages/wigeonpulley/test/forwarding/forwarder.test.ts
+++ b/packages/wigeonpulley/test/forwarding/forwarder.test.ts
@@ -243,6 +243,35 @@
     expect(transport.dispatches[0]?.abortedAt).toBeLessThan(2_000);
 });
 
+// Guards against LOST: the last attempt was given up after a silence, although its answer could still come in time.
+test.each(
+    [
+        [
+            "a request without a body",
+            { maxAttempts: 2, timeoutMs: 4_000, targetLatencyMs: 300 },
+            createSignedResponse("done"),
+        ],
+        ["a stream", { ...STREAM, maxAttempts: 2, timeoutMs: 3_000 }, [
+            createSignedHead(),
+            createStreamEvent(1),
+            { kind: "end" },
+        ]],
+    ] as const,
+)("%s gets the late answer of its last attempt", async (name, route, answer) => {
+    const { timers, transport, serve } = createForwarding({
+        script: (instance, count) => {
+            const [head, ...rest] = answer;
+            return count === 1
+                ? [{ kind: "fail", mayHaveRun: true }]
+                : [{ ...head, afterMs: 2_000 }, ...rest];
+        },
+    });
+    const { summary, view } = serve(route);
+    await timers.runUntilSettled(summary, LIMIT_MS);
+    expect(transport.dispatches).toHaveLength(2);
+    expect(view).toMatchObject({ status: 200, isComplete: true });
+});
+
 test("a request that exceeds its route's timeout gets 503 if it was not sent and 504 if it was", async () => {
     const { timers, serve } = createForwarding({ script: () => [createSignedHead(60_000)] });
     const sent = serve({ kind: "once", timeoutMs: 1_000 });
