Count silent VMs with their whole parts again, and gossip no estimate of what a restart lost

What a restart may have lost unreported counts at the VM that estimates it and isn't gossiped.

quota-load.test.ts and the drawn histories hold.

--- a/packages/wigeonpulley/src/quotas/shared-quota-limiter.ts
+++ b/packages/wigeonpulley/src/quotas/shared-quota-limiter.ts
@@ -11,7 +11,7 @@
 import { QuotaLimiter, type QuotaState } from "../forwarding/index.js";
 import type { Quota } from "../routing/index.js";
 import type { TimerService } from "../time/index.js";
-import { type UnreportedUsage, UsageTracker, type WorkspaceUsage } from "./usage-tracker.js";
+import { UsageTracker, type WorkspaceUsage } from "./usage-tracker.js";
 
 /** Options of the limiter. */
 export interface SharedQuotaLimiterOptions {
@@ -220,7 +220,7 @@
             usageByWorkspace.get(workspace) ?? this.createUnused(workspace, bucket),
             receivedAt,
             this.options.getTolerance().windowMs,
-            this.computeUnreportedUsage(bucket),
+            this.computeEqualPart(bucket),
         );
     }
 
@@ -263,24 +263,17 @@
         return ratePerS * windowMs / MS_PER_SECOND + burst * (1 + overrun) + this.computeTolerance(bucket);
     }
 
-    /** Estimates the units used in the window by all VMs. */
+    /** Estimates the units used in the window; a VM without a fresh report may have used an equal part of the bound. */
     private estimateUsage(bucket: Bucket): number {
         return bucket.usage.estimateTotal(
             this.options.getTolerance().windowMs,
             this.countVms(),
-            this.computeUnreportedUsage(bucket),
+            this.computeEqualPart(bucket),
         );
     }
 
-    /** Returns what a VM may use of a quota without its reports reaching this VM. */
-    private computeUnreportedUsage(bucket: Bucket): UnreportedUsage {
-        const vmCount = this.countVms();
-        return {
-            equalPart: KNOWN_USAGE_FRACTION * this.computeUsageBound(bucket) / vmCount,
-            atOnce: bucket.quota.burst / vmCount + this.computeOverdraft(bucket),
-            perMs: this.computeEqualShare(bucket) / MS_PER_SECOND,
-            borrowingDemandPerS: this.computeEqualShare(bucket) / KEPT_DEMAND_FACTOR,
-        };
+    private computeEqualPart(bucket: Bucket): number {
+        return KNOWN_USAGE_FRACTION * this.computeUsageBound(bucket) / this.countVms();
     }
 
     /**
--- a/packages/wigeonpulley/src/quotas/usage-tracker.ts
+++ b/packages/wigeonpulley/src/quotas/usage-tracker.ts
@@ -15,25 +15,21 @@
     readonly knownUnits: number;
 }
 
-/** What a VM may use without its reports reaching this VM. */
-export interface UnreportedUsage {
-    /** Most units that a VM may use in a window. */
-    readonly equalPart: number;
-    /** Units that a VM may use at once, on top of those that it may use each millisecond. */
-    readonly atOnce: number;
-    readonly perMs: number;
-    /** Demand from which a VM may also borrow from the others, in units per second. */
-    readonly borrowingDemandPerS: number;
-}
-
 /** Age up to which a peer's report is fresh and lends its unused rate; covers a few intervals between reports. */
 const FRESH_REPORT_MS = 1_200;
 
 interface PeerUsage extends WorkspaceUsage {
     readonly receivedAt: number;
     readonly incarnation: bigint;
-    /** Usage of earlier incarnations that the current one doesn't know of; counts until it has left the window. */
-    readonly lost: { readonly units: number; readonly receivedAt: number; };
+    /**
+     * Usage of earlier incarnations that the current one doesn't know of, and what they may have used without a report; counts
+     * until it has left the window.
+     */
+    readonly lost: {
+        readonly units: number;
+        readonly unreportedUnits: number;
+        readonly receivedAt: number;
+    };
 }
 
 /** Usage of one workspace. */
@@ -56,8 +52,8 @@
     }
 
     /**
-     * Applies what another VM reported. What its predecessor used still counts for a window when the VM was restarted, with
-     * what it may have used since its last report.
+     * Applies what another VM reported. Usage that a restarted VM has lost still counts for a window, with what it may have
+     * used of an `equalPart` since its last report.
      */
     applyPeerReport(
         vm: string,
@@ -65,16 +61,12 @@
         usage: WorkspaceUsage,
         receivedAt: number,
         windowMs: number,
-        unreported: UnreportedUsage,
+        equalPart: number,
     ): void {
         const previous = this.peers.get(vm);
         const lost = previous === undefined || previous.incarnation === incarnation
-            ? previous?.lost ?? { units: 0, receivedAt }
-            : {
-                units: previous.usedUnits + this.getLostUnits(previous, windowMs)
-                    + estimateUsedSince(previous, receivedAt, unreported),
-                receivedAt,
-            };
+            ? previous?.lost ?? { units: 0, unreportedUnits: 0, receivedAt }
+            : this.createLost(previous, receivedAt, windowMs, equalPart);
         this.peers.set(vm, { ...usage, receivedAt, incarnation, lost });
     }
 
@@ -100,16 +92,16 @@
         return total;
     }
 
-    /** Estimates the units that `vmCount` VMs used in the window, with what they may have used unreported. */
-    estimateTotal(windowMs: number, vmCount: number, unreported: UnreportedUsage): number {
+    /** Estimates the units that `vmCount` VMs used in the window; one without a fresh report may have used `equalPart`. */
+    estimateTotal(windowMs: number, vmCount: number, equalPart: number): number {
         const now = this.timers.now();
         const known = this.getKnownTotal(windowMs);
-        const unknownVms = Math.max(0, vmCount - 1 - this.peers.size);
-        let usedSince = 0;
+        let unreported = Math.max(0, vmCount - 1 - this.peers.size) * equalPart;
         for (const peer of this.peers.values()) {
-            usedSince += estimateUsedSince(peer, now, unreported);
+            unreported += estimateUnreported(peer, now, equalPart)
+                + (peer.lost.receivedAt < now - windowMs ? 0 : peer.lost.unreportedUnits);
         }
-        return known + unknownVms * unreported.equalPart + usedSince;
+        return known + unreported;
     }
 
     /** Removes VMs whose usage has left the window; those that still exist count as unreported again. */
@@ -121,21 +113,26 @@
         }
     }
 
-    private getLostUnits({ lost }: PeerUsage, windowMs: number): number {
-        return lost.receivedAt < this.timers.now() - windowMs ? 0 : lost.units;
+    private createLost(
+        previous: PeerUsage,
+        receivedAt: number,
+        windowMs: number,
+        equalPart: number,
+    ): PeerUsage["lost"] {
+        const { usedUnits, lost } = previous;
+        const isExpired = lost.receivedAt < receivedAt - windowMs;
+        return {
+            units: usedUnits + (isExpired ? 0 : lost.units),
+            unreportedUnits: estimateUnreported(previous, receivedAt, equalPart)
+                + (isExpired ? 0 : lost.unreportedUnits),
+            receivedAt: previous.receivedAt,
+        };
     }
 }
 
-/** Estimates the units that a VM has used by `now` since its last report; none while that is fresh. */
-const estimateUsedSince = (
-    { receivedAt, usedUnits, demandPerS }: PeerUsage,
+/** Estimates the units that a VM may have used by `now` beyond its last report; none while that is fresh. */
+const estimateUnreported = (
+    { receivedAt, usedUnits }: PeerUsage,
     now: number,
-    { equalPart, atOnce, perMs, borrowingDemandPerS }: UnreportedUsage,
-): number => {
-    const ageMs = now - receivedAt;
-    if (ageMs <= FRESH_REPORT_MS) {
-        return 0;
-    }
-    const usable = demandPerS > borrowingDemandPerS ? equalPart : atOnce + perMs * ageMs;
-    return Math.max(0, Math.min(equalPart - usedUnits, usable));
-};
+    equalPart: number,
+): number => (now - receivedAt <= FRESH_REPORT_MS ? 0 : Math.max(0, equalPart - usedUnits));
