Count listed VMs only once the list has been read, and read it once at a time

Each would count with a whole part of every quota. Overlapping reads of the list could also end in the wrong order.

Change: VMs that only gossip names count until the first list; a read is not begun while one is under way. The tests of unread-list.test.ts hold; the two faults have no test of their own.

--- a/packages/wigeonpulley/src/membership/member-table.ts
+++ b/packages/wigeonpulley/src/membership/member-table.ts
@@ -45,6 +45,7 @@
 /** Table of the other VMs. */
 export class MemberTable {
     private readonly records = new Map<string, MemberRecord>();
+    private listed = 0;
 
     private constructor(private readonly suspicionMs: number) {}
 
@@ -58,6 +59,11 @@
         return [...this.records.values()];
     }
 
+    /** Number of VMs that the platform has listed. */
+    get listedCount(): number {
+        return this.listed;
+    }
+
     /** Number of known VMs, whether the platform has listed them or only peers know them. */
     get size(): number {
         return this.records.size;
@@ -85,6 +91,7 @@
                 this.records.delete(name);
             }
         }
+        this.listed = this.list().filter(({ entry }) => entry !== undefined).length;
     }
 
     /** Merges a state that a peer sent; one that isn't newer than the known state has no effect. */
--- a/packages/wigeonpulley/src/membership/membership-service.ts
+++ b/packages/wigeonpulley/src/membership/membership-service.ts
@@ -120,6 +120,7 @@
     private leavingEndpoints: ReadonlySet<string> = new Set();
     private isRegistered = false;
     private hasList = false;
+    private isReadingList = false;
     private cancelListRetry: CancelTimer = () => undefined;
     /** The newest registration, which may be under way. */
     private registering: Promise<unknown> = Promise.resolve();
@@ -223,9 +224,12 @@
         return [self, ...others];
     }
 
-    /** Number of all known VMs, including this one and those that aren't listed yet. */
+    /**
+     * Number of all listed VMs, including this one; before the list has been read, of those that gossip names. Gossip may name
+     * VMs that are gone.
+     */
     get memberCount(): number {
-        return this.table.size + 1;
+        return (this.hasList ? this.table.listedCount : this.table.size) + 1;
     }
 
     /** True when the VM is live in the given incarnation as far as is known. */
@@ -373,7 +377,13 @@
     }
 
     private async readVmList(): Promise<void> {
+        if (this.isReadingList) {
+            // A response that is older than the next one might be applied after it.
+            return;
+        }
+        this.isReadingList = true;
         const listing = await this.options.vmList.read();
+        this.isReadingList = false;
         if (listing.isErr()) {
             // The last known list stays in use.
             this.options.logger.writeError(listing.error);
