Bound by time how long a stop waits for a late event loop

The wait also came before the race with the deadline.

Change: it ends after 0.5 s, and it is part of what the deadline bounds. The tests of stopping-vm.test.ts hold; the bound has no test of its own.

--- a/packages/wigeonpulley/src/forwarding/pending-input.ts
+++ b/packages/wigeonpulley/src/forwarding/pending-input.ts
@@ -3,8 +3,8 @@
 
 /** Duration up to which a turn of the event loop is short: little input can have arrived during it. */
 const SHORT_TURN_MS = 50;
-/** Turns after which a loop that stays late is no longer waited for. */
-const MAX_TURNS = 10;
+/** Time after which a loop that stays late is no longer waited for, in milliseconds. */
+const MAX_WAIT_MS = 500;
 
 /**
  * Resolves once the event loop has polled again. A callback that runs in one turn finds the end of a caller's connection
@@ -16,13 +16,13 @@
         setImmediate(() => setImmediate(resolve));
     });
 
-/** Resolves once the event loop has polled and was not late, or after some turns if it stays late. */
+/** Resolves once the event loop has polled and was not late, or after some time if it stays late. */
 export const waitUntilLoopIsInTime = async (timers: TimerService): Promise<void> => {
-    for (let turn = 0; turn < MAX_TURNS; turn += 1) {
-        const startedAt = timers.now();
+    const waitUntil = timers.now() + MAX_WAIT_MS;
+    let startedAt: number;
+    do {
+        startedAt = timers.now();
         await waitForPendingInput();
-        if (timers.now() - startedAt <= SHORT_TURN_MS) {
-            return;
-        }
     }
+    while (timers.now() - startedAt > SHORT_TURN_MS && timers.now() < waitUntil);
 };
--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -249,10 +249,9 @@
         else {
             this.listServers().forEach(server => server.refuseNew());
         }
-        await Promise.all(this.listServers().map(server => server.stopAccepting()));
         const limit = new AbortController();
         const isGraceful = await Promise.race([
-            this.waitUntilIdle().then(() => true),
+            this.stopAcceptingAndFinish().then(() => true),
             timers.sleep(deadline - timers.now(), limit.signal).then(() => false),
         ]);
         limit.abort();
@@ -315,6 +314,11 @@
         };
     }
 
+    private async stopAcceptingAndFinish(): Promise<void> {
+        await Promise.all(this.listServers().map(server => server.stopAccepting()));
+        await this.waitUntilIdle();
+    }
+
     private async waitUntilIdle(): Promise<void> {
         await Promise.all(this.listServers().map(server => server.waitUntilIdle()));
     }
