Give up a silent attempt only while the retry budget allows another one

With the budget exhausted, a request whose first attempt was silent got 502 although its answer was on its way.

Test: forwarder.test.ts, "a request gets the late answer of its first attempt while the retry budget is exhausted", failed before (502).

--- a/packages/wigeonpulley/src/forwarding/admission-limits.ts
+++ b/packages/wigeonpulley/src/forwarding/admission-limits.ts
@@ -33,6 +33,9 @@
     /** Records a first attempt, which adds to the budget. */
     abstract recordRequest(service: string): void;
 
+    /** True when a retry would be allowed now. */
+    abstract canRetry(service: string): boolean;
+
     /** Consumes one retry; false when the budget is exhausted. */
     abstract tryRetry(service: string): boolean;
 }
--- a/packages/wigeonpulley/src/forwarding/attempt.ts
+++ b/packages/wigeonpulley/src/forwarding/attempt.ts
@@ -32,6 +32,8 @@
     readonly placement: Placement;
     /** True when no other attempt may follow this one. */
     readonly isLast: boolean;
+    /** Returns true while the retry budget allows another attempt. */
+    readonly hasRetryBudget: () => boolean;
     readonly quarantine: Quarantine;
     /** Traits of the request. */
     readonly traits: readonly string[];
@@ -306,7 +308,7 @@
 
     /** Aborts the exchange when the instance sends nothing for too long and another attempt may follow. */
     private abortWhenSilent(): void {
-        const { timers, request, isLast } = this.options;
+        const { timers, request, isLast, hasRetryBudget } = this.options;
         if (isLast) {
             return;
         }
@@ -320,11 +322,11 @@
             if (this.isFinished) {
                 return;
             }
-            if (silentMs >= limitMs) {
+            if (silentMs >= limitMs && hasRetryBudget()) {
                 this.exchange.abort(`silent for ${Math.round(silentMs)} ms`);
                 return;
             }
-            timers.schedule(limitMs - silentMs, check);
+            timers.schedule(Math.max(MIN_SILENCE_MS, limitMs - silentMs), check);
         };
         timers.schedule(limitMs, check);
     }
--- a/packages/wigeonpulley/src/forwarding/forwarder.ts
+++ b/packages/wigeonpulley/src/forwarding/forwarder.ts
@@ -275,6 +275,7 @@
                 placement,
                 isLast: placement.isPeer || !isRetryable(request.route)
                     || progress.attempts + 1 >= request.route.maxAttempts,
+                hasRetryBudget: () => this.options.retryBudget.canRetry(request.service),
                 createPeerHeaders: elapsedMs =>
                     createPeerHeaders(
                         { vm: this.options.identity.vm, elapsedMs },
--- a/packages/wigeonpulley/src/quotas/shared-retry-budget.ts
+++ b/packages/wigeonpulley/src/quotas/shared-retry-budget.ts
@@ -85,14 +85,18 @@
         this.getOrCreateSlice(service).requests += 1;
     }
 
-    override tryRetry(service: string): boolean {
-        const slice = this.getOrCreateSlice(service);
-        const { requests, retries } = this.getOrCreateCounts(service).computeTotalsUntil(slice.index);
+    override canRetry(service: string): boolean {
+        const { index } = this.getOrCreateSlice(service);
+        const { requests, retries } = this.getOrCreateCounts(service).computeTotalsUntil(index);
         const allowed = USED_FRACTION * this.options.getLimits().ratio * requests + this.computeExtraPart();
-        if (retries + 1 > allowed) {
+        return retries + 1 <= allowed;
+    }
+
+    override tryRetry(service: string): boolean {
+        if (!this.canRetry(service)) {
             return false;
         }
-        slice.retries += 1;
+        this.getOrCreateSlice(service).retries += 1;
         return true;
     }
 
--- a/packages/wigeonpulley/test/forwarding/forwarder.test.ts
+++ b/packages/wigeonpulley/test/forwarding/forwarder.test.ts
@@ -272,6 +272,18 @@
     expect(view).toMatchObject({ status: 200, isComplete: true });
 });
 
+// Guards against LOST: a silent attempt was given up for a retry that the budget did not allow.
+test("a request gets the late answer of its first attempt while the retry budget is exhausted", async () => {
+    const { timers, transport, serve } = createForwarding({
+        retryBudgetExtra: 0,
+        script: () => [createSignedHead(2_000), { kind: "end" }],
+    });
+    const { summary, view } = serve({ maxAttempts: 2, timeoutMs: 4_000, targetLatencyMs: 300 });
+    await timers.runUntilSettled(summary, LIMIT_MS);
+    expect(transport.dispatches).toHaveLength(1);
+    expect(view).toMatchObject({ status: 200, isComplete: true });
+});
+
 test("a request that exceeds its route's timeout gets 503 if it was not sent and 504 if it was", async () => {
     const { timers, serve } = createForwarding({ script: () => [createSignedHead(60_000)] });
     const sent = serve({ kind: "once", timeoutMs: 1_000 });
