--- a/packages/wigeonpulley/test/compatibility/recorded-examples.test.ts
+++ b/packages/wigeonpulley/test/compatibility/recorded-examples.test.ts
@@ -33,6 +33,8 @@
     eventCatalogue,
     FetchConfigurationRequestSchema,
     FetchConfigurationResponseSchema,
+    FetchOperatorRecordsRequestSchema,
+    FetchOperatorRecordsResponseSchema,
     foldConfiguration,
     GatewayMessageSchema,
     hashPrefixBlocks,
@@ -130,6 +132,11 @@
     fetchResponse: [FetchConfigurationResponseSchema, { versionJson: "{}" }],
     claimRequest: [ClaimRequestSchema, { partition: 3, recordJson: "{}" }],
     claimResponse: [ClaimResponseSchema, { offset: 12, refused: true }],
+    recordsRequest: [FetchOperatorRecordsRequestSchema, { position: { era: 2, offset: "7" } }],
+    recordsResponse: [FetchOperatorRecordsResponseSchema, {
+        records: [{ key: "config", value: "e30=", offset: "7" }, { key: "rollout/desk", offset: "8" }],
+        next: { era: 2, offset: "9" },
+    }],
 };
 
 const encodeMessages = (): unknown =>
