--- a/packages/wigeonpulley/src/routed-vm/operator-record-exchange.ts
+++ b/packages/wigeonpulley/src/routed-vm/operator-record-exchange.ts
@@ -34,7 +34,7 @@
 const MIN_BEHIND_MS = 300;
 /** Further time, at random, so that a few VMs have the records before the others ask. */
 const BEHIND_SPREAD_MS = 700;
-/** Answers that a VM begins in an interval, so that a slow link carries them; those refused find more VMs that have the records. */
+/** Answers that a VM begins in an interval, so that a slow link carries them. VMs that are refused ask another one later. */
 const MAX_ANSWERS = 2;
 const ANSWER_INTERVAL_MS = 1_000;
 
@@ -53,12 +53,12 @@
         return new OperatorRecordExchange(options);
     }
 
-    /** Starts to check whether other VMs are ahead. */
+    /** Starts checking whether other VMs are ahead. */
     start(): void {
         this.cancelChecks = this.options.timers.scheduleRepeating(CHECK_INTERVAL_MS, () => this.check());
     }
 
-    /** Stops to check. */
+    /** Stops checking. */
     stop(): void {
         this.cancelChecks();
     }
