--- a/packages/wigeonpulley/test/membership/registration.test.ts
+++ b/packages/wigeonpulley/test/membership/registration.test.ts
@@ -1,26 +1,15 @@
 /** Registration of a VM in the platform's list, from which the other VMs learn of it. */
-import { Err } from "ts-results-es";
 import { expect, test } from "vitest";
 import {
     EventLogger,
-    GossipTransport,
     MembershipService,
     MemorySink,
-    SchedulerError,
     SeededRandom,
     StoreVmList,
     VirtualTimerService,
 } from "wigeonpulley";
 import { InMemoryKeyedStore } from "../fixtures/in-memory-keyed-store.js";
-
-class SilentTransport extends GossipTransport {
-    static create(): SilentTransport {
-        return new SilentTransport();
-    }
-
-    override exchangeDigests = () =>
-        Promise.resolve(Err(SchedulerError.create("PeerUnavailable", { peer: "any", reason: "silent" })));
-}
+import { SilentTransport } from "../fixtures/silent-transport.js";
 
 const createMembership = () => {
     const timers = VirtualTimerService.create();
--- a/packages/wigeonpulley/test/membership/unread-list.test.ts
+++ b/packages/wigeonpulley/test/membership/unread-list.test.ts
@@ -1,30 +1,19 @@
 /** What a VM knows of the others before it has read the platform's list. */
 import { create } from "@bufbuild/protobuf";
-import { Err } from "ts-results-es";
 import { expect, test } from "vitest";
 import {
     EventLogger,
-    GossipTransport,
     MemberDigestSchema,
     MembershipService,
     MemberStateSchema,
     MemorySink,
-    SchedulerError,
     SeededRandom,
     StoreVmList,
     VirtualTimerService,
     type VmListEntry,
 } from "wigeonpulley";
 import { InMemoryKeyedStore } from "../fixtures/in-memory-keyed-store.js";
-
-class SilentTransport extends GossipTransport {
-    static create(): SilentTransport {
-        return new SilentTransport();
-    }
-
-    override exchangeDigests = () =>
-        Promise.resolve(Err(SchedulerError.create("PeerUnavailable", { peer: "any", reason: "silent" })));
-}
+import { SilentTransport } from "../fixtures/silent-transport.js";
 
 const createEntry = (name: string): VmListEntry => ({
     name,
