--- a/packages/wigeonpulley/src/routed-vm/operator-record-exchange.ts
+++ b/packages/wigeonpulley/src/routed-vm/operator-record-exchange.ts
@@ -48,7 +48,7 @@
 
     private constructor(private readonly options: OperatorRecordExchangeOptions) {}
 
-    /** Creates an exchange that asks nobody yet. */
+    /** Creates an exchange that is not started. */
     static create(options: OperatorRecordExchangeOptions): OperatorRecordExchange {
         return new OperatorRecordExchange(options);
     }
