Run late timers after the input that has arrived

What callers saw: with a VM whose event loop was late, a request whose response, or connection to an instance, lay unread in a socket's buffer ended by a timeout: with an error, as refused, or as a stream that was cut. Cause: Node.js runs timers that are due before it polls. After a long turn, each timeout decides from what was read before that turn. Ruled out: a larger limit for each timeout, which moves the moment only; polling in each timeout's callback, which is the same code at every place and missing at the next one. Change: the timer service runs a timer that is late by over 25 ms after two polls, so that the input may cancel it; late timers keep their order.

--- a/packages/wigeonpulley/src/time/system-timer-service.ts
+++ b/packages/wigeonpulley/src/time/system-timer-service.ts
@@ -2,8 +2,18 @@
 import { performance } from "node:perf_hooks";
 import { type CancelTimer, TimerService } from "./timer-service.js";
 
-/** Timer service on the real clocks. */
+/** Delay of a timer above which the event loop was late and may have left input unread, in milliseconds. */
+const LATE_TIMER_MS = 25;
+
+/**
+ * Timer service on the real clocks. Node.js runs timers that are due before it reads, so after a long turn of the event loop a
+ * timeout would end what has its bytes waiting. A late timer therefore runs after the input that has arrived, which may
+ * cancel it.
+ */
 export class SystemTimerService extends TimerService {
+    /** Number of late timers that wait; those that come due meanwhile run after them. */
+    private waiting = 0;
+
     private constructor() {
         super();
     }
@@ -22,7 +32,26 @@
     }
 
     override schedule(delayMs: number, callback: () => void): CancelTimer {
-        const timer = setTimeout(callback, Math.max(0, delayMs));
-        return () => clearTimeout(timer);
+        const dueAt = this.now() + delayMs;
+        let isCancelled = false;
+        const runUnlessCancelled = (): void => {
+            this.waiting -= 1;
+            if (!isCancelled) {
+                callback();
+            }
+        };
+        const timer = setTimeout(() => {
+            if (this.waiting === 0 && this.now() - dueAt <= LATE_TIMER_MS) {
+                callback();
+                return;
+            }
+            this.waiting += 1;
+            // One poll finds connections that were opened, the next one what has arrived on them.
+            setImmediate(() => setImmediate(runUnlessCancelled));
+        }, Math.max(0, delayMs));
+        return () => {
+            isCancelled = true;
+            clearTimeout(timer);
+        };
     }
 }
