--- /dev/null
+++ b/packages/wigeonpulley/src/forwarding/open-responses.ts
@@ -0,0 +1,33 @@
+/**
+ * Knows the responses in progress on each connection of a caller. A caller may send requests without waiting for the
+ * responses to earlier ones; Node.js then sends the responses one after the other.
+ */
+import type { ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+
+/** Requests on one connection. */
+interface ConnectionState {
+    /** Responses that have not been sent completely, in the order of their requests. */
+    readonly responses: Set<ServerResponse>;
+}
+
+const stateBySocket = new WeakMap<Socket, ConnectionState>();
+
+/** Records a request that has arrived; its response is open until it closes. */
+export const recordRequest = (response: ServerResponse): void => {
+    const { socket } = response.req;
+    const state = stateBySocket.get(socket) ?? createState(socket);
+    state.responses.add(response);
+    response.once("close", () => state.responses.delete(response));
+};
+
+/** Returns the open responses on a connection, in the order of their requests. */
+export const listOpenResponses = (socket: Socket): readonly ServerResponse[] => [
+    ...stateBySocket.get(socket)?.responses ?? [],
+];
+
+const createState = (socket: Socket): ConnectionState => {
+    const state: ConnectionState = { responses: new Set() };
+    stateBySocket.set(socket, state);
+    return state;
+};
