--- a/packages/wigeonpulley/src/forwarding/open-responses.ts
+++ b/packages/wigeonpulley/src/forwarding/open-responses.ts
@@ -9,6 +9,7 @@
 interface ConnectionState {
     /** Responses that have not been sent completely, in the order of their requests. */
     readonly responses: Set<ServerResponse>;
+    requestCount: number;
 }
 
 const stateBySocket = new WeakMap<Socket, ConnectionState>();
@@ -17,6 +18,7 @@
 export const recordRequest = (response: ServerResponse): void => {
     const { socket } = response.req;
     const state = stateBySocket.get(socket) ?? createState(socket);
+    state.requestCount += 1;
     state.responses.add(response);
     response.once("close", () => state.responses.delete(response));
 };
@@ -26,8 +28,11 @@
     ...stateBySocket.get(socket)?.responses ?? [],
 ];
 
+/** Returns the number of requests whose heads have arrived on a connection so far. */
+export const countRequests = (socket: Socket): number => stateBySocket.get(socket)?.requestCount ?? 0;
+
 const createState = (socket: Socket): ConnectionState => {
-    const state: ConnectionState = { responses: new Set() };
+    const state: ConnectionState = { responses: new Set(), requestCount: 0 };
     stateBySocket.set(socket, state);
     return state;
 };
