Close a connection that drains only after the response to its last request

What a caller sees: it has sent several requests without waiting; a VM that stops answers the first one, with Connection: close, and cuts the others, which instances run (LOST, TWICE where a caller sends them again).

Cause: each response of a stopping VM asked for the close. Only the response to the newest request does now.

Evidence: kept-connections.test.ts, "a stopping VM answers all requests that a caller has sent without waiting" got 1 of 3 responses before, 3 of 3 now; running-vm.test.ts and packages/wigeonpulley/test/forwarding pass.

--- a/packages/wigeonpulley/src/forwarding/open-responses.ts
+++ b/packages/wigeonpulley/src/forwarding/open-responses.ts
@@ -31,6 +31,10 @@
 /** Returns the number of requests whose heads have arrived on a connection so far. */
 export const countRequests = (socket: Socket): number => stateBySocket.get(socket)?.requestCount ?? 0;
 
+/** True when no later request has arrived on the connection: it may be closed after this response. */
+export const isNewest = (response: ServerResponse): boolean =>
+    listOpenResponses(response.req.socket).at(-1) === response;
+
 const createState = (socket: Socket): ConnectionState => {
     const state: ConnectionState = { responses: new Set(), requestCount: 0 };
     stateBySocket.set(socket, state);
--- a/packages/wigeonpulley/src/forwarding/response-writer.ts
+++ b/packages/wigeonpulley/src/forwarding/response-writer.ts
@@ -3,6 +3,7 @@
 import { createProblemBody, type SchedulerError } from "../errors/index.js";
 import type { ResponseHead } from "./endpoint-transport.js";
 import { listForwardedResponseHeaders } from "./hop-by-hop.js";
+import { isNewest } from "./open-responses.js";
 import { VM_ERROR_HEADER } from "./peer-headers.js";
 import { getReasonPhrase } from "./reason-phrase.js";
 
@@ -18,8 +19,9 @@
     ) {}
 
     /**
-     * Creates a writer for a response that has not started; the connection is closed after it while `isDraining` returns
-     * true. Errors for another VM carry their names, so that they can't be taken for responses of an endpoint.
+     * Creates a writer for a response that has not started; while `isDraining` returns true, the connection is closed after
+     * the response to its last request. Errors for another VM carry their names, so that they can't be taken for responses
+     * of an endpoint.
      */
     static create(response: ServerResponse, isDraining: () => boolean, isForPeer = false): ResponseWriter {
         return new ResponseWriter(response, isDraining, isForPeer);
@@ -110,6 +112,6 @@
     }
 
     private createConnectionHeader(): Readonly<Record<string, string>> {
-        return this.isDraining() ? { connection: "close" } : {};
+        return this.isDraining() && isNewest(this.response) ? { connection: "close" } : {};
     }
 }
