End the requests of a caller that has left before their responses' turn

What a caller sees: nothing any more; it has sent several requests without waiting, and left. Instances went on working for all but the first (GONE), and the VM counted them as open for ever: each stop of it then lasted until the end of the grace period, and its places for open requests ran out.

Cause: Node.js reports the end of a connection only to the response that is being sent. The others are closed now as well.

Evidence: kept-connections.test.ts, "a caller that leaves with several unanswered requests leaves none of them open" found 2 open before, 0 now.

--- a/packages/wigeonpulley/src/forwarding/open-responses.ts
+++ b/packages/wigeonpulley/src/forwarding/open-responses.ts
@@ -3,7 +3,7 @@
  * responses to earlier ones; Node.js then sends the responses one after the other.
  */
 import type { ServerResponse } from "node:http";
-import type { Socket } from "node:net";
+import { Socket } from "node:net";
 
 /** Requests on one connection. */
 interface ConnectionState {
@@ -38,5 +38,15 @@
 const createState = (socket: Socket): ConnectionState => {
     const state: ConnectionState = { responses: new Set(), requestCount: 0 };
     stateBySocket.set(socket, state);
+    socket.once("close", () => state.responses.forEach(closeUnsent));
     return state;
 };
+
+/** Closes a response whose connection was closed before its turn to be sent, which Node.js doesn't report. */
+const closeUnsent = (response: ServerResponse): void => {
+    if (response.socket instanceof Socket) {
+        return;
+    }
+    response.destroy();
+    response.emit("close");
+};
