Don't open the port for callers a second time when another one is held

What a caller sees: a VM that has just started closes its connection; an instance works on the request (LOST, FAULT).

Cause: when another process held the port for requests of other VMs, both servers were told to listen again 0.1 s later. The one for callers refuses that (ERR_SERVER_ALREADY_LISTEN), which ended the process at once.

Evidence: starting-vm.test.ts, "a VM whose port for requests of other VMs is held when it starts serves its callers" failed before, passes now.

--- a/packages/wigeonpulley/src/forwarding/front-server.ts
+++ b/packages/wigeonpulley/src/forwarding/front-server.ts
@@ -102,9 +102,13 @@
 
     /**
      * Starts to listen; rejects when the address can't be bound. Takes over the connections of a `listener` that already
-     * listens on the address and has accepted none.
+     * listens on the address and has accepted none. Without effect if the server listens already: opening it may be repeated
+     * because of another address.
      */
     listen(listener?: NetServer): Promise<void> {
+        if (this.server.listening) {
+            return Promise.resolve();
+        }
         const { host, port } = this.options;
         return new Promise((resolve, reject) => {
             this.server.once("error", reject);
