Apply a new limit for request heads to connections that are open already

What a caller sees: a configuration allows longer heads; on a kept connection, one gets 431 and a closed connection (DENIED).

Cause: the parser of a connection keeps the limit that was in force when it was opened. It has at least 16,384 bytes now, as before the first configuration, and the limit in force is checked for each request, counted as the parser counts.

Evidence: kept-connections.test.ts, "a kept connection takes the longer heads that a new configuration allows" failed before, passes now; running-vm.test.ts (431 for a head over the limit) and edge-fuzz.test.ts pass.

--- a/packages/wigeonpulley/src/forwarding/front-server.ts
+++ b/packages/wigeonpulley/src/forwarding/front-server.ts
@@ -60,8 +60,12 @@
 const CONNECTION_CHECK_INTERVAL_MS = 500;
 /** Connections that the operating system accepts while this process is busy. */
 const BACKLOG = 1_024;
-/** Limit until the first configuration is active. Node's own limit is larger than any configured one. */
+/**
+ * Limit until the first configuration is active, and the least limit of the parser, which keeps the one that it had when its
+ * connection was opened.
+ */
 const INITIAL_MAX_HEADER_BYTES = 16_384;
+const HTTP_HEAD_TOO_LONG = 431;
 /** Retry-After of requests that this VM itself can't serve, whatever their route. */
 const RETRY_AFTER_MS = 500;
 /** Delay of the event loop above which this VM takes no requests of other VMs: it is late for its own callers. */
@@ -75,6 +79,7 @@
     private readonly idleWaiters: (() => void)[] = [];
     /** Number of requests in progress on each connection. */
     private readonly requestCountBySocket = new Map<Socket, number>();
+    private maxHeaderBytes = INITIAL_MAX_HEADER_BYTES;
     private openRequests = 0;
     private isDraining = false;
     private isRefusingNew = false;
@@ -86,7 +91,14 @@
             connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
             requestTimeout: 0,
             noDelay: true,
-        }, (request, response) => void this.handleRequest(request, response));
+        }, (request, response) => {
+            if (measureHead(request) < this.maxHeaderBytes) {
+                void this.handleRequest(request, response);
+            }
+            else {
+                response.writeHead(HTTP_HEAD_TOO_LONG, { connection: "close" }).end();
+            }
+        });
         this.server.on("connection", socket => {
             this.requestCountBySocket.set(socket, 0);
             socket.once("close", () => this.requestCountBySocket.delete(socket));
@@ -172,8 +184,11 @@
     private applyLimits(limits: CallerLimits): void {
         this.server.headersTimeout = limits.headerTimeoutMs;
         this.server.keepAliveTimeout = limits.idleTimeoutMs;
+        this.maxHeaderBytes = limits.headerBytes;
         // Node reads this for each new connection.
-        Object.assign(this.server, { maxHeaderSize: limits.headerBytes });
+        Object.assign(this.server, {
+            maxHeaderSize: Math.max(INITIAL_MAX_HEADER_BYTES, limits.headerBytes),
+        });
     }
 
     private async handleRequest(message: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -435,6 +450,10 @@
     }
 };
 
+/** Measures a head as Node's parser does: what is not path, name or value doesn't count. */
+const measureHead = ({ url = "", rawHeaders }: IncomingMessage): number =>
+    rawHeaders.reduce((bytes, { length }) => bytes + length, url.length);
+
 const getPath = (message: IncomingMessage): string => (message.url ?? "").split("?", 1)[0] ?? "";
 
 /** Resolves when the response has been handed to the operating system, or when its connection is closed. */
