Test that a connection which was established during a late turn carries its request

What a caller sees: 503 (EndpointUnreachable, or no place), or a longer wait, although its instance is sound; the VM takes the instances for unreachable.

Cause: Node.js runs the timers that are due directly after a long turn, before it polls.

Evidence: `npx vitest run packages/wigeonpulley/test/forwarding/undici-transport.test.ts` fails on this code: the event loop is held for 1,200 ms with a timeout of 1,000 ms, failure "connect timeout". The second new test, that a connection to a server with a full backlog does fail in time, passes.

--- a/packages/wigeonpulley/test/forwarding/undici-transport.test.ts
+++ b/packages/wigeonpulley/test/forwarding/undici-transport.test.ts
@@ -1,4 +1,6 @@
-import type { Socket } from "node:net";
+import { spawn } from "node:child_process";
+import { once } from "node:events";
+import { connect, type Socket } from "node:net";
 import { afterEach, expect, onTestFinished, test, vi } from "vitest";
 import {
     type EndpointExchange,
@@ -299,3 +301,52 @@
     await readResponse(transport.send(endpoint.instance, { ...GET, isAtMostOnce: true }));
     expect(endpoint.connections).toHaveLength(2);
 });
+
+/** Blocks the event loop, as the decoding of a long configuration or a machine without processor time does. */
+const blockEventLoop = (durationMs: number): void => {
+    const startedAt = performance.now();
+    let elapsedMs = 0;
+    while (elapsedMs < durationMs) {
+        elapsedMs = performance.now() - startedAt;
+    }
+};
+
+// Guards against LOST: after a late turn of the event loop, sound instances counted as unreachable.
+test("a connection that was established while the event loop was late carries its request", async () => {
+    const endpoint = await start(socket => socket.end(COMPLETE_RESPONSE));
+    const transport = createTransport();
+    const response = new Promise<ReceivedResponse>(resolve =>
+        setImmediate(() => {
+            resolve(readResponse(transport.send(endpoint.instance, GET)));
+            // The socket connects in the next tick, and the poll that would find it connected comes after this one.
+            process.nextTick(() => process.nextTick(() => blockEventLoop(1_200)));
+        })
+    );
+    expect(await response).toMatchObject({ body: "ok", failure: undefined });
+});
+
+/** Starts a process that accepts no connections and whose backlog is full; resolves with its port. */
+const startFrozenServer = async (): Promise<number> => {
+    const source = `const server = require("node:net").createServer().listen(0, "127.0.0.1", 1, () =>
+        console.log(server.address().port))`;
+    const child = spawn(process.execPath, ["-e", source], { stdio: ["ignore", "pipe", "ignore"] });
+    const [output] = (await once(child.stdout, "data")) as readonly unknown[];
+    const port = Number(String(output));
+    child.kill("SIGSTOP");
+    const waiting = Array.from({ length: 4 }, () => connect(port, "127.0.0.1").on("error", () => undefined));
+    onTestFinished(() => {
+        waiting.forEach(socket => socket.destroy());
+        child.kill("SIGKILL");
+    });
+    await new Promise(resolve => setTimeout(resolve, 100));
+    return port;
+};
+
+// Guards against RECOVER: a request would be held by an instance that accepts no connection.
+test("a connection that is not established in time fails as not run", async () => {
+    const port = await startFrozenServer();
+    const startedAt = performance.now();
+    const response = await readResponse(createTransport().send(createInstance({ port }), GET));
+    expect(response).toMatchObject({ mayHaveRun: false, failure: "connect timeout" });
+    expect(performance.now() - startedAt).toBeLessThan(3_000);
+});
