Build the table of a host's routes without copying it for each route

What a caller sees: a shorter hold of the event loop with each new version; nothing else changes.

Cause: each of n routes of a host copied the list of those before it.

--- a/packages/wigeonpulley/src/routing/route-table.ts
+++ b/packages/wigeonpulley/src/routing/route-table.ts
@@ -4,20 +4,19 @@
 
 /** Lookup tables of one configuration. */
 export class RouteTable {
-    private readonly routesByHost = new Map<string, readonly Route[]>();
+    private readonly routesByHost = new Map<string, Route[]>();
     private readonly workspaceByKey = new Map<string, Workspace>();
     private readonly serviceByName: ReadonlyMap<string, Service>;
 
     private constructor(readonly configuration: RoutingConfiguration) {
         for (const route of configuration.routes) {
-            this.routesByHost.set(route.host, [...this.routesByHost.get(route.host) ?? [], route]);
-        }
-        for (const [host, routes] of this.routesByHost) {
-            this.routesByHost.set(
-                host,
-                routes.toSorted((left, right) => right.pathPrefix.length - left.pathPrefix.length),
-            );
+            const routes = this.routesByHost.get(route.host) ?? [];
+            routes.push(route);
+            this.routesByHost.set(route.host, routes);
         }
+        this.routesByHost.forEach(routes =>
+            routes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length)
+        );
         for (const workspace of configuration.workspaces ?? []) {
             workspace.keys.forEach(key => this.workspaceByKey.set(key, workspace));
         }
