Give up a silent attempt only when another instance takes over

What callers saw: a resumable stream that was cut, or a request that was refused, though its instance was sound: it had paused for 1.6 s (half of the time for which the caller waits), and no other instance had a slot then. Cause: the attempt was aborted first, and the next one looked for an instance afterwards. A stream whose events were sent can't be refused any more, so that a search without a result ended it. Change: the next attempt's slot is occupied, within the retry budget, before the silent one is aborted; until then the instance may go on.

--- a/packages/wigeonpulley/src/forwarding/attempt.ts
+++ b/packages/wigeonpulley/src/forwarding/attempt.ts
@@ -32,8 +32,8 @@
     readonly placement: Placement;
     /** True when no other attempt may follow this one. */
     readonly isLast: boolean;
-    /** Returns true while the retry budget allows another attempt. */
-    readonly hasRetryBudget: () => boolean;
+    /** Reserves an instance for another attempt; false when there is none now, or no attempt may follow. */
+    readonly reserveRetry: () => boolean;
     readonly quarantine: Quarantine;
     /** Traits of the request. */
     readonly traits: readonly string[];
@@ -306,9 +306,12 @@
         return this.options.relay.eventCount - this.eventsBefore;
     }
 
-    /** Aborts the exchange when the instance sends nothing for too long and another attempt may follow. */
+    /**
+     * Aborts the exchange when the instance sends nothing for too long and another one can take over. Without one, the
+     * instance may still go on, and nothing else could end the response.
+     */
     private abortWhenSilent(): void {
-        const { timers, request, isLast, hasRetryBudget } = this.options;
+        const { timers, request, isLast, reserveRetry } = this.options;
         if (isLast) {
             return;
         }
@@ -322,7 +325,7 @@
             if (this.isFinished) {
                 return;
             }
-            if (silentMs >= limitMs && hasRetryBudget()) {
+            if (silentMs >= limitMs && reserveRetry()) {
                 this.exchange.abort(`silent for ${Math.round(silentMs)} ms`);
                 return;
             }
--- a/packages/wigeonpulley/src/forwarding/forwarder.ts
+++ b/packages/wigeonpulley/src/forwarding/forwarder.ts
@@ -91,6 +91,8 @@
     peerSends: number;
     /** True when the last send was to another VM. */
     isAtPeer: boolean;
+    /** Where the next attempt goes, if that was reserved within the retry budget. */
+    reservedPlacement: Placement | undefined;
     waitedMs: number | undefined;
     instance: string;
     predictedMs: number;
@@ -123,12 +125,26 @@
             notRunSends: 0,
             peerSends: 0,
             isAtPeer: false,
+            reservedPlacement: undefined,
             waitedMs: undefined,
             instance: "",
             predictedMs: -1,
             reason: "",
             isCanary: this.options.versions.chooseCanary(request.service),
         };
+        try {
+            return await this.attemptUntilEnded(request, writer, progress);
+        }
+        finally {
+            progress.reservedPlacement?.release(undefined, "no attempt followed");
+        }
+    }
+
+    private async attemptUntilEnded(
+        request: RoutedRequest,
+        writer: ResponseWriter,
+        progress: RequestProgress,
+    ): Promise<ForwardSummary> {
         for (;;) {
             const placement = this.findQuarantineError(progress)
                 ?? await this.acquireUnlessObsolete(request, progress);
@@ -180,7 +196,10 @@
         request: RoutedRequest,
         progress: RequestProgress,
     ): Promise<Placement | SchedulerError> {
-        const placement = this.acquireWhenCutOff(request, progress) ?? await this.acquire(request, progress);
+        const { reservedPlacement } = progress;
+        progress.reservedPlacement = undefined;
+        const placement = reservedPlacement ?? this.acquireWhenCutOff(request, progress)
+            ?? await this.acquire(request, progress);
         const { cancelReason } = request.lifetime;
         const error = cancelReason === undefined
             ? this.findQuarantineError(progress)
@@ -218,6 +237,29 @@
         return placed.isOk() ? placed.value : placed.error;
     }
 
+    /**
+     * Takes a slot for the next attempt at once, within the retry budget, so that giving up an attempt can't leave the
+     * request without an instance. Returns false when there is none, or when the response can't be continued.
+     */
+    private reserveRetry(request: RoutedRequest, writer: ResponseWriter, progress: RequestProgress): boolean {
+        const { placement, retryBudget } = this.options;
+        // A response that has started can be continued only as a stream.
+        if ((writer.hasStarted && !progress.relay.hasStarted) || !retryBudget.canRetry(request.service)) {
+            return false;
+        }
+        const placed = this.acquireWhenCutOff(request, progress)
+            ?? placement.tryAcquire(this.createPlacementRequest(request, progress));
+        if (placed === undefined || placed instanceof SchedulerError) {
+            return false;
+        }
+        if (!retryBudget.tryRetry(request.service)) {
+            placed.release(undefined, "the retry budget is exhausted");
+            return false;
+        }
+        progress.reservedPlacement = placed;
+        return true;
+    }
+
     private createPlacementRequest(request: RoutedRequest, progress: RequestProgress): PlacementRequest {
         const { timers } = this.options;
         const { metadata, route, workspace, lifetime } = request;
@@ -275,7 +317,7 @@
                 placement,
                 isLast: placement.isPeer || !isRetryable(request.route)
                     || progress.attempts + 1 >= request.route.maxAttempts,
-                hasRetryBudget: () => this.options.retryBudget.canRetry(request.service),
+                reserveRetry: () => this.reserveRetry(request, writer, progress),
                 createPeerHeaders: elapsedMs =>
                     createPeerHeaders(
                         { vm: this.options.identity.vm, elapsedMs },
@@ -327,7 +369,8 @@
                 && !(outcome.isConnectionLost
                     && this.options.quarantine.isSuspicious(progress.traits));
         const isFree = isNotRun && !outcome.hasArrived;
-        if (canRetry && (isFree || this.options.retryBudget.tryRetry(request.service))) {
+        const isAllowed = isFree || progress.reservedPlacement !== undefined;
+        if (canRetry && (isAllowed || this.options.retryBudget.tryRetry(request.service))) {
             this.options.logger.write("RequestRepeated", {
                 id: request.metadata.attemptId,
                 instance: progress.instance,
--- a/packages/wigeonpulley/test/forwarding/forwarder.test.ts
+++ b/packages/wigeonpulley/test/forwarding/forwarder.test.ts
@@ -284,6 +284,35 @@
     expect(view).toMatchObject({ status: 200, isComplete: true });
 });
 
+// Guards against LOST: a silent attempt was given up although no instance could take the next one, and its stream was cut.
+test("a stream whose sound instance is silent for a while goes on there when there is no other instance", async () => {
+    const { timers, transport, serve } = createForwarding({
+        instances: [createInstance({ id: "i-1" })],
+        script:
+            () => [createSignedHead(), createStreamEvent(1), createStreamEvent(2, 2_500), { kind: "end" }],
+    });
+    const { summary, view } = serve({ ...STREAM, maxAttempts: 2 });
+    await timers.runUntilSettled(summary, LIMIT_MS);
+    expect(view).toMatchObject({ status: 200, isComplete: true, isAborted: false });
+    expect(transport.dispatches).toHaveLength(1);
+});
+
+// Guards against LOST: the same while all slots of the other instances are taken.
+test("a stream whose sound instance is silent for a while goes on there while the others are full", async () => {
+    const { timers, transport, serve } = createForwarding({
+        instances: [createInstance({ id: "i-1", slots: 1 }), createInstance({ id: "i-2", slots: 1 })],
+        script: (instance, count) =>
+            count === 1
+                ? [createSignedHead(), createStreamEvent(1), createStreamEvent(2, 2_500), { kind: "end" }]
+                : createSignedResponse("done", 200, 20_000),
+    });
+    const { summary, view } = serve({ ...STREAM, maxAttempts: 2 });
+    Array.from({ length: 10 }, () => serve({ kind: "once", timeoutMs: 25_000, targetLatencyMs: 10_000 }));
+    await timers.runUntilSettled(summary, LIMIT_MS);
+    expect(view).toMatchObject({ status: 200, isComplete: true, isAborted: false });
+    expect(transport.dispatches[0]).toMatchObject({ abortedAt: undefined });
+});
+
 test("a request that exceeds its route's timeout gets 503 if it was not sent and 504 if it was", async () => {
     const { timers, serve } = createForwarding({ script: () => [createSignedHead(60_000)] });
     const sent = serve({ kind: "once", timeoutMs: 1_000 });
