Refuse by the clock what comes too late for the grace period

What a caller sees: with an event loop that is late in a planned stop, a request that it sent later than 3 s after SIGTERM was accepted, passed on to a sound server and cut at 7.5 s (LOST). It now gets a 503 with Retry-After.

Cause: a timer due 2.6 s after the signal and two polls decided when the VM takes no more; all that a late loop reads before that counted as in time, whenever it was sent. A request that is read within 2.9 s of the earliest moment of the signal was sent within 3 s of the signal itself.

--- a/packages/wigeonpulley/src/forwarding/front-server.ts
+++ b/packages/wigeonpulley/src/forwarding/front-server.ts
@@ -82,7 +82,8 @@
     private maxHeaderBytes = INITIAL_MAX_HEADER_BYTES;
     private openRequests = 0;
     private isDraining = false;
-    private isRefusingNew = false;
+    /** Monotonic time from which on requests are refused, in milliseconds. */
+    private refusesFrom = Number.POSITIVE_INFINITY;
 
     private constructor(private readonly options: FrontServerOptions) {
         this.callerRetryDetector = CallerRetryDetector.create(options.timers);
@@ -143,9 +144,12 @@
         this.isDraining = true;
     }
 
-    /** Refuses all further requests as not run. */
-    refuseNew(): void {
-        this.isRefusingNew = true;
+    /**
+     * Refuses all requests as not run that are read later than `time`, a monotonic time in milliseconds; an earlier one
+     * remains. By the clock, because a late event loop reads requests before it runs a timer that is due.
+     */
+    refuseNew(time = this.options.timers.now()): void {
+        this.refusesFrom = Math.min(this.refusesFrom, time);
     }
 
     /**
@@ -181,6 +185,10 @@
         this.lifetimes.forEach(lifetime => lifetime.cancel("shutdown"));
     }
 
+    private get isRefusingNew(): boolean {
+        return this.options.timers.now() >= this.refusesFrom;
+    }
+
     private applyLimits(limits: CallerLimits): void {
         this.server.headersTimeout = limits.headerTimeoutMs;
         this.server.keepAliveTimeout = limits.idleTimeoutMs;
--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -62,6 +62,11 @@
 const MAX_JOIN_DELAY_MS = 1_000;
 /** Time for the load balancer to notice that a VM is not ready, in milliseconds: two checks at one a second. */
 const READINESS_PROPAGATION_MS = 2_600;
+/**
+ * Time since the signal after which requests are refused however late the event loop is, in milliseconds. The grace period
+ * covers requests that were sent in its first 3 s.
+ */
+const LATEST_ADMISSION_MS = 2_900;
 const MS_PER_S = 1_000;
 /** Share of an endpoint's connections that all known VMs keep together; the rest is left for new and unknown VMs. */
 const CONNECTION_SHARE = 0.7;
@@ -240,7 +245,10 @@
         const deadline = startedAt + graceMs - SHUTDOWN_RESERVE_MS;
         this.isStopping = true;
         logger.write("VmStopping", { open: this.openRequestCount, lateMs: Math.round(lateMs) });
-        this.listServers().forEach(server => server.startDraining());
+        this.listServers().forEach(server => {
+            server.startDraining();
+            server.refuseNew(startedAt + LATEST_ADMISSION_MS);
+        });
         void this.membership.announceLeaving();
         const remainingMs = startedAt + READINESS_PROPAGATION_MS - timers.now();
         if (remainingMs > 0) {
