Read what has arrived before a stop cuts requests

What a caller sees: with an event loop that is late at the limit of a planned stop, a stream whose server had finished ended without its last events (LOST: the server was not at work any more).

Cause: Node.js runs timers that are due before it reads. The timer of the limit cut requests whose responses lay in the sockets' buffers.

Evidence: stopping-vm.test.ts, "a stream whose end arrives while the event loop is late at the limit of a stop is complete", failed before and passes now.

--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -8,6 +8,7 @@
     FrontServer,
     PeerSelector,
     type RequestPeer,
+    waitForPendingInput,
 } from "../forwarding/index.js";
 import type { MemberDigest } from "../gen/wigeonpulley/peer/v1/peer_pb.js";
 import type { EventLogger } from "../logging/index.js";
@@ -257,12 +258,7 @@
         else {
             this.listServers().forEach(server => server.refuseNew());
         }
-        const limit = new AbortController();
-        const isGraceful = await Promise.race([
-            this.stopAcceptingAndFinish().then(() => true),
-            timers.sleep(deadline - timers.now(), limit.signal).then(() => false),
-        ]);
-        limit.abort();
+        const isGraceful = await this.waitForEnd(this.stopAcceptingAndFinish(), deadline);
         if (isGraceful) {
             logger.write("VmStopped", {});
         }
@@ -327,6 +323,22 @@
         await this.waitUntilIdle();
     }
 
+    /**
+     * Resolves with true when `work` ends before `time`, a monotonic time in milliseconds. What has arrived by then is read
+     * first: a late event loop runs a timer that is due before it reads.
+     */
+    private async waitForEnd(work: Promise<unknown>, time: number): Promise<boolean> {
+        const { timers } = this.options;
+        const limit = new AbortController();
+        const ending = work.then(() => true);
+        const hasEnded = await Promise.race([
+            ending,
+            timers.sleep(time - timers.now(), limit.signal).then(() => false),
+        ]);
+        limit.abort();
+        return hasEnded || Promise.race([ending, waitForPendingInput().then(() => false)]);
+    }
+
     private async waitUntilIdle(): Promise<void> {
         await Promise.all(this.listServers().map(server => server.waitUntilIdle()));
     }
