Cut no response before the last sixth of the grace period

What a caller sees: when the event loop is blocked while SIGTERM comes (1,500 routes are applied in one turn), the VM cut streams up to as much earlier as the loop was late: 5.5 s after the signal with a loop that was late by 2 s. The rule excuses a cut only in the last sixth of 8 s (LOST).

Cause: all times of the stop count from the earliest moment at which the signal can have come. That is right for what must be done before the process is killed, and wrong for what must not be done too early.

At the limit, requests whose responses have not started get their errors as before. Responses that have started go on until 0.85 of the grace period after the signal was handled; a process that is killed before that cuts them in the last sixth.

--- a/packages/wigeonpulley/src/forwarding/front-server.ts
+++ b/packages/wigeonpulley/src/forwarding/front-server.ts
@@ -75,7 +75,8 @@
 export class FrontServer {
     private readonly server: Server;
     private readonly callerRetryDetector: CallerRetryDetector;
-    private readonly lifetimes = new Set<RequestLifetime>();
+    /** Lifetimes of the requests in progress, with their responses. */
+    private readonly lifetimes = new Map<RequestLifetime, ResponseWriter>();
     private readonly idleWaiters: (() => void)[] = [];
     /** Number of requests in progress on each connection. */
     private readonly requestCountBySocket = new Map<Socket, number>();
@@ -182,7 +183,16 @@
 
     /** Cancels all requests in progress. */
     cancelAll(): void {
-        this.lifetimes.forEach(lifetime => lifetime.cancel("shutdown"));
+        this.lifetimes.forEach((writer, lifetime) => lifetime.cancel("shutdown"));
+    }
+
+    /** Cancels the requests whose responses have not started, so that their callers get an error instead. */
+    cancelUnanswered(): void {
+        this.lifetimes.forEach((writer, lifetime) => {
+            if (!writer.hasStarted) {
+                lifetime.cancel("shutdown");
+            }
+        });
     }
 
     private get isRefusingNew(): boolean {
@@ -310,7 +320,7 @@
             return;
         }
         const request = this.createRequest(received);
-        this.lifetimes.add(request.lifetime);
+        this.lifetimes.set(request.lifetime, writer);
         cancelWhenCallerLeaves(request, message, response);
         try {
             await this.forward(request, writer, loopDelayMs);
--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -75,6 +75,8 @@
 const SHUTDOWN_RESERVE_MS = 500;
 /** Part of it for the answers to requests that were cancelled, in milliseconds. */
 const CANCELLED_FLUSH_MS = 300;
+/** Share of the grace period before which no response is cut: somewhat more than five sixths, as the platform has it. */
+const UNCUT_GRACE_SHARE = 0.85;
 /** File descriptors planned for an open request: one to the caller, one to the endpoint, and one in reserve. */
 const DESCRIPTORS_PER_REQUEST = 3;
 /** Maximum memory planned for an open request with its body and response, in megabytes. */
@@ -241,9 +243,13 @@
         const { timers, logger } = this.options;
         const graceMs = this.bounds.graceS * MS_PER_S;
         // A process whose grace period is over would have been killed.
-        const lateMs = Math.min(Math.max(0, timers.now() - requestedAt), graceMs);
-        const startedAt = timers.now() - lateMs;
+        const handledAt = timers.now();
+        const lateMs = Math.min(Math.max(0, handledAt - requestedAt), graceMs);
+        const startedAt = handledAt - lateMs;
         const deadline = startedAt + graceMs - SHUTDOWN_RESERVE_MS;
+        // The signal came in between: errors must be sent before the earliest end of the grace period, and a response that
+        // has started is cut by the end of the process at the worst.
+        const cutAt = Math.max(deadline, handledAt + graceMs * UNCUT_GRACE_SHARE);
         this.isStopping = true;
         logger.write("VmStopping", { open: this.openRequestCount, lateMs: Math.round(lateMs) });
         this.listServers().forEach(server => {
@@ -258,12 +264,17 @@
         else {
             this.listServers().forEach(server => server.refuseNew());
         }
-        const isGraceful = await this.waitForEnd(this.stopAcceptingAndFinish(), deadline);
+        const finishing = this.stopAcceptingAndFinish();
+        const isGraceful = await this.waitForEnd(finishing, deadline);
         if (isGraceful) {
             logger.write("VmStopped", {});
         }
         else {
             logger.write("StopLimitReached", { open: this.openRequestCount });
+            this.listServers().forEach(server => server.cancelUnanswered());
+            if (timers.now() < cutAt) {
+                await this.waitForEnd(finishing, cutAt);
+            }
             this.listServers().forEach(server => server.cancelAll());
             // Leaves time to send the error responses before the process ends.
             await Promise.race([this.waitUntilIdle(), timers.sleep(CANCELLED_FLUSH_MS)]);
