Test time-outs towards endpoints while the event loop is late

What a caller sees: when the event loop is blocked for 0.4 s and more, requests get 503 though their instance is sound: connections that are open count as timed out and their instance as unreachable, and a response that has arrived counts as silence, so that the request is broken off and sent again.

Cause: Node.js runs timers that are due before it reads.

--- a/packages/wigeonpulley/test/forwarding/undici-transport.test.ts
+++ b/packages/wigeonpulley/test/forwarding/undici-transport.test.ts
@@ -88,6 +88,19 @@
     expect(response.failure).toBeDefined();
 });
 
+// Guards against SHORT: a late event loop took connections that were open for timed out, and their endpoints for unreachable.
+test("a connection that opens while the event loop is late is used", async () => {
+    const endpoint = await start(socket => socket.end(COMPLETE_RESPONSE));
+    const response = readResponse(createTransport().send(endpoint.instance, GET));
+    // The socket is connecting now.
+    await new Promise(resolve => process.nextTick(resolve));
+    const until = performance.now() + 1_200;
+    while (performance.now() < until) {
+        // Nothing else runs meanwhile.
+    }
+    expect(await response).toMatchObject({ body: "ok", failure: undefined });
+});
+
 test("a refused connection proves that the request did not run", async () => {
     const endpoint = await start(() => undefined);
     endpoint.close();
