Leave the polling before a stop's limits to the timer service

The timer service runs late timers after the input that has arrived, so that the stop needs no polling of its own.

--- a/packages/wigeonpulley/src/forwarding/index.ts
+++ b/packages/wigeonpulley/src/forwarding/index.ts
@@ -35,7 +35,6 @@
 } from "./header-codec.js";
 export { listForwardedRequestHeaders, listForwardedResponseHeaders } from "./hop-by-hop.js";
 export { PeerSelector, type PeerSelectorOptions, type RequestPeer } from "./peer-selector.js";
-export { waitForPendingInput } from "./pending-input.js";
 export { type CancelReason, RequestLifetime } from "./request-lifetime.js";
 export { listTraits } from "./request-traits.js";
 export { ResponseWriter } from "./response-writer.js";
--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -8,7 +8,6 @@
     FrontServer,
     PeerSelector,
     type RequestPeer,
-    waitForPendingInput,
 } from "../forwarding/index.js";
 import type { MemberDigest } from "../gen/wigeonpulley/peer/v1/peer_pb.js";
 import type { EventLogger } from "../logging/index.js";
@@ -334,20 +333,16 @@
         await this.waitUntilIdle();
     }
 
-    /**
-     * Resolves with true when `work` ends before `time`, a monotonic time in milliseconds. What has arrived by then is read
-     * first: a late event loop runs a timer that is due before it reads.
-     */
+    /** Resolves with true when `work` ends before `time`, a monotonic time in milliseconds. */
     private async waitForEnd(work: Promise<unknown>, time: number): Promise<boolean> {
         const { timers } = this.options;
         const limit = new AbortController();
-        const ending = work.then(() => true);
         const hasEnded = await Promise.race([
-            ending,
+            work.then(() => true),
             timers.sleep(time - timers.now(), limit.signal).then(() => false),
         ]);
         limit.abort();
-        return hasEnded || Promise.race([ending, waitForPendingInput().then(() => false)]);
+        return hasEnded;
     }
 
     private async waitUntilIdle(): Promise<void> {
