Give up a silent attempt only for an instance to which a connection is open

The link between the regions was full of a configuration's records. The VM gave the attempt up after 1,625 ms without an event; connecting to three other servers over the same link failed after 400 ms each. Cause: giving up an attempt before its successor is certain. Ruled out: never giving up a stream under way (an instance that hangs for good would keep it until its caller leaves); sending to both instances at once (the request may not go on at two for longer than 400 ms). Change: while the silent attempt goes on, the next one waits for a slot by its rank, and a connection is opened to its instance; only then the silent one is given up, unless it has gone on meanwhile. An instance that can't be reached is left out, and the search goes on. Bytes that are being written to a slow caller are no silence.

--- a/packages/wigeonpulley/src/forwarding/attempt.ts
+++ b/packages/wigeonpulley/src/forwarding/attempt.ts
@@ -32,8 +32,13 @@
     readonly placement: Placement;
     /** True when no other attempt may follow this one. */
     readonly isLast: boolean;
-    /** Reserves an instance for another attempt; false when there is none now, or no attempt may follow. */
-    readonly reserveRetry: () => boolean;
+    /**
+     * Waits for an instance that another attempt can reach, until the signal aborts; undefined when there is none, or when no
+     * attempt may follow.
+     */
+    readonly prepareRetry: (signal: AbortSignal) => Promise<Placement | undefined>;
+    /** Makes the next attempt use a prepared instance; false when the retry budget is exhausted. */
+    readonly confirmRetry: (placement: Placement) => boolean;
     readonly quarantine: Quarantine;
     /** Traits of the request. */
     readonly traits: readonly string[];
@@ -70,6 +75,9 @@
     private readonly eventsBefore: number;
     private progressAt: number;
     private isFinished = false;
+    private isWriting = false;
+    /** Aborts when the instance is silent no more. */
+    private silence = new AbortController();
 
     private constructor(private readonly options: AttemptOptions) {
         this.startedAt = options.timers.now();
@@ -99,6 +107,7 @@
         }
         finally {
             this.isFinished = true;
+            this.silence.abort();
             unsubscribe();
             // Without effect unless the relay threw.
             this.exchange.abort("the relay failed");
@@ -143,7 +152,7 @@
         if (isExchangeFailure(head)) {
             return this.createExchangeOutcome(head);
         }
-        this.progressAt = this.options.timers.now();
+        this.recordProgress();
         const problem = this.checkHead(head);
         if (problem !== undefined) {
             // Refusals bear no id: one that comes twice must find no other request on its connection.
@@ -193,7 +202,7 @@
     }
 
     private async relayStream(head: ResponseHead): Promise<AttemptOutcome> {
-        const { relay, writer, placement, timers } = this.options;
+        const { relay, writer, placement } = this.options;
         let hasStarted = false;
         let isEventGapRecorded = false;
         for (;;) {
@@ -204,13 +213,13 @@
             if (chunk === undefined) {
                 break;
             }
-            this.progressAt = timers.now();
+            this.recordProgress();
             if (!hasStarted) {
                 hasStarted = true;
                 placement.recordFirstEvent();
                 relay.startResponse(head);
             }
-            await relay.push(chunk);
+            await this.write(relay.push(chunk));
             if (relay.isEventTooLong) {
                 this.exchange.abort("an event is too long");
                 return createFailedOutcome("an event is too long");
@@ -252,7 +261,7 @@
             if (chunk === undefined) {
                 break;
             }
-            this.progressAt = this.options.timers.now();
+            this.recordProgress();
             chunks.push(chunk);
             bufferedBytes += chunk.length;
             if (bufferedBytes > MAX_BUFFERED_BYTES) {
@@ -280,7 +289,7 @@
     private async relayUnbuffered(head: ResponseHead, buffered: readonly Buffer[]): Promise<AttemptOutcome> {
         const { writer } = this.options;
         writer.startStream(head);
-        await writer.write(Buffer.concat(buffered));
+        await this.write(writer.write(Buffer.concat(buffered)));
         for (;;) {
             const chunk = await this.exchange.readChunk();
             if (isExchangeFailure(chunk)) {
@@ -290,8 +299,8 @@
                 writer.finish();
                 return { kind: "answered", status: head.status };
             }
-            this.progressAt = this.options.timers.now();
-            await writer.write(chunk);
+            this.recordProgress();
+            await this.write(writer.write(chunk));
         }
     }
 
@@ -307,11 +316,11 @@
     }
 
     /**
-     * Aborts the exchange when the instance sends nothing for too long and another one can take over. Without one, the
-     * instance may still go on, and nothing else could end the response.
+     * Gives the exchange up when the instance sends nothing for too long and another one can take over. Until then the
+     * instance may go on; without a successor, giving it up would cut the response.
      */
     private abortWhenSilent(): void {
-        const { timers, request, isLast, reserveRetry } = this.options;
+        const { timers, request, isLast } = this.options;
         if (isLast) {
             return;
         }
@@ -319,19 +328,48 @@
         const limitMs = route.kind === "stream"
             ? computeCallerTimeoutMs(request) * SILENCE_TIMEOUT_SHARE
             : Math.max(MIN_SILENCE_MS, SILENCE_TARGET_FACTOR * route.targetLatencyMs);
-        const check = (): void => {
-            // Bytes that wait for a slow caller are not silence of the endpoint.
-            const silentMs = this.exchange.hasChunk ? 0 : timers.now() - this.progressAt;
-            if (this.isFinished) {
-                return;
-            }
-            if (silentMs >= limitMs && reserveRetry()) {
-                this.exchange.abort(`silent for ${Math.round(silentMs)} ms`);
+        const check = async (): Promise<void> => {
+            if (this.isFinished || (this.measureSilence() >= limitMs && await this.tryReplace(limitMs))) {
                 return;
             }
-            timers.schedule(Math.max(MIN_SILENCE_MS, limitMs - silentMs), check);
+            timers.schedule(Math.max(MIN_SILENCE_MS, limitMs - this.measureSilence()), () => void check());
         };
-        timers.schedule(limitMs, check);
+        timers.schedule(limitMs, () => void check());
+    }
+
+    /** Aborts the exchange once another instance can take over, unless it makes progress meanwhile; true when it was aborted. */
+    private async tryReplace(limitMs: number): Promise<boolean> {
+        const { prepareRetry, confirmRetry } = this.options;
+        this.silence = new AbortController();
+        const next = await prepareRetry(this.silence.signal);
+        if (next === undefined) {
+            return false;
+        }
+        const silentMs = this.measureSilence();
+        if (this.isFinished || silentMs < limitMs || !confirmRetry(next)) {
+            next.release(undefined, "the attempt before goes on");
+            return false;
+        }
+        this.exchange.abort(`silent for ${Math.round(silentMs)} ms`);
+        return true;
+    }
+
+    /** Returns how long the instance has sent nothing. Bytes that wait for a slow caller are not silence. */
+    private measureSilence(): number {
+        return this.exchange.hasChunk || this.isWriting ? 0 : this.options.timers.now() - this.progressAt;
+    }
+
+    private recordProgress(): void {
+        this.progressAt = this.options.timers.now();
+        this.silence.abort();
+    }
+
+    /** Passes bytes on to the caller, who may be slow. */
+    private async write(writing: Promise<void>): Promise<void> {
+        this.isWriting = true;
+        await writing;
+        this.isWriting = false;
+        this.progressAt = this.options.timers.now();
     }
 
     private createExchangeOutcome({ mayHaveRun, isConnectionLost, reason }: ExchangeFailure): AttemptOutcome {
--- a/packages/wigeonpulley/src/forwarding/connection-pool.ts
+++ b/packages/wigeonpulley/src/forwarding/connection-pool.ts
@@ -60,8 +60,13 @@
             this.closeConnection(createKey(instance), connection);
             return;
         }
+        this.keep(instance, connection);
+    }
+
+    /** Keeps an open connection for the next request, however many there are. */
+    keep(instance: Instance, connection: EndpointConnection): void {
         connection.idleSince = this.options.timers.now();
-        connections.idle.push(connection);
+        this.findOrCreate(createKey(instance)).idle.push(connection);
         this.scheduleSweep();
     }
 
--- a/packages/wigeonpulley/src/forwarding/endpoint-connection.ts
+++ b/packages/wigeonpulley/src/forwarding/endpoint-connection.ts
@@ -63,12 +63,14 @@
     /** Monotonic time of the end of its last request, in milliseconds. */
     idleSince = 0;
     private socket: EndpointSocket | undefined;
+    /** Socket that was opened before there was a request. */
+    private openedSocket: EndpointSocket | undefined;
     private socketError: Error | undefined;
     readonly client: Client;
 
-    private constructor(instance: Instance, private readonly options: ConnectionOptions) {
+    private constructor(private readonly instance: Instance, private readonly options: ConnectionOptions) {
         this.client = new Client(`http://${instance.host}:${instance.port}`, {
-            connect: (target, callback) => this.connect(target, callback),
+            connect: (target, callback) => this.connect(callback),
             pipelining: 1,
             headersTimeout: 0,
             bodyTimeout: 0,
@@ -121,17 +123,44 @@
 
     /** Closes the connection. */
     destroy(): void {
+        this.openedSocket?.destroy();
         // A client that is destroyed twice rejects; nothing is left to clean up then.
         this.client.destroy().catch(() => undefined);
     }
 
-    /** Opens the socket; the timeout runs on this VM's timer service. */
-    private connect(target: buildConnector.Options, callback: buildConnector.Callback): void {
+    /** Opens the socket unless it is open; resolves with false when that fails or takes too long. */
+    open(): Promise<boolean> {
+        if (this.socket !== undefined) {
+            return Promise.resolve(this.isOpen && !this.socket.connecting);
+        }
+        return new Promise(resolve =>
+            this.openSocket((failure, socket) => {
+                this.openedSocket = socket instanceof EndpointSocket ? socket : undefined;
+                resolve(this.openedSocket !== undefined);
+            })
+        );
+    }
+
+    private connect(callback: buildConnector.Callback): void {
+        const { openedSocket } = this;
+        this.openedSocket = undefined;
+        if (openedSocket?.destroyed === false) {
+            // undici would miss a callback that comes before its call of this function ends.
+            // eslint-disable-next-line no-restricted-syntax -- undici's callback wants null
+            queueMicrotask(() => callback(null, openedSocket));
+        }
+        else {
+            this.openSocket(callback);
+        }
+    }
+
+    /** Opens a socket; the timeout runs on this VM's timer service. */
+    private openSocket(callback: buildConnector.Callback): void {
         const { timers, connectTimeoutMs } = this.options;
         const socket = new EndpointSocket();
         socket.setNoDelay(true);
         socket.setKeepAlive(true, KEEP_ALIVE_PROBE_DELAY_MS);
-        socket.connect({ host: target.hostname, port: Number(target.port) });
+        socket.connect({ host: this.instance.host, port: this.instance.port });
         this.socket = socket;
         const cancelTimeout = timers.schedule(
             connectTimeoutMs,
--- a/packages/wigeonpulley/src/forwarding/endpoint-transport.ts
+++ b/packages/wigeonpulley/src/forwarding/endpoint-transport.ts
@@ -56,6 +56,9 @@
     /** Starts an exchange. */
     abstract send(instance: Instance, request: OutgoingRequest): EndpointExchange;
 
+    /** Opens a connection for the next request to an instance; false when that fails or takes too long. */
+    abstract open(instance: Instance): Promise<boolean>;
+
     /** Closes all connections. */
     abstract close(): void;
 }
--- a/packages/wigeonpulley/src/forwarding/forwarder.ts
+++ b/packages/wigeonpulley/src/forwarding/forwarder.ts
@@ -238,25 +238,45 @@
     }
 
     /**
-     * Takes a slot for the next attempt at once, within the retry budget, so that giving up an attempt can't leave the
-     * request without an instance. Returns false when there is none, or when the response can't be continued.
+     * Waits for a slot for the next attempt and opens a connection to its instance, while the attempt before goes on: over a
+     * link that holds up one response, other instances may be out of reach too. Undefined when there is no such instance, or
+     * when the response can't be continued.
      */
-    private reserveRetry(request: RoutedRequest, writer: ResponseWriter, progress: RequestProgress): boolean {
-        const { placement, retryBudget } = this.options;
+    private async prepareRetry(
+        request: RoutedRequest,
+        writer: ResponseWriter,
+        progress: RequestProgress,
+        signal: AbortSignal,
+    ): Promise<Placement | undefined> {
+        const { transport, placement, retryBudget } = this.options;
         // A response that has started can be continued only as a stream.
         if ((writer.hasStarted && !progress.relay.hasStarted) || !retryBudget.canRetry(request.service)) {
-            return false;
+            return undefined;
         }
         const placed = this.acquireWhenCutOff(request, progress)
-            ?? placement.tryAcquire(this.createPlacementRequest(request, progress));
+            ?? (await placement.acquire(
+                {
+                    ...this.createPlacementRequest(request, progress),
+                    waitUntil: request.lifetime.deadlineAt,
+                },
+                { subscribe: listener => subscribeToAbort(signal, listener) },
+            )).unwrapOr(undefined);
         if (placed === undefined || placed instanceof SchedulerError) {
-            return false;
+            return undefined;
         }
-        if (!retryBudget.tryRetry(request.service)) {
-            placed.release(undefined, "the retry budget is exhausted");
+        if (await transport.open(placed.instance)) {
+            return placed;
+        }
+        progress.excludedInstances.add(placed.instance.id);
+        placed.release("unreachable", "no connection for the next attempt");
+        return undefined;
+    }
+
+    private confirmRetry(request: RoutedRequest, progress: RequestProgress, next: Placement): boolean {
+        if (!this.options.retryBudget.tryRetry(request.service)) {
             return false;
         }
-        progress.reservedPlacement = placed;
+        progress.reservedPlacement = next;
         return true;
     }
 
@@ -317,7 +337,8 @@
                 placement,
                 isLast: placement.isPeer || !isRetryable(request.route)
                     || progress.attempts + 1 >= request.route.maxAttempts,
-                reserveRetry: () => this.reserveRetry(request, writer, progress),
+                prepareRetry: signal => this.prepareRetry(request, writer, progress, signal),
+                confirmRetry: next => this.confirmRetry(request, progress, next),
                 createPeerHeaders: elapsedMs =>
                     createPeerHeaders(
                         { vm: this.options.identity.vm, elapsedMs },
@@ -464,3 +485,11 @@
         };
     }
 }
+
+const subscribeToAbort = (signal: AbortSignal, listener: () => void): () => void => {
+    if (signal.aborted) {
+        listener();
+    }
+    signal.addEventListener("abort", listener, { once: true });
+    return () => signal.removeEventListener("abort", listener);
+};
--- a/packages/wigeonpulley/src/forwarding/undici-transport.ts
+++ b/packages/wigeonpulley/src/forwarding/undici-transport.ts
@@ -54,6 +54,16 @@
         });
     }
 
+    override async open(instance: Instance): Promise<boolean> {
+        const connection = this.pool.acquire(instance, true);
+        if (!await connection.open()) {
+            this.pool.reset(instance, connection);
+            return false;
+        }
+        this.pool.keep(instance, connection);
+        return true;
+    }
+
     override close(): void {
         this.pool.close();
     }
--- a/packages/wigeonpulley/src/time/system-timer-service.ts
+++ b/packages/wigeonpulley/src/time/system-timer-service.ts
@@ -3,7 +3,7 @@
 import { type CancelTimer, TimerService } from "./timer-service.js";
 
 /** Delay of a timer above which the event loop was late and may have left input unread, in milliseconds. */
-const LATE_TIMER_MS = 25;
+const LATE_TIMER_MS = 50;
 
 /**
  * Timer service on the real clocks. Node.js runs timers that are due before it reads, so after a long turn of the event loop a
--- a/packages/wigeonpulley/test/forwarding/forwarder.test.ts
+++ b/packages/wigeonpulley/test/forwarding/forwarder.test.ts
@@ -313,6 +313,40 @@
     expect(transport.dispatches[0]).toMatchObject({ abortedAt: undefined });
 });
 
+// Guards against LOST: a silent attempt was given up for an instance that could not be reached, over the link that held up the first one.
+test("a stream whose sound instance is silent for a while goes on there while the others can't be reached", async () => {
+    const { timers, transport, serve } = createForwarding({
+        instances: ["i-1", "i-2", "i-3", "i-4"].map(id => createInstance({ id })),
+        script: (instance, count) =>
+            count === 1
+                ? [createSignedHead(), createStreamEvent(1), createStreamEvent(2, 3_000), { kind: "end" }]
+                : [{ kind: "fail", mayHaveRun: false, afterMs: 400 }],
+    });
+    const { summary, view } = serve({ ...STREAM, maxAttempts: 2 });
+    await timers.advance(100);
+    const [first] = transport.dispatches;
+    ["i-1", "i-2", "i-3", "i-4"].filter(id => id !== first?.instance).forEach(id =>
+        transport.unreachableInstances.add(id)
+    );
+    await timers.runUntilSettled(summary, LIMIT_MS);
+    expect(view).toMatchObject({ status: 200, isComplete: true, isAborted: false });
+    expect(transport.dispatches).toHaveLength(1);
+});
+
+// Guards against LOST: an attempt that goes on while its successor's connection is opened is not given up any more.
+test("a stream that goes on while a connection for its next attempt is opened stays at its instance", async () => {
+    const { timers, transport, placement, serve } = createForwarding({
+        script:
+            () => [createSignedHead(), createStreamEvent(1), createStreamEvent(2, 1_610), { kind: "end" }],
+    });
+    const { summary, view } = serve({ ...STREAM, maxAttempts: 2 });
+    await timers.runUntilSettled(summary, LIMIT_MS);
+    await timers.advance(100);
+    expect(view).toMatchObject({ status: 200, isComplete: true, isAborted: false });
+    expect(transport.dispatches).toHaveLength(1);
+    expect(["i-1", "i-2"].map(id => placement.countInFlight(id))).toEqual([0, 0]);
+});
+
 test("a request that exceeds its route's timeout gets 503 if it was not sent and 504 if it was", async () => {
     const { timers, serve } = createForwarding({ script: () => [createSignedHead(60_000)] });
     const sent = serve({ kind: "once", timeoutMs: 1_000 });
--- a/packages/wigeonpulley/test/forwarding/undici-transport.test.ts
+++ b/packages/wigeonpulley/test/forwarding/undici-transport.test.ts
@@ -1,6 +1,7 @@
 import { spawn } from "node:child_process";
 import { once } from "node:events";
-import { connect, type Socket } from "node:net";
+import { createServer } from "node:http";
+import { type AddressInfo, connect, type Socket } from "node:net";
 import { afterEach, expect, onTestFinished, test, vi } from "vitest";
 import {
     type EndpointExchange,
@@ -363,3 +364,32 @@
     expect(response).toMatchObject({ mayHaveRun: false, failure: "connect timeout" });
     expect(performance.now() - startedAt).toBeLessThan(3_000);
 });
+
+test("a connection that was opened before there is a request carries it", async () => {
+    let connections = 0;
+    const server = createServer((request, response) => response.end("ok"));
+    server.on("connection", () => {
+        connections += 1;
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    onTestFinished(() => void server.close());
+    const transport = createTransport();
+    const instance = createInstance({ port: (server.address() as AddressInfo).port });
+    expect(await transport.open(instance)).toBe(true);
+    expect(await readResponse(transport.send(instance, GET))).toMatchObject({ body: "ok" });
+    expect(await transport.open(instance)).toBe(true);
+    expect(await readResponse(transport.send(instance, GET))).toMatchObject({ body: "ok" });
+    expect(connections).toBe(1);
+    transport.close();
+});
+
+// Guards against LOST: an instance to which no connection opens would be taken for one that can go on with a response.
+test("no connection is opened to an instance that accepts none or refuses them", async () => {
+    const transport = createTransport();
+    expect(await transport.open(createInstance({ port: await startFrozenServer() }))).toBe(false);
+    const closed = createServer();
+    await new Promise<void>(resolve => closed.listen(0, "127.0.0.1", resolve));
+    const { port } = closed.address() as AddressInfo;
+    await new Promise(resolve => closed.close(resolve));
+    expect(await transport.open(createInstance({ port }))).toBe(false);
+});
