--- a/packages/wigeonpulley/test/forwarding/forwarder.test.ts
+++ b/packages/wigeonpulley/test/forwarding/forwarder.test.ts
@@ -1,5 +1,5 @@
-import { expect, test } from "vitest";
-import { RequestLifetime } from "wigeonpulley";
+import { expect, onTestFinished, test, vi } from "vitest";
+import { RequestLifetime, ResponseWriter } from "wigeonpulley";
 import {
     createForwarding,
     createSignedHead,
@@ -347,6 +347,39 @@
     expect(["i-1", "i-2"].map(id => placement.countInFlight(id))).toEqual([0, 0]);
 });
 
+// Guards against failed urgent requests: while less urgent ones wait, a frozen instance kept the urgent ones until their time was over.
+test("a stream whose instance is frozen goes on elsewhere although less urgent requests wait", async () => {
+    const { timers, serve } = createForwarding({
+        instances: [createInstance({ id: "i-1", slots: 1 }), createInstance({ id: "i-2", slots: 1 })],
+        script: (instance, count) =>
+            count === 1
+                ? [createSignedHead(), createStreamEvent(1), createStreamEvent(2, 60_000)]
+                : [createSignedHead(200), createStreamEvent(2), { kind: "end" }],
+    });
+    const { summary, view } = serve({ ...STREAM, maxAttempts: 2, rank: 0 });
+    const cancelLoad = timers.scheduleRepeating(
+        50,
+        () =>
+            serve({ kind: "idempotent", timeoutMs: 3_000, targetLatencyMs: 1_000, maxAttempts: 1, rank: 3 }),
+    );
+    await timers.runUntilSettled(summary, LIMIT_MS);
+    cancelLoad();
+    expect(view).toMatchObject({ isComplete: true, isAborted: false });
+});
+
+// Guards against slots that nothing uses: the slot of a next attempt that can't begin before the caller reads on.
+test("a silent stream whose caller doesn't read occupies no slot for another attempt", async () => {
+    vi.spyOn(ResponseWriter.prototype, "write").mockReturnValue(new Promise(() => undefined));
+    onTestFinished(() => void vi.restoreAllMocks());
+    const { timers, transport, placement, serve } = createForwarding({
+        script: () => [createSignedHead(), createStreamEvent(1), createStreamEvent(2, 60_000)],
+    });
+    serve({ ...STREAM, maxAttempts: 2 });
+    await timers.advance(10_000);
+    expect(transport.dispatches).toHaveLength(1);
+    expect(placement.countInFlight("i-1") + placement.countInFlight("i-2")).toBe(1);
+});
+
 test("a request that exceeds its route's timeout gets 503 if it was not sent and 504 if it was", async () => {
     const { timers, serve } = createForwarding({ script: () => [createSignedHead(60_000)] });
     const sent = serve({ kind: "once", timeoutMs: 1_000 });
