Read the store once and refuse by the clock while a start still tries to open a port

What callers saw: with a port held at the start, each try began all reads of the store again, so that its calls timed out and the start or the stop took many seconds; a request 3.3 s after SIGTERM was accepted and passed on, since the stop waited for the port (both found by a review). Cause: 'startServing' may be repeated, what it starts could not; the refusal by the clock began with the stop, not with the signal.

--- a/packages/wigeonpulley/src/routed-vm/daemon.ts
+++ b/packages/wigeonpulley/src/routed-vm/daemon.ts
@@ -128,6 +128,7 @@
 
     /** Finishes the open requests within the grace period; the first call starts it, every call resolves at its end. */
     private drain(requestedAt = this.timers.now()): Promise<boolean> {
+        this.vm.refuseLateRequests(requestedAt);
         // Callers of a VM that has just started may already wait in the backlog of its port.
         this.draining ??= this.listening.then(() => this.vm.stop(requestedAt));
         return this.draining;
--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -100,6 +100,7 @@
     private readonly subscriptions: StoreSubscriptions;
     private readonly recordExchange: OperatorRecordExchange;
     private cancelContendedGossip: CancelTimer = () => undefined;
+    private isReading = false;
     private isStopping = false;
     private bounds: Bounds;
 
@@ -168,14 +169,18 @@
         return new RoutedVm(options);
     }
 
-    /** Starts reading the store. */
+    /** Starts reading the store; further calls have no effect. */
     startReading(): void {
+        if (this.isReading) {
+            return;
+        }
+        this.isReading = true;
         this.subscriptions.start();
         this.quarantineStore.start();
         this.recordExchange.start();
     }
 
-    /** Starts reading the store and serving callers; `listener` may already listen on their address. */
+    /** Starts reading the store and serving callers; may be repeated. `listener` may already listen on their address. */
     async startServing(listener?: Server): Promise<void> {
         this.startReading();
         await Promise.all([this.frontServer.listen(listener), this.peerRequestServer?.listen()]);
@@ -249,12 +254,8 @@
         // The signal came in between: errors must be sent before the earliest end of the grace period, and a response that
         // has started is cut by the end of the process at the worst.
         const cutAt = Math.max(deadline, handledAt + graceMs * UNCUT_GRACE_SHARE);
-        this.isStopping = true;
+        this.refuseLateRequests(startedAt);
         logger.write("VmStopping", { open: this.openRequestCount, lateMs: Math.round(lateMs) });
-        this.listServers().forEach(server => {
-            server.startDraining();
-            server.refuseNew(startedAt + LATEST_ADMISSION_MS);
-        });
         void this.membership.announceLeaving();
         const remainingMs = startedAt + READINESS_PROPAGATION_MS - timers.now();
         if (remainingMs > 0) {
@@ -282,6 +283,18 @@
         return isGraceful;
     }
 
+    /**
+     * Makes the VM unready, and refuses the requests that the grace period, which began at `startedAt`, doesn't cover any
+     * more. A VM that is still starting does this before it stops.
+     */
+    refuseLateRequests(startedAt: number): void {
+        this.isStopping = true;
+        this.listServers().forEach(server => {
+            server.startDraining();
+            server.refuseNew(startedAt + LATEST_ADMISSION_MS);
+        });
+    }
+
     /** Stops all background tasks at once, without waiting for open requests. */
     stopTasks(): void {
         this.subscriptions.stop();
