Withdraw losses of instances that live on from the evidence against prompt blocks

What a caller sees: sound requests were refused with 503 PromptQuarantined because servers had lost or spoiled answers, none of which had crashed.

Cause: each connection that an instance closed before an answer counted as a crash under the request. A crash ends all connections and the incarnation; an instance that goes on with an earlier response, or answers a later request and is still listed as the same incarnation, did not crash. Its losses are now withdrawn at all VMs, and a quarantine that rested on them ends.

--- a/packages/wigeonpulley/src/forwarding/attempt-evidence.ts
+++ b/packages/wigeonpulley/src/forwarding/attempt-evidence.ts
@@ -30,6 +30,11 @@
         return new AttemptEvidence(options);
     }
 
+    /** Records that a part of the response has arrived. */
+    recordProgress(sentAt: number): void {
+        this.options.quarantine.recordResponse(this.options.placement.instance, sentAt);
+    }
+
     /** Records the number of events that the attempt has relayed. */
     recordEvents(count: number): void {
         if (count >= CLEARING_EVENT_COUNT) {
--- a/packages/wigeonpulley/src/forwarding/attempt.ts
+++ b/packages/wigeonpulley/src/forwarding/attempt.ts
@@ -152,13 +152,13 @@
         if (isExchangeFailure(head)) {
             return this.createExchangeOutcome(head);
         }
-        this.recordProgress();
         const problem = this.checkHead(head);
         if (problem !== undefined) {
             // Refusals bear no id: one that comes twice must find no other request on its connection.
             this.exchange.abort("the answer can't be used");
             return problem;
         }
+        this.recordProgress();
         return this.options.request.route.kind === "stream" && isSuccess(head.status)
             ? this.relayStream(head)
             : this.relayBuffered(head);
@@ -304,6 +304,14 @@
         }
     }
 
+    private recordProgress(): void {
+        this.progressAt = this.options.timers.now();
+        this.silence.abort();
+        if (!this.options.placement.isPeer) {
+            this.evidence.recordProgress(this.startedAt);
+        }
+    }
+
     /** True when the endpoint was asked to go on after an event, so that no event may be left. */
     private get isResumed(): boolean {
         const { relay, request } = this.options;
@@ -359,11 +367,6 @@
         return this.exchange.hasChunk || this.isWriting ? 0 : this.options.timers.now() - this.progressAt;
     }
 
-    private recordProgress(): void {
-        this.progressAt = this.options.timers.now();
-        this.silence.abort();
-    }
-
     /** Passes bytes on to the caller, who may be slow. */
     private async write(writing: Promise<void>): Promise<void> {
         this.isWriting = true;
--- a/packages/wigeonpulley/src/membership/membership-service.ts
+++ b/packages/wigeonpulley/src/membership/membership-service.ts
@@ -43,7 +43,7 @@
 }
 
 /** Evidence about endpoints and requests that VMs send with their digests. */
-export type Evidence = Pick<MemberDigest, "promptBlocks" | "instanceLimits">;
+export type Evidence = Pick<MemberDigest, "promptBlocks" | "instanceLimits" | "liveInstances">;
 
 /** Source and receiver of the evidence. */
 export abstract class EvidenceGossip {
--- a/packages/wigeonpulley/src/quarantine/index.ts
+++ b/packages/wigeonpulley/src/quarantine/index.ts
@@ -4,7 +4,9 @@
  */
 export { QuarantineStore, type QuarantineStoreOptions } from "./quarantine-store.js";
 export {
+    type LiveInstance,
     Quarantine,
+    type QuarantineChange,
     type QuarantinedTrait,
     type QuarantineOptions,
     type SuspectReport,
--- a/packages/wigeonpulley/src/quarantine/quarantine-store.ts
+++ b/packages/wigeonpulley/src/quarantine/quarantine-store.ts
@@ -7,7 +7,7 @@
 import type { RandomSource } from "../random/index.js";
 import { type KeyedRecord, type KeyedStore, TopicFollower } from "../store/index.js";
 import type { TimerService } from "../time/index.js";
-import type { Quarantine } from "./quarantine.js";
+import type { Quarantine, QuarantineChange } from "./quarantine.js";
 import { QUARANTINE_MS } from "./suspect.js";
 
 /** Dependencies of the store. */
@@ -39,22 +39,20 @@
     vm: z.string(),
 });
 
+type QuarantineRecord = z.infer<typeof recordSchema>;
+
 /** Records of one VM's quarantine. */
 export class QuarantineStore {
     private readonly follower: TopicFollower;
-    /** Wall-clock time since which each stored trait is quarantined, in milliseconds. */
-    private readonly stored = new Map<string, number>();
-    /** The same of the records that this VM removed. */
+    /** Newest record of each trait. */
+    private readonly stored = new Map<string, QuarantineRecord>();
+    /** Wall-clock time since which each trait was quarantined whose record this VM removed, in milliseconds. */
     private readonly removed = RecentMap.create<string, number>(MAX_REMOVED_RECORDS);
     private readonly abortController = new AbortController();
 
     private constructor(private readonly options: QuarantineStoreOptions) {
         this.follower = this.createFollower();
-        options.quarantine.subscribe((trait, isQuarantined) =>
-            void (isQuarantined
-                ? this.write(trait, options.timers.readWallClock())
-                : this.remove(trait))
-        );
+        options.quarantine.subscribe((trait, change) => void this.applyChange(trait, change));
     }
 
     /** Creates a store that has read nothing. */
@@ -102,6 +100,17 @@
         });
     }
 
+    /** Writes or removes the record of a trait. What other VMs wrote may rest on crashes that this one doesn't know of. */
+    private async applyChange(trait: string, change: QuarantineChange): Promise<void> {
+        const { vm, timers } = this.options;
+        if (change === "quarantined") {
+            await this.write(trait, { quarantinedSince: timers.readWallClock(), vm });
+        }
+        else if (change === "answered" || this.stored.get(trait)?.vm === vm) {
+            await this.remove(trait);
+        }
+    }
+
     private applyRecord({ key, value }: KeyedRecord): void {
         const { timers, logger, quarantine } = this.options;
         if (value === undefined || value.length === 0) {
@@ -116,7 +125,7 @@
         }
         const { quarantinedSince } = record.value;
         const ageMs = timers.readWallClock() - quarantinedSince;
-        this.stored.set(key, quarantinedSince);
+        this.stored.set(key, record.value);
         if (ageMs > MAX_RECORD_AGE_MS || this.removed.get(key) === quarantinedSince) {
             void this.remove(key);
         }
@@ -127,21 +136,21 @@
     }
 
     /** Writes records again that a restored store has lost, as far as their quarantines are active. */
-    private writeLost(records: readonly (readonly [trait: string, quarantinedSince: number])[]): void {
+    private writeLost(records: readonly (readonly [trait: string, record: QuarantineRecord])[]): void {
         const quarantined = new Set(this.options.quarantine.listQuarantined().map(({ trait }) => trait));
-        records.filter(([trait]) => quarantined.has(trait)).forEach(([trait, quarantinedSince]) =>
-            void this.write(trait, quarantinedSince)
+        records.filter(([trait]) => quarantined.has(trait)).forEach(([trait, record]) =>
+            void this.write(trait, record)
         );
     }
 
     /** Writes a record unless another VM has written one, until it was read back or the quarantine has ended. */
-    private async write(trait: string, quarantinedSince: number): Promise<void> {
-        const { vm, timers, random, logger, store, quarantine } = this.options;
+    private async write(trait: string, record: QuarantineRecord): Promise<void> {
+        const { timers, random, logger, store, quarantine } = this.options;
         const { signal } = this.abortController;
-        const value = Buffer.from(JSON.stringify({ quarantinedSince, vm }));
+        const value = Buffer.from(JSON.stringify(record));
         await timers.sleep(random.pickFraction() * MAX_WRITE_DELAY_MS, signal);
         while (
-            !signal.aborted && !this.isStored(trait, quarantinedSince)
+            !signal.aborted && !this.isStored(trait, record.quarantinedSince)
             && quarantine.findQuarantined([trait]) !== undefined
         ) {
             const outcome = await store.put("quarantine", trait, value);
@@ -153,11 +162,12 @@
     }
 
     private isStored(trait: string, quarantinedSince: number): boolean {
-        return (this.stored.get(trait) ?? Number.NEGATIVE_INFINITY) > quarantinedSince - QUARANTINE_MS / 2;
+        const stored = this.stored.get(trait)?.quarantinedSince ?? Number.NEGATIVE_INFINITY;
+        return stored > quarantinedSince - QUARANTINE_MS / 2;
     }
 
     private async remove(trait: string): Promise<void> {
-        const quarantinedSince = this.stored.get(trait);
+        const quarantinedSince = this.stored.get(trait)?.quarantinedSince;
         if (quarantinedSince !== undefined) {
             this.stored.delete(trait);
             this.removed.set(trait, quarantinedSince);
@@ -172,7 +182,7 @@
 const parseRecord = (
     key: string,
     value: Buffer,
-): Result<z.infer<typeof recordSchema>, SchedulerError> => {
+): Result<QuarantineRecord, SchedulerError> => {
     const fail = (reason: string): Result<never, SchedulerError> =>
         Err(SchedulerError.create("InvalidPlatformEntry", { entry: `quarantine/${key}`, reason }));
     try {
--- a/packages/wigeonpulley/src/quarantine/quarantine.ts
+++ b/packages/wigeonpulley/src/quarantine/quarantine.ts
@@ -2,13 +2,14 @@
  * Finds requests under which instances crash, and quarantines what they have in common. A trait of requests is a block
  * that prompts share, or the fingerprint of a whole request; traits are listed from the general to the specific. A trait is
  * quarantined when several instances closed connections before requests with it were answered properly and no request
- * with it was answered since; an answer ends the quarantine. VMs share losses, answers and quarantines, and each of them
+ * with it was answered since; an answer ends the quarantine, and so does the knowledge that the instances live on. VMs share losses, answers and quarantines, and each of them
  * decides by itself.
  */
 import { RecentMap } from "../collections/index.js";
 import { hashIncarnation, type Instance } from "../discovery/index.js";
 import type { EventLogger } from "../logging/index.js";
 import type { TimerService } from "../time/index.js";
+import { LiveInstances } from "./live-instances.js";
 import { QUARANTINE_MS, Suspect } from "./suspect.js";
 
 /** Evidence about one trait of requests, as VMs report it to each other. Ages are in milliseconds. */
@@ -30,10 +31,23 @@
     readonly remainingMs: number;
 }
 
+/** An instance that lived on after a loss, as VMs report it to each other. */
+export interface LiveInstance {
+    /** Hash of the instance. */
+    readonly instance: number;
+    /** Time since it was certainly alive, in milliseconds. */
+    readonly ageMs: number;
+}
+
+/** Why a quarantine began or ended: by an answer, or because its instances had not crashed. */
+export type QuarantineChange = "quarantined" | "answered" | "withdrawn";
+
 /** Dependencies of the quarantine. */
 export interface QuarantineOptions {
     readonly timers: TimerService;
     readonly logger: EventLogger;
+    /** Returns the instances that the directory lists. */
+    readonly listInstances?: () => readonly Instance[];
 }
 
 /** Traits whose last answer is remembered. */
@@ -60,9 +74,15 @@
     private readonly suspects = new Map<string, Suspect>();
     /** Quarantined traits in the reports so far; the next report goes on after them. */
     private reportedQuarantines = 0;
-    private readonly listeners: ((trait: string, isQuarantined: boolean) => void)[] = [];
+    private readonly listeners: ((trait: string, change: QuarantineChange) => void)[] = [];
 
-    private constructor(private readonly options: QuarantineOptions) {}
+    private readonly liveInstances: LiveInstances;
+
+    private constructor(private readonly options: QuarantineOptions) {
+        this.liveInstances = LiveInstances.create(hash =>
+            options.listInstances?.().some(instance => hashIncarnation(instance) === hash) === true
+        );
+    }
 
     /** Creates a quarantine without traits. */
     static create(options: QuarantineOptions): Quarantine {
@@ -70,7 +90,7 @@
     }
 
     /** Calls back when this VM's own evidence starts or ends the quarantine of a trait. */
-    subscribe(listener: (trait: string, isQuarantined: boolean) => void): void {
+    subscribe(listener: (trait: string, change: QuarantineChange) => void): void {
         this.listeners.push(listener);
     }
 
@@ -80,6 +100,7 @@
             return undefined;
         }
         const now = this.options.timers.now();
+        this.confirmLives(now);
         for (const trait of traits) {
             const quarantined = this.findQuarantinedTrait(trait, now);
             if (quarantined !== undefined) {
@@ -113,9 +134,21 @@
     /** Records that an instance closed the connection before it had answered a request properly. */
     recordLoss(traits: readonly string[], instance: Instance): void {
         const now = this.options.timers.now();
-        traits.forEach((trait, depth) =>
-            this.getOrCreateSuspect(trait).recordLoss(hashIncarnation(instance), now, depth)
-        );
+        const hash = hashIncarnation(instance);
+        this.liveInstances.recordLoss(hash, now);
+        traits.forEach((trait, depth) => this.getOrCreateSuspect(trait).recordLoss(hash, now, depth));
+    }
+
+    /** Records that bytes of a response to a request arrived that was sent at `sentAt`. */
+    recordResponse(instance: Instance, sentAt: number): void {
+        const now = this.options.timers.now();
+        // Without the time of its start, an instance can't be told from the one that had its name before.
+        if (this.suspects.size > 0 && instance.bornMs > 0) {
+            const hash = hashIncarnation(instance);
+            if (this.liveInstances.recordResponse(hash, sentAt, now)) {
+                this.withdrawLosses(hash, now);
+            }
+        }
     }
 
     /** Quarantines a trait as the store says, from a monotonic time on. */
@@ -136,6 +169,7 @@
     /** Returns what the other VMs should know: quarantined traits and those with the most losses first. */
     listReports(): readonly SuspectReport[] {
         const now = this.options.timers.now();
+        this.confirmLives(now);
         for (const [trait, suspect] of this.suspects) {
             this.evaluate(trait, suspect, now);
             if (suspect.isObsolete(now)) {
@@ -164,7 +198,13 @@
         const now = this.options.timers.now();
         for (const { trait, losses, depth, answeredAgeMs, quarantinedMs } of reports) {
             const suspect = this.getOrCreateSuspect(trait);
-            losses.forEach(({ instance, ageMs }) => suspect.recordLoss(instance, now - ageMs, depth));
+            losses.forEach(({ instance, ageMs }) => {
+                const lostAt = now - ageMs;
+                if (lostAt >= this.liveInstances.getAliveAt(instance)) {
+                    this.liveInstances.recordLoss(instance, lostAt);
+                    suspect.recordLoss(instance, lostAt, depth);
+                }
+            });
             if (answeredAgeMs !== undefined && askedAt !== undefined) {
                 this.applyAnswer(trait, askedAt - answeredAgeMs, false);
             }
@@ -174,6 +214,41 @@
         }
     }
 
+    /** Returns the instances that lived on after losses. */
+    listLiveInstances(): readonly LiveInstance[] {
+        const now = this.options.timers.now();
+        this.confirmLives(now);
+        return this.liveInstances.listReports(now);
+    }
+
+    /** Applies what another VM knows of instances that lived on, unless that came unasked. */
+    applyLiveInstances(instances: readonly LiveInstance[], askedAt: number | undefined): void {
+        const now = this.options.timers.now();
+        for (const { instance, ageMs } of instances) {
+            if (askedAt !== undefined && this.liveInstances.recordLife(instance, askedAt - ageMs, now)) {
+                this.withdrawLosses(instance, now);
+            }
+        }
+    }
+
+    private confirmLives(now: number): void {
+        this.liveInstances.confirmAnswers(now).forEach(instance => this.withdrawLosses(instance, now));
+    }
+
+    /** Withdraws the losses of an instance that lived on from all traits, and ends quarantines that rested on them. */
+    private withdrawLosses(instance: number, now: number): void {
+        const aliveAt = this.liveInstances.getAliveAt(instance);
+        for (const [trait, suspect] of this.suspects) {
+            if (suspect.withdrawLoss(instance, aliveAt, now)) {
+                this.options.logger.write("PromptBlockReleased", {
+                    block: trait,
+                    reason: "its instances live on",
+                });
+                this.listeners.forEach(listener => listener(trait, "withdrawn"));
+            }
+        }
+    }
+
     /** Selects quarantined traits to report, by turns, so that they leave room for new evidence. */
     private selectQuarantined(now: number): readonly (readonly [string, Suspect])[] {
         const quarantined = [...this.suspects].filter(([, suspect]) =>
@@ -212,7 +287,7 @@
         }
         this.options.logger.write("PromptBlockReleased", { block: trait, reason: "a request was answered" });
         if (isOwn) {
-            this.listeners.forEach(listener => listener(trait, false));
+            this.listeners.forEach(listener => listener(trait, "answered"));
         }
     }
 
@@ -226,7 +301,7 @@
                 instances: suspect.lossCount,
                 ageMs: Math.round(now - suspect.newestLossAt),
             });
-            this.listeners.forEach(listener => listener(trait, true));
+            this.listeners.forEach(listener => listener(trait, "quarantined"));
         }
         return suspect.getQuarantinedSince(now);
     }
--- a/packages/wigeonpulley/src/quarantine/suspect.ts
+++ b/packages/wigeonpulley/src/quarantine/suspect.ts
@@ -20,17 +20,23 @@
 const MIN_SPREAD_AFTER_ANSWER_MS = 2_000;
 /** Instances that have to lose responses with a trait before it explains the losses of others. */
 const MIN_EXPLAINING_INSTANCES = 2;
+/** Instances with losses up to which a quarantine ends when the losses of others are withdrawn. */
+const MAX_INSTANCES_LEFT = 1;
+/** Time after which another loss of an instance is a new one, and not late news of the one that is known. */
+const REPEATED_LOSS_MS = 1_000;
 /** Time for the losses and answers of other VMs to arrive before the evidence counts, in milliseconds. */
 const SETTLE_MS = 1_500;
 
 /** One trait that is under suspicion. */
 export class Suspect {
-    /** Time of the first lost response of each instance, by the hash of the instance. */
+    /** Time of a lost response of each instance, by the hash of the instance: the first one of the newest group. */
     private readonly losses = new Map<number, number>();
     private lastLostAt = Number.NEGATIVE_INFINITY;
     private deepestPosition = 0;
     /** Time at which the quarantine was ended from outside; what was known before doesn't count. */
     private releasedAt = Number.NEGATIVE_INFINITY;
+    /** Time at which the quarantine ended because its instances had not crashed; earlier ones are not adopted again. */
+    private withdrawnAt = Number.NEGATIVE_INFINITY;
     /** First of the losses for which the trait is or was quarantined. */
     private quarantinedSince: number | undefined;
 
@@ -78,10 +84,32 @@
         this.deepestPosition = Math.max(this.deepestPosition, depth);
         this.lastLostAt = Math.max(this.lastLostAt, lostAt);
         if (lostAt > this.answeredAt && lostAt > this.releasedAt) {
-            this.losses.set(instance, Math.min(lostAt, this.losses.get(instance) ?? lostAt));
+            const known = this.losses.get(instance) ?? lostAt;
+            this.losses.set(
+                instance,
+                lostAt > known + REPEATED_LOSS_MS ? lostAt : Math.min(lostAt, known),
+            );
         }
     }
 
+    /**
+     * Withdraws the loss of an instance that was alive later; returns true if that ends a quarantine. One that is left may
+     * be a crash, and a quarantine of which this VM doesn't know the losses stays.
+     */
+    withdrawLoss(instance: number, aliveAt: number, now: number): boolean {
+        const lostAt = this.losses.get(instance);
+        if (lostAt === undefined || lostAt >= aliveAt) {
+            return false;
+        }
+        this.losses.delete(instance);
+        if (this.getQuarantinedSince(now) === undefined || this.losses.size > MAX_INSTANCES_LEFT) {
+            return false;
+        }
+        this.quarantinedSince = undefined;
+        this.withdrawnAt = now;
+        return true;
+    }
+
     /** Records an answer; returns true if it ends a quarantine. */
     recordAnswer(answeredAt: number): boolean {
         this.answeredAt = Math.max(this.answeredAt, answeredAt);
@@ -111,7 +139,7 @@
         const current = this.getQuarantinedSince(now);
         // The end of an earlier quarantine must not end the current one.
         if (
-            since <= this.answeredAt || since <= this.releasedAt
+            since <= Math.max(this.answeredAt, this.releasedAt, this.withdrawnAt)
             || (current !== undefined && !isActive(since, now))
         ) {
             return false;
@@ -161,7 +189,7 @@
     /** True when nothing about the trait matters any more. */
     isObsolete(now: number): boolean {
         const memoryMs = this.losses.size > 0 ? LOSS_WINDOW_MS : CLEARED_MEMORY_MS;
-        return now > Math.max(this.lastLostAt, this.releasedAt) + memoryMs
+        return now > Math.max(this.lastLostAt, this.releasedAt, this.withdrawnAt) + memoryMs
             && this.getQuarantinedSince(now) === undefined
             && !this.isOnProbation(now);
     }
--- a/packages/wigeonpulley/src/routed-vm/gossiped-evidence.ts
+++ b/packages/wigeonpulley/src/routed-vm/gossiped-evidence.ts
@@ -3,6 +3,7 @@
 import {
     type InstanceLimitReport,
     InstanceLimitReportSchema,
+    LiveInstanceReportSchema,
     type PromptBlockReport,
     PromptBlockReportSchema,
 } from "../gen/wigeonpulley/peer/v1/peer_pb.js";
@@ -28,11 +29,19 @@
         return {
             promptBlocks: this.quarantine.listReports().map(encodeSuspectReport),
             instanceLimits: this.rateLimits.listReports().map(encodeLimitReport),
+            liveInstances: this.quarantine.listLiveInstances().map(({ instance, ageMs }) =>
+                create(LiveInstanceReportSchema, { instance, ageMs: Math.ceil(ageMs) })
+            ),
         };
     }
 
-    override applyEvidence({ promptBlocks, instanceLimits }: Evidence, askedAt: number | undefined): void {
+    override applyEvidence(
+        { promptBlocks, instanceLimits, liveInstances }: Evidence,
+        askedAt: number | undefined,
+    ): void {
         this.quarantine.applyReports(promptBlocks.map(decodeSuspectReport), askedAt);
+        // After the losses that they withdraw.
+        this.quarantine.applyLiveInstances(liveInstances, askedAt);
         this.rateLimits.applyReports(instanceLimits.map(decodeLimitReport), askedAt);
     }
 }
--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -111,7 +111,7 @@
         this.activeConfiguration = ActiveConfiguration.create(timers, logger);
         this.directory = InstanceDirectory.create(timers, logger);
         this.reports = PeerLoadReports.create(settings.name, timers);
-        this.quarantine = Quarantine.create({ timers, logger });
+        this.quarantine = Quarantine.create({ timers, logger, listInstances: () => this.directory.list() });
         this.quarantineStore = QuarantineStore.create({
             ...options,
             vm: settings.name,
