Count another VM's news that an instance lives on only while the incarnation is listed here

What a caller sees: nothing yet. A VM that doesn't reach the store takes the answers of a server that has started again under its id for those of the incarnation that crashed, and would have withdrawn the crash at all VMs.

Evidence: quarantine/live-instances.test.ts, 'what another VM takes for a life ...', fails without the check.

--- a/packages/wigeonpulley/src/quarantine/quarantine.ts
+++ b/packages/wigeonpulley/src/quarantine/quarantine.ts
@@ -82,9 +82,7 @@
     private readonly liveInstances: LiveInstances;
 
     private constructor(private readonly options: QuarantineOptions) {
-        this.liveInstances = LiveInstances.create(hash =>
-            options.listInstances?.().some(instance => hashIncarnation(instance) === hash) === true
-        );
+        this.liveInstances = LiveInstances.create(instance => this.hashListed().has(instance));
     }
 
     /** Creates a quarantine without traits. */
@@ -253,16 +251,27 @@
         return this.liveInstances.listReports(now);
     }
 
-    /** Applies what another VM knows of instances that lived on, unless that came unasked. */
+    /**
+     * Applies what another VM knows of instances that lived on, unless that came unasked. A VM that doesn't reach the store
+     * may take the next incarnation for one of them, so this one must be listed here, too.
+     */
     applyLiveInstances(instances: readonly LiveInstance[], askedAt: number | undefined): void {
+        if (askedAt === undefined || instances.length === 0) {
+            return;
+        }
         const now = this.options.timers.now();
+        const listed = this.hashListed();
         for (const { instance, ageMs } of instances) {
-            if (askedAt !== undefined && this.liveInstances.recordLife(instance, askedAt - ageMs, now)) {
+            if (listed.has(instance) && this.liveInstances.recordLife(instance, askedAt - ageMs, now)) {
                 this.withdrawLosses(instance, now);
             }
         }
     }
 
+    private hashListed(): ReadonlySet<number> {
+        return new Set(this.options.listInstances?.().map(hashIncarnation));
+    }
+
     private listQuarantinedOf(traits: readonly string[]): readonly QuarantinedTrait[] {
         return traits.flatMap(trait => this.findQuarantined([trait]) ?? []);
     }
--- a/packages/wigeonpulley/test/quarantine/live-instances.test.ts
+++ b/packages/wigeonpulley/test/quarantine/live-instances.test.ts
@@ -72,6 +72,22 @@
     expect(isQuarantined(quarantine)).toBe(true);
 });
 
+// BUDGET: a VM that is cut off from the store would withdraw the crashes that all others count.
+test("what another VM takes for a life doesn't count when this VM's directory has another incarnation", async () => {
+    const timers = VirtualTimerService.create();
+    const cutOff = createQuarantine(timers);
+    const restarted = INSTANCES.map(instance => ({ ...instance, bornMs: instance.bornMs + 1_000 }));
+    const quarantine = createQuarantine(timers, () => restarted);
+    [cutOff, quarantine].forEach(loseAll);
+    await timers.advance(100);
+    INSTANCES.forEach(instance => cutOff.recordResponse(instance, timers.now()));
+    await timers.advance(CONFIRMED_MS);
+    expect(cutOff.listLiveInstances()).toHaveLength(INSTANCES.length);
+    quarantine.applyLiveInstances(cutOff.listLiveInstances(), timers.now());
+    await timers.advance(SETTLE_MS);
+    expect(isQuarantined(quarantine)).toBe(true);
+});
+
 test("an instance whose start is unknown is not taken to have lived on", async () => {
     const timers = VirtualTimerService.create();
     const instances = INSTANCES.map(instance => ({ ...instance, bornMs: 0 }));
--- a/packages/wigeonpulley/test/quarantine/lost-answers.test.ts
+++ b/packages/wigeonpulley/test/quarantine/lost-answers.test.ts
@@ -123,12 +123,14 @@
     faults: readonly FleetFault[],
     before: (fleet: RoutedFleet) => Promise<void>,
     harmfulIntervalMs = 400,
+    lossShare = 0,
 ): Promise<CrashOutcome> => {
     const engines = await CrashingEngines.create({
         vmCount: VM_COUNT,
         instanceCount: ENGINE_COUNT,
         isHarmful: hasBlock(HARMFUL_BLOCK),
         keepsIds: true,
+        lossShare,
     });
     await before(engines.fleet);
     return runCrashTraffic({
@@ -180,3 +182,32 @@
         expect(lateArrivals).toBeLessThanOrEqual(MAX_LATE_ARRIVALS);
     },
 );
+
+// BUDGET: VMs that don't know which engines have started again must not speak for those that do.
+test("a harmful block is contained while some VMs are cut off from the store", async () => {
+    const { engines } = await runHarmful(
+        [{
+            atMs: 0,
+            apply: fleet =>
+                fleet.vmNames.slice(0, VM_COUNT / 3).forEach(name => {
+                    fleet.getVm(name).isCutFromStore = true;
+                }),
+        }],
+        () => Promise.resolve(),
+        1_200,
+    );
+    const lateArrivals = engines.countArrivalsAfterCrash(COUNTED_CRASH, CONTACT_MS);
+    expect(engines.crashes.length).toBeGreaterThan(2);
+    expect(lateArrivals).toBeLessThanOrEqual(MAX_LATE_ARRIVALS);
+});
+
+// BUDGET: losses that are withdrawn must not take the crashes with them, nor hide them.
+test.each([400, 100])(
+    "a harmful block is contained while answers to sound requests are lost (one each %i ms)",
+    async harmfulIntervalMs => {
+        const { engines } = await runHarmful([], () => Promise.resolve(), harmfulIntervalMs, HARM.share);
+        expect(engines.crashes.length).toBeGreaterThan(2);
+        const lateArrivals = engines.countArrivalsAfterCrash(COUNTED_CRASH, CONTACT_MS);
+        expect(lateArrivals).toBeLessThanOrEqual(MAX_LATE_ARRIVALS);
+    },
+);
