--- a/packages/wigeonpulley/src/forwarding/connection-guard.ts
+++ b/packages/wigeonpulley/src/forwarding/connection-guard.ts
@@ -18,7 +18,7 @@
 const HTTP_BAD_REQUEST = 400;
 
 /** Takes over the closing of connections that are idle, or that carry what is no request. */
-export const observeConnections = (server: Server): void => {
+export const closeAfterInput = (server: Server): void => {
     server.prependListener("request", (request, response) => recordRequest(response));
     const refused = new WeakSet<Socket>();
     server.on("timeout", socket => void closeWhenIdle(socket));
--- a/packages/wigeonpulley/src/forwarding/front-server.ts
+++ b/packages/wigeonpulley/src/forwarding/front-server.ts
@@ -17,7 +17,7 @@
 import type { QuotaLimiter } from "./admission-limits.js";
 import { readBody } from "./body-reader.js";
 import { CallerRetryDetector } from "./caller-retry-detector.js";
-import { observeConnections } from "./connection-guard.js";
+import { closeAfterInput } from "./connection-guard.js";
 import type { Forwarder, ForwardSummary } from "./forwarder.js";
 import type { HeaderCodec, RequestMetadata } from "./header-codec.js";
 import { parsePeerHeaders, type PeerRequestOrigin, removePeerHeaders } from "./peer-headers.js";
@@ -105,7 +105,7 @@
             this.requestCountBySocket.set(socket, 0);
             socket.once("close", () => this.requestCountBySocket.delete(socket));
         });
-        observeConnections(this.server);
+        closeAfterInput(this.server);
         options.activeConfiguration.subscribe(({ configuration }) => this.applyLimits(configuration.limits));
     }
 
--- a/packages/wigeonpulley/src/forwarding/open-responses.ts
+++ b/packages/wigeonpulley/src/forwarding/open-responses.ts
@@ -42,7 +42,10 @@
     return state;
 };
 
-/** Closes a response whose connection was closed before its turn to be sent, which Node.js doesn't report. */
+/**
+ * Closes a response whose connection was closed before its turn to be sent. Node.js has not attached it to the connection yet,
+ * so that it neither emits "close" by itself nor when it is destroyed.
+ */
 const closeUnsent = (response: ServerResponse): void => {
     if (response.socket instanceof Socket) {
         return;
--- a/packages/wigeonpulley/src/quarantine/live-instances.ts
+++ b/packages/wigeonpulley/src/quarantine/live-instances.ts
@@ -11,7 +11,7 @@
 const ARRIVAL_MARGIN_MS = 750;
 /** Time in which the directory learns that another incarnation of the instance has started in the meantime. */
 const LISTING_MS = 500;
-/** Time for which other VMs are told that an instance lived on. */
+/** Time for which reports to other VMs say that an instance lived on. */
 const REPORT_MS = 15_000;
 /** Instances in one report. */
 const MAX_REPORTED = 32;
@@ -35,7 +35,7 @@
 
     private constructor(private readonly isListed: (instance: number) => boolean) {}
 
-    /** Creates a memory without instances. `isListed` tells whether the directory has an incarnation. */
+    /** Creates a memory without instances. `isListed` returns true while the directory has an incarnation. */
     static create(isListed: (instance: number) => boolean): LiveInstances {
         return new LiveInstances(isListed);
     }
--- a/packages/wigeonpulley/src/quarantine/quarantine.ts
+++ b/packages/wigeonpulley/src/quarantine/quarantine.ts
@@ -172,7 +172,7 @@
     /** Records that bytes of a response to a request arrived that was sent at `sentAt`. */
     recordResponse(instance: Instance, sentAt: number): void {
         const now = this.options.timers.now();
-        // Without the time of its start, an instance can't be told from the one that had its name before.
+        // Without the time of its start, an instance looks like the one that had its name before.
         if (this.suspects.size > 0 && instance.bornMs > 0) {
             const hash = hashIncarnation(instance);
             if (this.liveInstances.recordResponse(hash, sentAt, now)) {
--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -70,11 +70,11 @@
 const MS_PER_S = 1_000;
 /** Share of an endpoint's connections that all known VMs keep together; the rest is left for new and unknown VMs. */
 const CONNECTION_SHARE = 0.7;
-/** Time reserved for closing at the end of the grace period, in milliseconds. */
+/** Time reserved for closing at the end of the grace period, in milliseconds, unless the signal was handled late. */
 const SHUTDOWN_RESERVE_MS = 500;
 /** Part of it for the answers to requests that were cancelled, in milliseconds. */
 const CANCELLED_FLUSH_MS = 300;
-/** Share of the grace period before which no response is cut: somewhat more than five sixths, as the platform has it. */
+/** Share of the grace period before which no response is cut: five sixths, and a margin. */
 const UNCUT_GRACE_SHARE = 0.85;
 /** File descriptors planned for an open request: one to the caller, one to the endpoint, and one in reserve. */
 const DESCRIPTORS_PER_REQUEST = 3;
@@ -251,8 +251,8 @@
         const lateMs = Math.min(Math.max(0, handledAt - requestedAt), graceMs);
         const startedAt = handledAt - lateMs;
         const deadline = startedAt + graceMs - SHUTDOWN_RESERVE_MS;
-        // The signal came in between: errors must be sent before the earliest end of the grace period, and a response that
-        // has started is cut by the end of the process at the worst.
+        // The signal came between `startedAt` and `handledAt`. Errors must be sent before the earliest end of the grace period; a
+        // response that has started may go on, and the end of the process cuts it at the worst.
         const cutAt = Math.max(deadline, handledAt + graceMs * UNCUT_GRACE_SHARE);
         this.refuseLateRequests(startedAt);
         logger.write("VmStopping", { open: this.openRequestCount, lateMs: Math.round(lateMs) });
--- a/packages/wigeonpulley/src/time/system-timer-service.ts
+++ b/packages/wigeonpulley/src/time/system-timer-service.ts
@@ -11,7 +11,7 @@
  * cancel it.
  */
 export class SystemTimerService extends TimerService {
-    /** Number of late timers that wait; those that come due meanwhile run after them. */
+    /** Number of timers that wait for input: late ones, and those that come due after them meanwhile. */
     private waiting = 0;
 
     private constructor() {
--- a/packages/wigeonpulley/test/quarantine/lost-answers.test.ts
+++ b/packages/wigeonpulley/test/quarantine/lost-answers.test.ts
@@ -103,7 +103,7 @@
     );
 };
 
-// After all VMs had lost power, verdicts on sound blocks that nobody could answer any more held for 600 s.
+// Guards against SHORT: after all VMs had lost power, verdicts on sound blocks that no answer could end any more held for 600 s.
 test("sound blocks whose verdicts are in the store are served again soon after all VMs have restarted", async () => {
     const { fleet } = await LossyEngines.create(VM_COUNT, ENGINE_COUNT);
     writeVerdicts(fleet, CLASSES);
