Decode allowed regions, cold phases and their bounds, and give placement the workspace and work of a request

Cause: deployments name regions that a route or workspace may use, the cold phase of a service's endpoints and the time for an evacuation; nothing reads them, and placement knows no workspace. Change: schemas, wire names and settings for them, and the fields of a placement request that the parts for regions, cold endpoints and workspace shares need.

--- a/packages/wigeonpulley/src/forwarding/forwarder.ts
+++ b/packages/wigeonpulley/src/forwarding/forwarder.ts
@@ -18,9 +18,11 @@
 import { isFingerprint, listTraits } from "./request-traits.js";
 import type { ResponseWriter } from "./response-writer.js";
 import {
+    computeAllowedRegions,
     computeCallerTimeoutMs,
     computeRank,
     estimateEventCount,
+    estimateWorkTokens,
     isRetryable,
     type RoutedRequest,
 } from "./routed-request.js";
@@ -76,6 +78,8 @@
 const MIN_WAIT_LIMIT_MS = 600;
 /** Retries after sends that provably did not run. They don't count as attempts, so this bounds the work for a request. */
 const MAX_NOT_RUN_RETRIES = 2;
+/** Weight of a workspace without a quota, beside others without one. */
+const DEFAULT_WORKSPACE_WEIGHT = 1;
 /** VMs that a request is passed on to, one after the other, until one of them can serve it. */
 const MAX_PEER_SENDS = 3;
 
@@ -297,6 +301,10 @@
             requestId: metadata.attemptId,
             service: request.service,
             route: route.name,
+            workspace: workspace?.name,
+            workspaceWeight: workspace?.quota?.ratePerS ?? DEFAULT_WORKSPACE_WEIGHT,
+            workTokens: estimateWorkTokens(request),
+            allowedRegions: computeAllowedRegions(route, workspace),
             rank: computeRank(route, workspace),
             isEngine: request.tokensPerEvent !== undefined,
             promptTokens: metadata.tokens?.prompt ?? 0,
--- a/packages/wigeonpulley/src/forwarding/routed-request.ts
+++ b/packages/wigeonpulley/src/forwarding/routed-request.ts
@@ -65,12 +65,33 @@
         : metadata.tokens.prompt + metadata.tokens.output;
 };
 
+/**
+ * Regions whose endpoints may serve a request: those that route and workspace both allow; undefined when neither names any.
+ * An empty set allows none.
+ */
+export const computeAllowedRegions = (
+    route: Route,
+    workspace: Workspace | undefined,
+): ReadonlySet<string> | undefined => {
+    const lists = [route.allowedRegions, workspace?.allowedRegions ?? []].filter(({ length }) => length > 0);
+    const [first] = lists;
+    return first === undefined
+        ? undefined
+        : new Set(first.filter(region => lists.every(regions => regions.includes(region))));
+};
+
 /** Share of the maximum output tokens that is expected without a hint. */
 const EXPECTED_OUTPUT_SHARE = 0.5;
 
-/** Expected number of events of the response. */
-export const estimateEventCount = ({ metadata, tokensPerEvent }: RoutedRequest): number => {
+const estimateOutputTokens = ({ metadata }: RoutedRequest): number => {
     const maxOutput = metadata.tokens?.output ?? 0;
-    const tokens = Math.min(maxOutput, metadata.outputTokensHint ?? maxOutput * EXPECTED_OUTPUT_SHARE);
-    return tokens / (tokensPerEvent ?? 1);
+    return Math.min(maxOutput, metadata.outputTokensHint ?? maxOutput * EXPECTED_OUTPUT_SHARE);
 };
+
+/** Expected number of events of the response. */
+export const estimateEventCount = (request: RoutedRequest): number =>
+    estimateOutputTokens(request) / (request.tokensPerEvent ?? 1);
+
+/** Tokens that the request is expected to cost an engine; 1 for a request that declares none. */
+export const estimateWorkTokens = (request: RoutedRequest): number =>
+    Math.max(1, (request.metadata.tokens?.prompt ?? 0) + estimateOutputTokens(request));
--- a/packages/wigeonpulley/src/placement/placement-request.ts
+++ b/packages/wigeonpulley/src/placement/placement-request.ts
@@ -6,6 +6,14 @@
     readonly requestId: string;
     readonly service: string;
     readonly route: string;
+    /** Workspace of the caller; undefined when its requests need no key. */
+    readonly workspace: string | undefined;
+    /** Weight of the workspace's share of a contended service: its quota in units a second, or 1 without one. */
+    readonly workspaceWeight: number;
+    /** Work that the request brings: its prompt tokens and the output tokens expected; 1 for a plain service. */
+    readonly workTokens: number;
+    /** Regions whose instances may take the request; undefined for all. */
+    readonly allowedRegions: ReadonlySet<string> | undefined;
     /** Priority rank; 0 is the most important. */
     readonly rank: number;
     readonly isEngine: boolean;
--- a/packages/wigeonpulley/src/routed-vm/routed-settings.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-settings.ts
@@ -42,6 +42,15 @@
     rollbackMs: millisecondsSchema.default(5_000).describe(
         "Time within which a bad version gets no more requests, in milliseconds.",
     ),
+    coldOverrun: z.number().min(1).default(1.5).describe(
+        "Factor by which the rate that a cold endpoint tolerates may be exceeded in one second, over all VMs.",
+    ),
+    coldSlack: z.number().min(0).default(5).describe(
+        "Additional requests that a cold endpoint may get in one second, over all VMs.",
+    ),
+    evacuateMs: millisecondsSchema.default(5_000).describe(
+        "Time within which the endpoints of an evacuated data centre get no more requests, in milliseconds.",
+    ),
 });
 
 /** Settings of one VM. */
--- a/packages/wigeonpulley/src/routing/routing-configuration.ts
+++ b/packages/wigeonpulley/src/routing/routing-configuration.ts
@@ -2,6 +2,7 @@
 import * as z from "zod";
 
 const millisecondsSchema = z.number().positive();
+const allowedRegionsSchema = z.array(z.string().min(1)).default([]);
 
 /** A service that receives a share of a route's traffic. */
 export const routeTargetSchema = z.object({
@@ -32,6 +33,9 @@
     isPublic: z.boolean().default(false).describe("True when requests need no key."),
     hasAffinity: z.boolean().default(false).describe("True when requests share prompt blocks."),
     isResumable: z.boolean().default(false).describe("True when another endpoint may resume a stream."),
+    allowedRegions: allowedRegionsSchema.describe(
+        "Regions whose endpoints may serve the requests; empty allows all. The workspace's regions bind too.",
+    ),
 });
 
 /** A route. */
@@ -50,6 +54,12 @@
             "Tokens that fit into the memory of an engine.",
         ),
     }).optional().describe("Present for model engines."),
+    coldStartMs: z.number().min(0).default(0).describe(
+        "Time for which an endpoint is cold after its start, in milliseconds; 0 when the service has no cold phase.",
+    ),
+    coldPerS: z.number().min(0).default(0).describe(
+        "Requests a second that a cold endpoint tolerates from all VMs together; 0 for no limit.",
+    ),
 });
 
 /** A service. */
@@ -74,6 +84,9 @@
         "Priority rank of the workspace; goes before the route's rank.",
     ),
     quota: quotaSchema.optional().describe("Limit over all VMs; without it the workspace is unlimited."),
+    allowedRegions: allowedRegionsSchema.describe(
+        "Regions whose endpoints may serve the workspace's requests; empty allows all. The route's regions bind too.",
+    ),
 });
 
 /** A workspace. */
--- a/packages/wigeonpulley/test/placement/long-prompts.test.ts
+++ b/packages/wigeonpulley/test/placement/long-prompts.test.ts
@@ -42,6 +42,10 @@
     earlierAttemptsMs: 0,
     waitUntil: now + 1_000,
     targetLatencyMs: 800,
+    workspace: undefined,
+    workspaceWeight: 1,
+    workTokens: 1,
+    allowedRegions: undefined,
     isCanary: false,
     excludedInstances: new Set<string>(),
 });
