End the grace period of missing instances by the time at which the store served other VMs

Ruled out: keeping them only while half of a service is missing, which would drop live instances in the middle of their registration after a real outage. Change: a confirmation that another VM got from the store since the loss shows since when live instances could register; the grace period counts from it, also for removals that wait already.

--- a/packages/wigeonpulley/src/discovery/instance-directory.ts
+++ b/packages/wigeonpulley/src/discovery/instance-directory.ts
@@ -31,6 +31,8 @@
     private readonly listeners: DirectoryListener[] = [];
     private storeLostAt: number | undefined;
     private storeRecoveredAt = Number.NEGATIVE_INFINITY;
+    /** Begin of the last outage, and the earliest time since then at which the store is known to have served another VM. */
+    private lastOutage: { readonly lostAt: number; servedOthersAt: number; } | undefined;
     private hasSnapshot = false;
     private setLoaded: () => void = () => undefined;
     private readonly loaded = new Promise<void>(resolve => {
@@ -66,6 +68,7 @@
     applySnapshot(changes: readonly InstanceChange[], isRestored = false): void {
         if (isRestored) {
             this.storeRecoveredAt = this.timers.now();
+            this.lastOutage = undefined;
         }
         const changesById = new Map(changes.map(change => [change.id, change]));
         this.hasSnapshot = true;
@@ -92,14 +95,40 @@
 
     /** Records that the store does not respond. */
     handleStoreLost(): void {
-        this.storeLostAt ??= this.timers.now();
+        if (this.storeLostAt === undefined) {
+            this.storeLostAt = this.timers.now();
+            this.lastOutage = { lostAt: this.storeLostAt, servedOthersAt: Number.POSITIVE_INFINITY };
+        }
     }
 
     /** Records that the store responds; after an outage this starts the grace period. */
     handleStoreRecovered(): void {
         if (this.storeLostAt !== undefined) {
             this.storeLostAt = undefined;
-            this.storeRecoveredAt = this.timers.now();
+            this.storeRecoveredAt = Math.min(
+                this.timers.now(),
+                this.lastOutage?.servedOthersAt ?? Number.POSITIVE_INFINITY,
+            );
+        }
+    }
+
+    /**
+     * Records that the store served another VM at `servedAt`, a monotonic time in milliseconds. An outage that it survived
+     * was one of this VM's link: live instances could register all the time since then, and what is missing has left.
+     */
+    recordServedOthers(servedAt: number): void {
+        const outage = this.lastOutage;
+        if (outage === undefined || servedAt <= outage.lostAt || servedAt >= outage.servedOthersAt) {
+            return;
+        }
+        outage.servedOthersAt = servedAt;
+        if (this.storeLostAt === undefined && servedAt < this.storeRecoveredAt) {
+            this.storeRecoveredAt = servedAt;
+            [...this.pendingRemovals].forEach(([id, cancel]) => {
+                cancel();
+                this.pendingRemovals.delete(id);
+                this.removeAfterGrace(id);
+            });
         }
     }
 
@@ -111,13 +140,17 @@
             }
         }
         else if (before !== undefined && !this.pendingRemovals.has(id)) {
-            const graceMs = this.storeRecoveredAt + REGISTRATION_GRACE_MS - this.timers.now();
-            if (graceMs > 0) {
-                this.pendingRemovals.set(id, this.timers.schedule(graceMs, () => this.remove(id)));
-            }
-            else {
-                this.remove(id);
-            }
+            this.removeAfterGrace(id);
+        }
+    }
+
+    private removeAfterGrace(id: string): void {
+        const graceMs = this.storeRecoveredAt + REGISTRATION_GRACE_MS - this.timers.now();
+        if (graceMs > 0) {
+            this.pendingRemovals.set(id, this.timers.schedule(graceMs, () => this.remove(id)));
+        }
+        else {
+            this.remove(id);
         }
     }
 
--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -450,7 +450,7 @@
                 rollouts: this.rollouts,
                 reports: this.reports,
             }),
-            freshness: GossipedFreshness.create(this.activeConfiguration),
+            freshness: GossipedFreshness.create(this.activeConfiguration, this.directory),
             evidence: GossipedEvidence.create(this.quarantine, this.rateLimits),
             heartbeatMs: HEARTBEAT_MS,
             peerTimeoutMs: PEER_TIMEOUT_MS,
--- a/packages/wigeonpulley/test/routing/gossiped-freshness-model.test.ts
+++ b/packages/wigeonpulley/test/routing/gossiped-freshness-model.test.ts
@@ -11,6 +11,7 @@
     FreshnessKeeper,
     GossipedFreshness,
     GossipTransport,
+    InstanceDirectory,
     type MemberDigest,
     MembershipService,
     MemorySink,
@@ -176,7 +177,10 @@
             getAgeLimits: () => computeAgeLimits({ keyRevokeMs: KEY_REVOKE_MS, applyMs: APPLY_MS }),
             refreshConfiguration: () => follower.refresh(),
         });
-        const freshness = GossipedFreshness.create(this.activeConfiguration);
+        const freshness = GossipedFreshness.create(
+            this.activeConfiguration,
+            InstanceDirectory.create(this.clock, logger),
+        );
         if (mutant === "counted from the arrival") {
             freshness.confirm = version =>
                 this.activeConfiguration.confirmVersion(version, ClockReading.create(this.clock));
