Let a few VMs of a region read the store for the others

Ruled out: a longer interval for all, which the drain bound doesn't allow; one elected reader, whose loss would stop all. Digests carry the position, age and last change of the copy of the list, and in responses the entries that the asking VM lacks. A VM that hears nothing in time reads for itself. Entries that differ only in their sequence number aren't passed on.

--- a/packages/wigeonpulley/src/membership/index.ts
+++ b/packages/wigeonpulley/src/membership/index.ts
@@ -8,9 +8,11 @@
     ConfigurationFreshness,
     type Evidence,
     EvidenceGossip,
+    InstanceListGossip,
     type Member,
     type MembershipOptions,
     MembershipService,
     type OwnerLocation,
     ReportGossip,
 } from "./membership-service.js";
+export { findStoreReader, type StoreReadingRole } from "./store-readers.js";
--- a/packages/wigeonpulley/src/membership/membership-service.ts
+++ b/packages/wigeonpulley/src/membership/membership-service.ts
@@ -7,6 +7,7 @@
 import { create } from "@bufbuild/protobuf";
 import {
     type CarriedReport,
+    type InstanceListState,
     type MemberDigest,
     MemberDigestSchema,
     type MemberState,
@@ -20,6 +21,7 @@
 import { type CancelTimer, ClockReading, type TimerService } from "../time/index.js";
 import { GossipPartners } from "./gossip-partners.js";
 import { isNewerState, MemberTable, resolveEntry } from "./member-table.js";
+import { findStoreReader, type StoreReadingRole } from "./store-readers.js";
 
 /** Load reports that VMs send with their digests. */
 export abstract class ReportGossip {
@@ -42,6 +44,15 @@
     abstract confirm(version: number, reading: ClockReading): void;
 }
 
+/** Copies of the store's list of instances, which VMs pass on so that not each of them reads the store. */
+export abstract class InstanceListGossip {
+    /** Returns the state of this VM's copy, with the records that a requester's copy lacks; undefined before the first read. */
+    abstract createState(requester: InstanceListState | undefined): InstanceListState | undefined;
+
+    /** Applies the state of another VM's copy, which was asked for at a reading. */
+    abstract applyState(state: InstanceListState, askedAt: ClockReading): void;
+}
+
 /** Evidence about endpoints and requests that VMs send with their digests. */
 export type Evidence = Pick<MemberDigest, "promptBlocks" | "instanceLimits" | "liveInstances">;
 
@@ -66,6 +77,8 @@
     readonly reports?: ReportGossip;
     /** Confirmations of the configuration sent with the digests; none when absent. */
     readonly freshness?: ConfigurationFreshness;
+    /** Copies of the list of instances sent with the digests; none when absent. */
+    readonly instanceList?: InstanceListGossip;
     /** Evidence sent with the digests; none when absent. */
     readonly evidence?: EvidenceGossip;
     /** Interval between gossip rounds. */
@@ -127,6 +140,7 @@
     private liveNames = "";
     /** Derived from the live members; cleared whenever they change. */
     private liveCache: readonly VmListEntry[] | undefined;
+    private storeReaderCache: { readonly reader: VmListEntry | undefined; } | undefined;
     private readonly ownerCache = new Map<string, VmListEntry>();
     private readonly abortController = new AbortController();
 
@@ -137,7 +151,11 @@
         this.table = MemberTable.create(options.peerTimeoutMs);
         this.partners = GossipPartners.create({
             ...options,
-            onDropped: peer => options.transport.releasePeer(peer),
+            onDropped: peer => {
+                if (peer.name !== this.findStoreReader()?.name) {
+                    options.transport.releasePeer(peer);
+                }
+            },
         });
     }
 
@@ -153,7 +171,7 @@
             return;
         }
         this.cancelTimers.push(
-            timers.scheduleRepeating(heartbeatMs, () => this.gossipWithMembers(GOSSIP_FANOUT)),
+            timers.scheduleRepeating(heartbeatMs, () => this.gossipRegularly()),
             timers.scheduleRepeating(vmListPollMs, () => void this.readVmList()),
         );
         void this.registerSelf();
@@ -271,7 +289,32 @@
     /** Merges a peer's digest and returns this VM's. */
     handleDigest(digest: MemberDigest): MemberDigest {
         this.merge(digest, undefined);
-        return this.createDigest();
+        return this.createDigest(digest);
+    }
+
+    /** Whether this VM reads the store for others, follows one that does, or reads for itself alone. */
+    get storeReadingRole(): StoreReadingRole {
+        const reader = this.findStoreReader();
+        if (reader === undefined) {
+            return "independent";
+        }
+        return reader.name === this.options.self.name ? "reader" : "follower";
+    }
+
+    private findStoreReader(): VmListEntry | undefined {
+        this.storeReaderCache ??= { reader: findStoreReader(this.options.self, this.listLive()) };
+        return this.storeReaderCache.reader;
+    }
+
+    /** Exchanges digests with the VM that reads the store for this one, if any, and with random partners. */
+    private gossipRegularly(): void {
+        const reader = this.findStoreReader();
+        if (reader === undefined || reader.name === this.options.self.name) {
+            this.gossipWithMembers(GOSSIP_FANOUT);
+            return;
+        }
+        this.gossipWithMembers(GOSSIP_FANOUT - 1);
+        void this.gossipWithMember(reader);
     }
 
     private chooseOwner(key: string, location: OwnerLocation): VmListEntry {
@@ -298,6 +341,9 @@
         if (response.isOk()) {
             this.merge(response.value, startedAt.monotonicMs);
             this.confirmConfiguration(response.value, startedAt);
+            if (response.value.instanceList !== undefined) {
+                this.options.instanceList?.applyState(response.value.instanceList, startedAt);
+            }
         }
         else {
             this.suspect(peer, startedAt.monotonicMs);
@@ -316,10 +362,13 @@
         }
     }
 
-    private createDigest(): MemberDigest {
+    /** Creates a digest; one that answers another carries what the other VM lacks. */
+    private createDigest(request?: MemberDigest): MemberDigest {
         this.updateConfiguration();
         const ageMs = Math.ceil(this.options.freshness?.getAgeMs() ?? Number.POSITIVE_INFINITY);
+        const instanceList = this.options.instanceList?.createState(request?.instanceList);
         return create(MemberDigestSchema, {
+            ...(instanceList === undefined ? {} : { instanceList }),
             configurationAgeMs: ageMs < MAX_CONFIGURATION_AGE_MS ? ageMs + 1 : 0,
             sender: this.options.self.name,
             members: [this.self, ...this.table.consumeChanges(MAX_DIGEST_CHANGES)],
@@ -442,6 +491,7 @@
 
     private notify(): void {
         this.liveCache = undefined;
+        this.storeReaderCache = undefined;
         this.ownerCache.clear();
         this.listeners.forEach(listener => listener());
     }
--- a/packages/wigeonpulley/src/peers/connect-peer-transport.ts
+++ b/packages/wigeonpulley/src/peers/connect-peer-transport.ts
@@ -38,6 +38,7 @@
 import { GossipChannel } from "./gossip-channel.js";
 import { isPeerKey, PEER_KEY_HEADER, VM_HEADER } from "./peer-identity.js";
 import { type GossipHandler, PeerHandler, PeerTransport } from "./peer-transport.js";
+import { decodePosition, decodeRecords, encodePosition, encodeRecords } from "./record-codec.js";
 
 const CALL_TIMEOUT_MS = 2_000;
 /** Records may be long, and the link of the peer slow. */
@@ -107,9 +108,7 @@
             peer,
             client =>
                 client.fetchOperatorRecords(
-                    position === undefined
-                        ? {}
-                        : { position: { era: position.era, offset: BigInt(position.offset) } },
+                    position === undefined ? {} : { position: encodePosition(position) },
                     { timeoutMs: RECORDS_TIMEOUT_MS },
                 ),
         );
@@ -207,16 +206,7 @@
 }
 
 const decodeRecordBatch = ({ records, next }: FetchOperatorRecordsResponse): RecordBatch | undefined =>
-    next === undefined
-        ? undefined
-        : {
-            records: records.map(({ key, value, offset }) => ({
-                key,
-                value: value === undefined ? undefined : Buffer.from(value),
-                offset: Number(offset),
-            })),
-            next: { era: next.era, offset: Number(next.offset) },
-        };
+    next === undefined ? undefined : { records: decodeRecords(records), next: decodePosition(next) };
 
 const encodeRecordBatch = (batch: RecordBatch | undefined): FetchOperatorRecordsResponse =>
     create(
@@ -224,12 +214,8 @@
         batch === undefined
             ? {}
             : {
-                records: batch.records.map(({ key, value, offset }) => ({
-                    key,
-                    ...(value === undefined ? {} : { value }),
-                    offset: BigInt(offset),
-                })),
-                next: { era: batch.next.era, offset: BigInt(batch.next.offset) },
+                records: encodeRecords(batch.records),
+                next: encodePosition(batch.next),
             },
     );
 
--- a/packages/wigeonpulley/src/routed-vm/index.ts
+++ b/packages/wigeonpulley/src/routed-vm/index.ts
@@ -5,6 +5,7 @@
 export { RoutedDaemon, type RoutedDaemonOptions } from "./daemon.js";
 export { GossipedEvidence } from "./gossiped-evidence.js";
 export { GossipedFreshness } from "./gossiped-freshness.js";
+export { GossipedInstanceList, type InstanceListCopy } from "./gossiped-instance-list.js";
 export { OperatorServer, type OperatorServerOptions } from "./operator-server.js";
 export { type OperatorRecord, PlatformAdapter } from "./platform-adapter.js";
 export { ReportService } from "./report-service.js";
--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -25,6 +25,7 @@
 import type { CancelTimer, TimerService } from "../time/index.js";
 import { GossipedEvidence } from "./gossiped-evidence.js";
 import { GossipedFreshness } from "./gossiped-freshness.js";
+import { GossipedInstanceList } from "./gossiped-instance-list.js";
 import { OperatorRecordExchange } from "./operator-record-exchange.js";
 import type { PlatformAdapter } from "./platform-adapter.js";
 import { ReportService } from "./report-service.js";
@@ -147,14 +148,15 @@
                 windowMs: this.bounds.quotaWindowS * MS_PER_S,
             }),
         });
-        this.membership = this.createMembership();
         this.subscriptions = StoreSubscriptions.create({
             ...options,
             activeConfiguration: this.activeConfiguration,
             directory: this.directory,
             rollouts: this.rollouts,
             drainMs: this.bounds.drainMs,
+            getReadingRole: () => this.membership.storeReadingRole,
         });
+        this.membership = this.createMembership();
         this.recordExchange = this.createRecordExchange();
         this.forwarder = this.createForwarder();
         this.frontServer = this.createFrontServer(settings.listen.callers, undefined);
@@ -451,6 +453,10 @@
                 reports: this.reports,
             }),
             freshness: GossipedFreshness.create(this.activeConfiguration, this.directory),
+            instanceList: GossipedInstanceList.create(
+                this.subscriptions,
+                ({ monotonicMs }) => this.directory.recordServedOthers(monotonicMs),
+            ),
             evidence: GossipedEvidence.create(this.quarantine, this.rateLimits),
             heartbeatMs: HEARTBEAT_MS,
             peerTimeoutMs: PEER_TIMEOUT_MS,
--- a/packages/wigeonpulley/src/routed-vm/store-subscriptions.ts
+++ b/packages/wigeonpulley/src/routed-vm/store-subscriptions.ts
@@ -1,18 +1,21 @@
 /** Follows the records of operators and instances in the store, and applies them to the parts of the VM. */
 import type { Instance, InstanceChange, InstanceDirectory } from "../discovery/index.js";
 import type { EventLogger } from "../logging/index.js";
+import type { StoreReadingRole } from "../membership/index.js";
 import type { RandomSource } from "../random/index.js";
 import type { RolloutService } from "../rollouts/index.js";
 import type { ActiveConfiguration } from "../routing/index.js";
 import {
+    DEFAULT_REFRESH_AGE,
     FreshnessKeeper,
     type KeyedRecord,
     RecordArchive,
     type RecordBatch,
+    type RefreshAge,
     TopicFollower,
     type TopicPosition,
 } from "../store/index.js";
-import type { TimerService } from "../time/index.js";
+import type { ClockReading, TimerService } from "../time/index.js";
 import type { PlatformAdapter } from "./platform-adapter.js";
 
 /** Dependencies of the followers, and the parts that the records are applied to. */
@@ -26,21 +29,48 @@
     readonly rollouts: RolloutService;
     /** Time within which a leaving instance gets no more requests, in milliseconds. */
     readonly drainMs: number;
+    /** Returns whether this VM reads the store for others, follows one that does, or reads for itself alone. */
+    readonly getReadingRole: () => StoreReadingRole;
 }
 
 /** Long-poll time of the operators' records, in milliseconds. */
 const OPERATOR_LONG_POLL_MS = 4_000;
 /**
- * Pause between reads of the instances, as a share of the time within which a leaving one gets no more requests. Their
+ * Least pause between reads of the instances, as a share of the time within which a leaving one gets no more requests. Their
  * records change too often for a long poll.
  */
-const INSTANCE_PAUSE_SHARE = 0.4;
+const INSTANCE_PAUSE_SHARE = 0.25;
+/**
+ * Age of the copy of the list at which it is read again, as a share of the same time. A reader's copy reaches the VMs that
+ * follow it within half a second.
+ */
+const INSTANCE_AGE_SHARES: Readonly<Record<StoreReadingRole, number>> = {
+    independent: 0.4,
+    reader: 0,
+    follower: 0.45,
+};
+/**
+ * Ages at which the configuration is confirmed. A reader's confirmation reaches the VMs that ask it twice a second before
+ * their own is due. All stay below the 1.5 s that remain of the bound on revoked keys after a loss of the store.
+ */
+const REFRESH_AGES: Readonly<Record<StoreReadingRole, RefreshAge>> = {
+    independent: DEFAULT_REFRESH_AGE,
+    reader: { minMs: 350, spreadMs: 150 },
+    follower: { minMs: 1_250, spreadMs: 150 },
+};
 
 /** Subscriptions of one VM. */
 export class StoreSubscriptions {
     private readonly operatorFollower: TopicFollower;
     private readonly operatorRecords = RecordArchive.create();
     private readonly instanceFollower: TopicFollower;
+    /** Parsed records; comparing them with their successors would parse each several times. */
+    private readonly parsedInstances = new WeakMap<KeyedRecord, Instance | "invalid">();
+    private readonly instanceRecords = RecordArchive.create((before, after) =>
+        hasSameContent(this.parseInstance(before), this.parseInstance(after))
+    );
+    /** When the copy of the list of instances was last known to be complete. */
+    private instancesConfirmedAt: ClockReading | undefined;
     private readonly freshnessKeeper: FreshnessKeeper;
 
     private constructor(private readonly options: StoreSubscriptionsOptions) {
@@ -49,6 +79,7 @@
         this.freshnessKeeper = FreshnessKeeper.create({
             ...options,
             getAgeMs: () => options.activeConfiguration.getAgeMs(),
+            getRefreshAge: () => REFRESH_AGES[options.getReadingRole()],
             isConfirmationAwaited: () => options.rollouts.hasUnconfirmedVersion,
             refresh: () => this.operatorFollower.refreshWhenAvailable(),
         });
@@ -98,6 +129,46 @@
         this.operatorFollower.applyFetched(position, batch);
     }
 
+    /** Position up to which the list of instances was read; undefined before that. */
+    get instancePosition(): TopicPosition | undefined {
+        return this.instanceFollower.readPosition;
+    }
+
+    /** Offset after the last record that changed more than an entry's sequence number; undefined before the first read. */
+    get instanceChangedOffset(): number | undefined {
+        return this.instanceRecords.changedOffset;
+    }
+
+    /** Time since the list of instances was last known to be complete, in milliseconds; infinite if it never was. */
+    getInstanceListAgeMs(): number {
+        return this.instancesConfirmedAt?.computeAgeMs(this.options.timers) ?? Number.POSITIVE_INFINITY;
+    }
+
+    /** Returns the records of instances that a copy at a position lacks. */
+    listInstanceRecordsSince(position: TopicPosition | undefined): RecordBatch | undefined {
+        return this.instanceRecords.listSince(position);
+    }
+
+    /** Applies records of instances that another VM's complete copy has after this one's position. */
+    applyInstanceRecords(position: TopicPosition, batch: RecordBatch, confirmedAt: ClockReading): void {
+        if (isSamePosition(position, this.instancePosition) && position.offset <= batch.next.offset) {
+            this.instanceFollower.applyFetched(position, batch);
+            this.confirmInstances(confirmedAt);
+        }
+    }
+
+    /** Records that the copy of the list was complete at the time of a reading. */
+    confirmInstances(reading: ClockReading): void {
+        if (this.instancesConfirmedAt === undefined || reading.isAfter(this.instancesConfirmedAt)) {
+            this.instancesConfirmedAt = reading;
+        }
+    }
+
+    private isInstanceReadDue(): boolean {
+        const { drainMs, getReadingRole } = this.options;
+        return this.getInstanceListAgeMs() > drainMs * INSTANCE_AGE_SHARES[getReadingRole()];
+    }
+
     private createOperatorFollower(): TopicFollower {
         const { adapter, activeConfiguration, rollouts } = this.options;
         const apply = (records: readonly KeyedRecord[], isRestored: boolean): void =>
@@ -162,24 +233,48 @@
             topic: "instances",
             longPollMs: 0,
             pauseMs: drainMs * INSTANCE_PAUSE_SHARE,
+            isReadDue: () => this.isInstanceReadDue(),
             listener: {
-                applySnapshot: (records, isRestored) =>
-                    directory.applySnapshot(parseAll(records), isRestored),
-                applyChanges: records => directory.applyChanges(parseAll(records)),
-                confirm: () => undefined,
+                applySnapshot: (records, isRestored) => {
+                    const { instancePosition } = this;
+                    if (instancePosition !== undefined) {
+                        this.instanceRecords.applySnapshot(records, instancePosition);
+                    }
+                    directory.applySnapshot(parseAll(records), isRestored);
+                },
+                applyChanges: records => {
+                    const { instancePosition } = this;
+                    if (instancePosition !== undefined) {
+                        this.instanceRecords.applyChanges(records, instancePosition);
+                    }
+                    directory.applyChanges(parseAll(records));
+                },
+                confirm: sentAt => this.confirmInstances(sentAt),
                 handleStoreLost: () => directory.handleStoreLost(),
                 handleStoreRecovered: () => directory.handleStoreRecovered(),
             },
         });
     }
 
-    /** Parses the record of an instance; one that is invalid counts as removed. */
+    /** Parses the record of an instance; one that is invalid counts as removed and is reported once. */
     private parseInstance(record: KeyedRecord): Instance | undefined {
-        const parsed = this.options.adapter.parseInstance(record);
-        if (parsed.isErr()) {
-            this.options.logger.writeError(parsed.error);
-            return undefined;
+        let parsed = this.parsedInstances.get(record);
+        if (parsed === undefined) {
+            const result = this.options.adapter.parseInstance(record);
+            if (result.isErr()) {
+                this.options.logger.writeError(result.error);
+            }
+            parsed = result.unwrapOr(undefined) ?? "invalid";
+            this.parsedInstances.set(record, parsed);
         }
-        return parsed.value;
+        return parsed === "invalid" ? undefined : parsed;
     }
 }
+
+const isSamePosition = (left: TopicPosition, right: TopicPosition | undefined): boolean =>
+    left.era === right?.era && left.offset === right.offset;
+
+/** True when two entries of one instance differ at most in the number of the registration. */
+const hasSameContent = (before: Instance | undefined, after: Instance | undefined): boolean =>
+    before !== undefined && after !== undefined
+    && JSON.stringify({ ...before, sequence: 0 }) === JSON.stringify({ ...after, sequence: 0 });
--- a/packages/wigeonpulley/src/store/freshness-keeper.ts
+++ b/packages/wigeonpulley/src/store/freshness-keeper.ts
@@ -6,12 +6,20 @@
 import type { RandomSource } from "../random/index.js";
 import type { CancelTimer, TimerService } from "../time/index.js";
 
+/** Age from which a refresh is due, and a random part that is added so that VMs don't refresh together. */
+export interface RefreshAge {
+    readonly minMs: number;
+    readonly spreadMs: number;
+}
+
 /** Dependencies of a keeper. */
 export interface FreshnessKeeperOptions {
     readonly timers: TimerService;
     readonly random: RandomSource;
     /** Age of what was read, in milliseconds. */
     readonly getAgeMs: () => number;
+    /** Returns the age from which a refresh is due; that of a VM that reads for itself when absent. */
+    readonly getRefreshAge?: () => RefreshAge;
     /** True when something waits for a confirmation, whatever the age. */
     readonly isConfirmationAwaited: () => boolean;
     /** Starts a read unless one is in progress or the store is known to be unavailable. */
@@ -20,9 +28,8 @@
 
 /** Interval of the checks, in milliseconds. */
 const CHECK_INTERVAL_MS = 150;
-/** Age from which a refresh is due, in milliseconds; a random part is added so that VMs don't refresh together. */
-const MIN_REFRESH_AGE_MS = 800;
-const REFRESH_AGE_SPREAD_MS = 500;
+/** Ages at which a VM that reads for itself refreshes. */
+export const DEFAULT_REFRESH_AGE: RefreshAge = { minMs: 800, spreadMs: 500 };
 
 /** Keeper of one topic. */
 export class FreshnessKeeper {
@@ -46,8 +53,9 @@
     }
 
     private check(): void {
-        const { random, getAgeMs, isConfirmationAwaited, refresh } = this.options;
-        const dueAgeMs = MIN_REFRESH_AGE_MS + random.pickFraction() * REFRESH_AGE_SPREAD_MS;
+        const { random, getAgeMs, getRefreshAge, isConfirmationAwaited, refresh } = this.options;
+        const { minMs, spreadMs } = getRefreshAge?.() ?? DEFAULT_REFRESH_AGE;
+        const dueAgeMs = minMs + random.pickFraction() * spreadMs;
         if (getAgeMs() > dueAgeMs || isConfirmationAwaited()) {
             refresh();
         }
--- a/packages/wigeonpulley/src/store/index.ts
+++ b/packages/wigeonpulley/src/store/index.ts
@@ -2,7 +2,12 @@
  * Store: the interface to the platform's store, and a follower that reads a topic across outages.
  * Decides when to retry reads; knows neither the meaning of the records nor the store's protocol.
  */
-export { FreshnessKeeper, type FreshnessKeeperOptions } from "./freshness-keeper.js";
+export {
+    DEFAULT_REFRESH_AGE,
+    FreshnessKeeper,
+    type FreshnessKeeperOptions,
+    type RefreshAge,
+} from "./freshness-keeper.js";
 export {
     type KeyedRecord,
     KeyedStore,
--- a/packages/wigeonpulley/src/store/topic-follower.ts
+++ b/packages/wigeonpulley/src/store/topic-follower.ts
@@ -40,12 +40,16 @@
     readonly longPollMs: number;
     /** Pause between reads, in milliseconds. */
     readonly pauseMs: number;
+    /** False while a read may wait longer than the pause, because this VM learns of changes from others; true when absent. */
+    readonly isReadDue?: () => boolean;
     readonly listener: TopicListener;
 }
 
 /** Bounds of the exponential backoff after failed reads; half of each delay is random. */
 const MIN_RETRY_DELAY_MS = 150;
 const MAX_RETRY_DELAY_MS = 1_000;
+/** Interval at which a follower checks whether a read is due after its pause, in milliseconds. */
+const DUE_CHECK_INTERVAL_MS = 150;
 /** Era of a store that was never restored. */
 const FIRST_ERA = 1;
 /** Time after the first read of a restored store for the writers to write again what was lost. */
@@ -142,6 +146,15 @@
                 outcome === "failed" ? this.computeRetryDelayMs() : pauseMs,
                 this.abortController.signal,
             );
+            await this.waitUntilReadIsDue();
+        }
+    }
+
+    private async waitUntilReadIsDue(): Promise<void> {
+        const { timers, isReadDue = () => true } = this.options;
+        const { signal } = this.abortController;
+        while (this.position !== undefined && !signal.aborted && !isReadDue()) {
+            await timers.sleep(DUE_CHECK_INTERVAL_MS, signal);
         }
     }
 
