Bind requests to the regions that route and workspace allow

Cause: `allowed_regions` was decoded but not obeyed; any instance, and any VM that a request is passed on to, could get it.

Ruled out: regions fixed at admission (a waiting request could go where the operators have just forbidden it), and load reports without the regions of queues (a full region would hold back requests at all VMs).

Change: `placement/allowed-regions.ts` decides; the chooser, isCutOff, refusals, peer selector and the VM that takes a passed-on request obey it. The dispatch goes on behind a bound request without giving away its regions.

The check that each test fails without its part is still to be run.

--- a/packages/wigeonpulley/src/errors/error-catalogue.ts
+++ b/packages/wigeonpulley/src/errors/error-catalogue.ts
@@ -274,6 +274,17 @@
         status: 503,
         notRun: true,
     }),
+    RegionUnavailable: defineError<{ target: string; regions: string; }>({
+        title: "No allowed region can serve the request.",
+        message: ({ target, regions }) =>
+            regions === ""
+                ? `The regions that route and workspace allow for ${target} have none in common; the request did not run.`
+                : `No endpoint in the regions ${regions} can serve ${target} now; the request did not run.`,
+        hint:
+            "Send the request again after the time in Retry-After; operators check allowed_regions and the endpoints there.",
+        status: 503,
+        notRun: true,
+    }),
     InvalidPlatformEntry: defineError<{ entry: string; reason: string; }>({
         title: "An entry of the platform can't be read.",
         message: ({ entry, reason }) => `The entry ${entry} can't be read: ${reason}`,
--- a/packages/wigeonpulley/src/forwarding/forwarder.ts
+++ b/packages/wigeonpulley/src/forwarding/forwarder.ts
@@ -15,10 +15,10 @@
 import { createPeerHeaders } from "./peer-headers.js";
 import type { PeerSelector } from "./peer-selector.js";
 import { type CancelReason } from "./request-lifetime.js";
+import type { RequestRegions } from "./request-regions.js";
 import { isFingerprint, listTraits } from "./request-traits.js";
 import type { ResponseWriter } from "./response-writer.js";
 import {
-    computeAllowedRegions,
     computeCallerTimeoutMs,
     computeRank,
     estimateEventCount,
@@ -36,6 +36,7 @@
     readonly transport: EndpointTransport;
     readonly placement: PlacementService;
     readonly versions: VersionPolicy;
+    readonly regions: RequestRegions;
     readonly retryBudget: RetryBudget;
     readonly quarantine: Quarantine;
     /** Selects other VMs for requests whose instances this VM doesn't reach. */
@@ -179,12 +180,13 @@
         progress: RequestProgress,
     ): Placement | SchedulerError | undefined {
         const { placement, peers } = this.options;
-        if (!placement.isCutOff(request.service)) {
+        const placementRequest = this.createPlacementRequest(request, progress);
+        if (!placement.isCutOff(placementRequest)) {
             return undefined;
         }
-        const placed = placement.tryAcquire(this.createPlacementRequest(request, progress))
+        const placed = placement.tryAcquire(placementRequest)
             ?? (request.peer === undefined && progress.peerSends < MAX_PEER_SENDS
-                ? peers.select(request.service, progress.excludedInstances)
+                ? peers.select(request.service, progress.excludedInstances, placementRequest.allowedRegions)
                 : undefined);
         if (placed !== undefined) {
             progress.waitedMs ??= this.options.timers.now() - request.arrivedAt;
@@ -203,9 +205,8 @@
         request: RoutedRequest,
         progress: RequestProgress,
     ): Promise<Placement | SchedulerError> {
-        const { reservedPlacement } = progress;
-        progress.reservedPlacement = undefined;
-        const placement = reservedPlacement ?? this.acquireWhenCutOff(request, progress)
+        const placement = this.takeReservedPlacement(request, progress)
+            ?? this.acquireWhenCutOff(request, progress)
             ?? await this.acquire(request, progress);
         const { cancelReason } = request.lifetime;
         const error = cancelReason === undefined
@@ -222,6 +223,23 @@
         return error;
     }
 
+    /** Returns the reserved placement, unless the request may no longer go there. */
+    private takeReservedPlacement(request: RoutedRequest, progress: RequestProgress): Placement | undefined {
+        const { reservedPlacement } = progress;
+        progress.reservedPlacement = undefined;
+        if (
+            reservedPlacement === undefined
+            || this.options.placement.isPermitted(
+                reservedPlacement.instance,
+                this.createPlacementRequest(request, progress),
+            )
+        ) {
+            return reservedPlacement;
+        }
+        reservedPlacement.release(undefined, "the request may no longer go there");
+        return undefined;
+    }
+
     private findQuarantineError(progress: RequestProgress): SchedulerError | undefined {
         const quarantined = progress.isTrial
             ? undefined
@@ -268,10 +286,7 @@
         }
         const placed = this.acquireWhenCutOff(request, progress)
             ?? (await placement.acquire(
-                {
-                    ...this.createPlacementRequest(request, progress),
-                    waitUntil: request.lifetime.deadlineAt,
-                },
+                this.createPlacementRequest(request, progress, request.lifetime.deadlineAt),
                 { subscribe: listener => subscribeToAbort(signal, listener) },
             )).unwrapOr(undefined);
         if (placed === undefined || placed instanceof SchedulerError) {
@@ -293,10 +308,14 @@
         return true;
     }
 
-    private createPlacementRequest(request: RoutedRequest, progress: RequestProgress): PlacementRequest {
-        const { timers } = this.options;
+    /** Creates the request for a slot; by default it waits as long as the route's target latency allows. */
+    private createPlacementRequest(
+        request: RoutedRequest,
+        progress: RequestProgress,
+        waitUntil = this.computeWaitUntil(request, progress),
+    ): PlacementRequest {
+        const { regions } = this.options;
         const { metadata, route, workspace, lifetime } = request;
-        const callerTimeoutMs = Math.min(computeCallerTimeoutMs(request), lifetime.remainingMs);
         return {
             requestId: metadata.attemptId,
             service: request.service,
@@ -304,7 +323,10 @@
             workspace: workspace?.name,
             workspaceWeight: workspace?.quota?.ratePerS ?? DEFAULT_WORKSPACE_WEIGHT,
             workTokens: estimateWorkTokens(request),
-            allowedRegions: computeAllowedRegions(route, workspace),
+            // Read anew at each use, since the configuration may change while the request waits.
+            get allowedRegions() {
+                return regions.getAllowed(request);
+            },
             rank: computeRank(route, workspace),
             isEngine: request.tokensPerEvent !== undefined,
             promptTokens: metadata.tokens?.prompt ?? 0,
@@ -315,16 +337,22 @@
             arrivedAt: request.arrivedAt,
             earlierAttemptsMs: request.earlierAttemptsMs,
             targetLatencyMs: route.targetLatencyMs,
-            waitUntil: Math.max(request.arrivedAt, progress.attempts === 0 ? 0 : timers.now())
-                + Math.min(
-                    callerTimeoutMs * MAX_WAIT_TIMEOUT_SHARE,
-                    Math.max(MIN_WAIT_LIMIT_MS, route.targetLatencyMs * MAX_WAIT_TARGET_FACTOR),
-                ),
+            waitUntil,
             isCanary: progress.isCanary,
             excludedInstances: progress.excludedInstances,
         };
     }
 
+    private computeWaitUntil(request: RoutedRequest, progress: RequestProgress): number {
+        const { route, lifetime, arrivedAt } = request;
+        const callerTimeoutMs = Math.min(computeCallerTimeoutMs(request), lifetime.remainingMs);
+        return Math.max(arrivedAt, progress.attempts === 0 ? 0 : this.options.timers.now())
+            + Math.min(
+                callerTimeoutMs * MAX_WAIT_TIMEOUT_SHARE,
+                Math.max(MIN_WAIT_LIMIT_MS, route.targetLatencyMs * MAX_WAIT_TARGET_FACTOR),
+            );
+    }
+
     private async send(
         request: RoutedRequest,
         writer: ResponseWriter,
@@ -358,7 +386,11 @@
                 confirmRetry: next => this.confirmRetry(request, progress, next),
                 createPeerHeaders: elapsedMs =>
                     createPeerHeaders(
-                        { vm: this.options.identity.vm, elapsedMs },
+                        {
+                            vm: this.options.identity.vm,
+                            elapsedMs,
+                            allowedRegions: this.options.regions.getAllowed(request),
+                        },
                         this.options.identity.peerKey,
                     ),
             })
--- a/packages/wigeonpulley/src/forwarding/front-server.ts
+++ b/packages/wigeonpulley/src/forwarding/front-server.ts
@@ -10,6 +10,7 @@
 import { SchedulerError } from "../errors/index.js";
 import type { EventLogger } from "../logging/index.js";
 import type { MetricsRegistry } from "../metrics/index.js";
+import { computeAllowedRegions } from "../placement/index.js";
 import type { RandomSource } from "../random/index.js";
 import { type ActiveConfiguration, type CallerLimits, selectTarget } from "../routing/index.js";
 import type { TimerService } from "../time/index.js";
@@ -42,6 +43,8 @@
     readonly admission: AdmissionCheck;
     /** Key that all VMs share, for a server that takes requests of other VMs only; undefined for callers. */
     readonly peerKey?: string | undefined;
+    /** True when this VM lies where a request that other VMs pass on may be taken. */
+    readonly canTakePassedOn: (admitted: AdmittedRequest) => boolean;
 }
 
 /** A request that has been read and admitted. */
@@ -272,10 +275,13 @@
             this.refuse(writer, "", "", metadata.error);
             return;
         }
-        const admitted = this.refuseBeforeAdmission() ?? await this.options.admission.admit(
+        const admission = this.refuseBeforeAdmission() ?? await this.options.admission.admit(
             { host: message.headers.host ?? "", path: getPath(message) },
             metadata.value,
         );
+        const admitted = origin === undefined
+            ? admission
+            : admission.andThen(value => this.checkRegion(value));
         const limitBytes = this.options.activeConfiguration.routeTable?.configuration.limits.bodyBytes ?? 0;
         const body = admitted.isOk() ? await readBody(message, limitBytes) : Ok(undefined);
         // A body may arrive slowly. Near the end of the grace period, its request would be cut while it runs.
@@ -380,6 +386,20 @@
             : undefined;
     }
 
+    /** Checks by this VM's own configuration that a request that another VM passes on may be here. */
+    private checkRegion(admitted: AdmittedRequest): Result<AdmittedRequest, SchedulerError> {
+        if (this.options.canTakePassedOn(admitted)) {
+            return Ok(admitted);
+        }
+        const { route, workspace } = admitted;
+        const regions = [...computeAllowedRegions(route, workspace) ?? []].toSorted().join(", ");
+        return Err(SchedulerError.create(
+            "RegionUnavailable",
+            { target: route.name, regions },
+            { retryAfterMs: RETRY_AFTER_MS },
+        ));
+    }
+
     private createRequest(
         { message, metadata, admitted, body, arrivedAt, origin }: ReceivedRequest,
     ): RoutedRequest {
@@ -403,6 +423,7 @@
             configurationVersion: table.configuration.version,
             lifetime: RequestLifetime.create(timers, arrivedAt + limitMs),
             peer: origin?.vm,
+            peerAllowedRegions: origin?.allowedRegions,
         };
     }
 
--- a/packages/wigeonpulley/src/forwarding/index.ts
+++ b/packages/wigeonpulley/src/forwarding/index.ts
@@ -36,6 +36,7 @@
 export { listForwardedRequestHeaders, listForwardedResponseHeaders } from "./hop-by-hop.js";
 export { PeerSelector, type PeerSelectorOptions, type RequestPeer } from "./peer-selector.js";
 export { type CancelReason, RequestLifetime } from "./request-lifetime.js";
+export { RequestRegions } from "./request-regions.js";
 export { listTraits } from "./request-traits.js";
 export { ResponseWriter } from "./response-writer.js";
 export {
--- a/packages/wigeonpulley/src/forwarding/peer-headers.ts
+++ b/packages/wigeonpulley/src/forwarding/peer-headers.ts
@@ -4,10 +4,12 @@
 
 /** Time that the caller has waited so far, in milliseconds. */
 const ELAPSED_HEADER = "x-vm-elapsed-ms";
+/** Regions that the VM which passes the request on allows for it; absent when it allows all. */
+const ALLOWED_REGIONS_HEADER = "x-vm-allowed-regions";
 /** Name of the error of a VM that could not serve a request that another VM passed on. */
 export const VM_ERROR_HEADER = "x-vm-error";
 
-const PEER_HEADERS = new Set([VM_HEADER, PEER_KEY_HEADER, ELAPSED_HEADER]);
+const PEER_HEADERS = new Set([VM_HEADER, PEER_KEY_HEADER, ELAPSED_HEADER, ALLOWED_REGIONS_HEADER]);
 
 /** Origin of a request that another VM has passed on. */
 export interface PeerRequestOrigin {
@@ -15,16 +17,22 @@
     readonly vm: string;
     /** Time that the caller has waited so far, in milliseconds. */
     readonly elapsedMs: number;
+    /** Regions that it allows by its own configuration; undefined for all. */
+    readonly allowedRegions: ReadonlySet<string> | undefined;
 }
 
 /** Creates the headers of a request to another VM, as alternating names and values. */
-export const createPeerHeaders = ({ vm, elapsedMs }: PeerRequestOrigin, key: string): readonly string[] => [
+export const createPeerHeaders = (
+    { vm, elapsedMs, allowedRegions }: PeerRequestOrigin,
+    key: string,
+): readonly string[] => [
     VM_HEADER,
     vm,
     PEER_KEY_HEADER,
     key,
     ELAPSED_HEADER,
     String(Math.max(0, Math.round(elapsedMs))),
+    ...(allowedRegions === undefined ? [] : [ALLOWED_REGIONS_HEADER, formatRegions(allowedRegions)]),
 ];
 
 /** Parses the headers of a request of another VM; undefined when they don't have the shared key. */
@@ -32,7 +40,13 @@
     const read = (name: string): string => String(headers[name] ?? "");
     const elapsedMs = Number(read(ELAPSED_HEADER));
     return isPeerKey(read(PEER_KEY_HEADER), key)
-        ? { vm: read(VM_HEADER), elapsedMs: Number.isFinite(elapsedMs) ? elapsedMs : 0 }
+        ? {
+            vm: read(VM_HEADER),
+            elapsedMs: Number.isFinite(elapsedMs) ? elapsedMs : 0,
+            allowedRegions: headers[ALLOWED_REGIONS_HEADER] === undefined
+                ? undefined
+                : parseRegions(read(ALLOWED_REGIONS_HEADER)),
+        }
         : undefined;
 };
 
@@ -41,3 +55,19 @@
     rawHeaders.filter((unused, index) =>
         !PEER_HEADERS.has((rawHeaders[index - index % 2] ?? "").toLowerCase())
     );
+
+/** Encodes names of any characters; another VM that can't decode one matches no region by it. */
+const formatRegions = (regions: ReadonlySet<string>): string =>
+    [...regions].map(name => encodeURIComponent(name)).join(",");
+
+const parseRegions = (text: string): ReadonlySet<string> =>
+    new Set(text.split(",").filter(name => name !== "").map(name => decodeName(name)));
+
+const decodeName = (name: string): string => {
+    try {
+        return decodeURIComponent(name);
+    }
+    catch {
+        return name;
+    }
+};
--- a/packages/wigeonpulley/src/forwarding/peer-selector.ts
+++ b/packages/wigeonpulley/src/forwarding/peer-selector.ts
@@ -3,7 +3,7 @@
  * VMs, the one with fewer requests of this VM in progress. A VM that can't serve a service is left out for a moment.
  */
 import type { Instance } from "../discovery/index.js";
-import { Placement, type ReleaseOutcome } from "../placement/index.js";
+import { type DataCentreRegions, Placement, type ReleaseOutcome } from "../placement/index.js";
 import type { RandomSource } from "../random/index.js";
 import type { TimerService } from "../time/index.js";
 
@@ -23,6 +23,8 @@
     readonly random: RandomSource;
     /** Region of this VM, whose VMs are preferred. */
     readonly region: string;
+    /** Regions of the data centres, by which a VM may take a request that is bound to regions. */
+    readonly regions: DataCentreRegions;
     /** Returns the other VMs that are live and take requests. */
     readonly listPeers: () => readonly RequestPeer[];
 }
@@ -44,12 +46,17 @@
         return new PeerSelector(options);
     }
 
-    /** Selects a VM whose id is not excluded; undefined when there is none. */
-    select(service: string, excludedIds: ReadonlySet<string>): Placement | undefined {
+    /** Selects a VM whose id is not excluded, in one of the allowed regions if there are any; undefined when there is none. */
+    select(
+        service: string,
+        excludedIds: ReadonlySet<string>,
+        allowedRegions: ReadonlySet<string> | undefined,
+    ): Placement | undefined {
         const { timers, listPeers, region } = this.options;
         const now = timers.now();
-        const able = listPeers().filter(({ name }) =>
-            !excludedIds.has(createPeerId(name))
+        const able = listPeers().filter(({ name, ...peer }) =>
+            this.isAllowed(peer, allowedRegions)
+            && !excludedIds.has(createPeerId(name))
             && (this.unableUntil.get(createKey(name, service)) ?? Number.NEGATIVE_INFINITY) <= now
         );
         const near = able.filter(peer => peer.region === region);
@@ -57,6 +64,15 @@
         return peer === undefined ? undefined : this.occupy(peer, service);
     }
 
+    /** A VM's own announcement of its region has to agree with this VM's settings. */
+    private isAllowed(
+        { dataCentre, region }: Pick<RequestPeer, "dataCentre" | "region">,
+        allowedRegions: ReadonlySet<string> | undefined,
+    ): boolean {
+        return allowedRegions === undefined
+            || (allowedRegions.has(region) && this.options.regions.isAllowed(dataCentre, allowedRegions));
+    }
+
     private pickLeastBusy(peers: readonly RequestPeer[]): RequestPeer | undefined {
         const remaining = [...peers];
         const picked = Array.from(
--- a/packages/wigeonpulley/src/forwarding/routed-request.ts
+++ b/packages/wigeonpulley/src/forwarding/routed-request.ts
@@ -26,6 +26,8 @@
     readonly lifetime: RequestLifetime;
     /** VM that passed the request on; undefined when a caller sent it to this VM. */
     readonly peer: string | undefined;
+    /** Regions that this VM allows by its own configuration; undefined for all. */
+    readonly peerAllowedRegions?: ReadonlySet<string> | undefined;
 }
 
 /** By the platform's protocol, callers abandon a stream that is silent for the longest of these three limits. */
@@ -65,21 +67,6 @@
         : metadata.tokens.prompt + metadata.tokens.output;
 };
 
-/**
- * Regions whose endpoints may serve a request: those that route and workspace both allow; undefined when neither names any.
- * An empty set allows none.
- */
-export const computeAllowedRegions = (
-    route: Route,
-    workspace: Workspace | undefined,
-): ReadonlySet<string> | undefined => {
-    const lists = [route.allowedRegions, workspace?.allowedRegions ?? []].filter(({ length }) => length > 0);
-    const [first] = lists;
-    return first === undefined
-        ? undefined
-        : new Set(first.filter(region => lists.every(regions => regions.includes(region))));
-};
-
 /** Share of the maximum output tokens that is expected without a hint. */
 const EXPECTED_OUTPUT_SHARE = 0.5;
 
--- a/packages/wigeonpulley/src/logging/event-catalogue.ts
+++ b/packages/wigeonpulley/src/logging/event-catalogue.ts
@@ -157,6 +157,12 @@
         ({ from, offset, records, tookMs }) =>
             `${records} operators' records up to offset ${offset} came from ${from} in ${tookMs} ms`,
     ),
+    RegionsUnknown: defineEvent<{ version: number; regions: string; }>(
+        209,
+        "warn",
+        ({ version, regions }) =>
+            `configuration ${version} allows regions in which no known data centre lies: ${regions}`,
+    ),
     RequestEnded: defineEvent<
         {
             id: string;
--- a/packages/wigeonpulley/src/placement/index.ts
+++ b/packages/wigeonpulley/src/placement/index.ts
@@ -2,6 +2,13 @@
  * Placement: assigns requests to instances, orders the queues and detects failing instances.
  * Doesn't decide on retries and opens no connection.
  */
+export {
+    combineAllowedRegions,
+    computeAllowedRegions,
+    DataCentreRegions,
+    formatQueueName,
+    parseQueueName,
+} from "./allowed-regions.js";
 export { DecayingLinearRegression } from "./decaying-linear-regression.js";
 export { InstanceHealth, type RequestOutcome } from "./instance-health.js";
 export { createFirstEventRegression, InstanceLatencyModel } from "./instance-latency-model.js";
--- a/packages/wigeonpulley/src/placement/instance-chooser.ts
+++ b/packages/wigeonpulley/src/placement/instance-chooser.ts
@@ -1,5 +1,6 @@
 /** Chooses the instance with the lowest expected cost for a request, in milliseconds of latency. */
 import type { Instance, InstanceDirectory } from "../discovery/index.js";
+import type { DataCentreRegions } from "./allowed-regions.js";
 import type { InstanceHealth } from "./instance-health.js";
 import type { InstanceLatencyModel } from "./instance-latency-model.js";
 import type { InstanceLoads } from "./instance-loads.js";
@@ -18,8 +19,7 @@
     readonly versions: VersionPolicy;
     readonly dataCentre: string;
     readonly region: string;
-    /** Region by data centre. */
-    readonly regions: Readonly<Record<string, string>>;
+    readonly regions: DataCentreRegions;
 }
 
 /** Why there is no instance: all slots are in use, or the free ones don't suit this request. */
@@ -156,10 +156,33 @@
             + this.options.peers.countPendingPromptTokens(id);
     }
 
+    /** Free slots of the instances in a region that may take the request. */
+    countFreeSlots(
+        request: PlacementRequest,
+        region: string,
+        computeLimit: (instance: Instance) => number,
+    ): number {
+        const { directory, regions } = this.options;
+        return directory.list()
+            .filter(instance =>
+                regions.getRegion(instance.dataCentre) === region && this.isCandidate(instance, request)
+            )
+            .reduce(
+                (sum, instance) => sum + Math.max(0, computeLimit(instance) - this.countInFlight(instance)),
+                0,
+            );
+    }
+
+    /** True when the request may go to the instance, whatever the instance's state and load are. */
+    isPermitted({ dataCentre }: Instance, { allowedRegions }: PlacementRequest): boolean {
+        return this.options.regions.isAllowed(dataCentre, allowedRegions);
+    }
+
     private isCandidate(instance: Instance, request: PlacementRequest): boolean {
         const { health, loads, rateLimits, versions } = this.options;
         return instance.service === request.service
             && instance.state === "ready"
+            && this.isPermitted(instance, request)
             && !request.excludedInstances.has(instance.id)
             && versions.canUse(instance, request.isCanary)
             && health.canUse(instance.id)
@@ -196,7 +219,7 @@
         if (dataCentre === ownDataCentre) {
             return 0;
         }
-        return regions[dataCentre] === region ? OTHER_DATA_CENTRE_COST_MS : OTHER_REGION_COST_MS;
+        return regions.getRegion(dataCentre) === region ? OTHER_DATA_CENTRE_COST_MS : OTHER_REGION_COST_MS;
     }
 }
 
--- a/packages/wigeonpulley/src/placement/peer-load-reports.ts
+++ b/packages/wigeonpulley/src/placement/peer-load-reports.ts
@@ -7,6 +7,7 @@
     LoadReportSchema,
 } from "../gen/wigeonpulley/peer/v1/peer_pb.js";
 import type { TimerService } from "../time/index.js";
+import { parseQueueName } from "./allowed-regions.js";
 import { PeerLoads } from "./peer-loads.js";
 
 /** Age at which a report expires, in milliseconds; several report intervals. */
@@ -101,10 +102,22 @@
     }
 
     override countWaiting(service: string, rank: number): number {
+        return this.sumQueues(rank, name => name === service);
+    }
+
+    override countWaitingInRegion(service: string, rank: number, region: string): number {
+        return this.sumQueues(rank, name => {
+            const queue = parseQueueName(name);
+            return queue.service === service && queue.allowedRegions.includes(region);
+        });
+    }
+
+    /** Number of waiting requests up to a rank in the queues with matching names. */
+    private sumQueues(rank: number, isMatch: (queueName: string) => boolean): number {
         return this.sumReports(({ report }) =>
             report.queueServices.reduce(
                 (count, name, index) =>
-                    count + (name === service && (report.queueRanks[index] ?? 0) <= rank
+                    count + ((report.queueRanks[index] ?? 0) <= rank && isMatch(name)
                         ? report.queueWaiting[index] ?? 0
                         : 0),
                 0,
--- a/packages/wigeonpulley/src/placement/peer-loads.ts
+++ b/packages/wigeonpulley/src/placement/peer-loads.ts
@@ -9,8 +9,14 @@
     /** Longest event gap that other VMs observed on an instance's streams, in milliseconds; undefined for none. */
     abstract getEventGapMs(instance: string): number | undefined;
 
-    /** Number of requests of other VMs that wait for the service with the same or a better priority rank. */
+    /**
+     * Number of requests of other VMs that wait for the service with the same or a better priority rank and may go to any
+     * region.
+     */
     abstract countWaiting(service: string, rank: number): number;
+
+    /** The same for requests that are bound to regions, among them the given one. */
+    abstract countWaitingInRegion(service: string, rank: number, region: string): number;
 }
 
 /** Loads for a VM that knows of no other VM. */
@@ -39,4 +45,8 @@
     override countWaiting(): number {
         return 0;
     }
+
+    override countWaitingInRegion(): number {
+        return 0;
+    }
 }
--- a/packages/wigeonpulley/src/placement/placement-service.ts
+++ b/packages/wigeonpulley/src/placement/placement-service.ts
@@ -8,6 +8,7 @@
 import type { EventLogger } from "../logging/index.js";
 import type { RandomSource } from "../random/index.js";
 import type { TimerService } from "../time/index.js";
+import { DataCentreRegions, formatQueueName } from "./allowed-regions.js";
 import { type ChoiceFailure, type InstanceChoice, InstanceChooser } from "./instance-chooser.js";
 import { InstanceHealth } from "./instance-health.js";
 import { InstanceLoads } from "./instance-loads.js";
@@ -48,6 +49,15 @@
     readonly settle: (result: Result<Placement, SchedulerError>) => void;
 }
 
+/** Number of a service's waiting requests with the same rank and allowed regions. */
+export interface QueueLength {
+    readonly service: string;
+    readonly rank: number;
+    readonly count: number;
+    /** Regions to which the requests are bound, sorted; absent for requests that may go anywhere. */
+    readonly allowedRegions?: readonly string[];
+}
+
 interface ServiceQueue {
     readonly queue: RankQueue<Waiter>;
     readonly reservation: RankReservation;
@@ -60,12 +70,19 @@
     private readonly queues = new Map<string, ServiceQueue>();
     private readonly loads: InstanceLoads;
     private readonly chooser: InstanceChooser;
+    private readonly regions: DataCentreRegions;
     private isRecheckScheduled = false;
 
     private constructor(private readonly options: PlacementServiceOptions) {
         this.health = InstanceHealth.create(options.timers, options.logger);
         this.loads = InstanceLoads.create(options.timers, options.peers);
-        this.chooser = InstanceChooser.create({ ...options, loads: this.loads, health: this.health });
+        this.regions = DataCentreRegions.create(options.regions);
+        this.chooser = InstanceChooser.create({
+            ...options,
+            loads: this.loads,
+            health: this.health,
+            regions: this.regions,
+        });
         options.directory.subscribe(() => this.applyDirectory());
     }
 
@@ -75,8 +92,8 @@
     }
 
     /**
-     * Waits for a slot on an instance. Fails with NoEndpoint, Overloaded or RequestCancelled; in each case the request
-     * has not been sent.
+     * Waits for a slot on an instance. Fails with NoEndpoint, RegionUnavailable, Overloaded or RequestCancelled; in each
+     * case the request has not been sent. RegionUnavailable comes at once when no wait can help.
      */
     acquire(
         request: PlacementRequest,
@@ -84,6 +101,10 @@
     ): Promise<Result<Placement, SchedulerError>> {
         const { timers } = this.options;
         const { queue, reservation } = this.getQueue(request.service);
+        if (this.isOutOfReach(request)) {
+            this.writeRefusal(queue, request, []);
+            return Promise.resolve(Err(this.createRefusal(request, [])));
+        }
         reservation.recordRequest(request.rank, timers.now());
         return new Promise(resolve => {
             let unsubscribe = (): void => undefined;
@@ -129,14 +150,20 @@
         return placement instanceof Placement ? placement : undefined;
     }
 
-    /** True while this VM reaches fewer than half of a service's instances. Then other VMs may still reach them. */
-    isCutOff(service: string): boolean {
-        const ready = this.options.directory.list().filter(instance =>
-            instance.service === service && instance.state === "ready"
-        );
+    /**
+     * True while this VM reaches fewer than half of the instances that a request may use. Then other VMs may still reach
+     * them.
+     */
+    isCutOff(request: PlacementRequest): boolean {
+        const ready = this.listPermitted(request).filter(({ state }) => state === "ready");
         return ready.filter(({ id }) => this.health.isUnreachable(id)).length * 2 > ready.length;
     }
 
+    /** True when the request may go to the instance now; its regions may have changed since the instance was chosen. */
+    isPermitted(instance: Instance, request: PlacementRequest): boolean {
+        return this.chooser.isPermitted(instance, request);
+    }
+
     /** Dispatches every waiting request that can be placed now, for example after a load report of another VM. */
     dispatchAllQueues(): void {
         this.queues.forEach((unused, service) => this.dispatchQueue(service));
@@ -166,15 +193,9 @@
         return Math.round(this.loads.getLatencyModel(instance).observedEventGapMs ?? 0);
     }
 
-    /** Number of waiting requests by service and rank. */
-    listQueueLengths(): readonly {
-        readonly service: string;
-        readonly rank: number;
-        readonly count: number;
-    }[] {
-        return [...this.queues].flatMap(([service, { queue }]) =>
-            [...queue.countByRank()].map(([rank, count]) => ({ service, rank, count }))
-        );
+    /** Number of waiting requests by service, rank and the regions to which they are bound, if any. */
+    listQueueLengths(): readonly QueueLength[] {
+        return [...this.queues].flatMap(([service, { queue }]) => countByRankAndRegions(service, queue));
     }
 
     /** Randomised delay after which a refused caller should retry, in milliseconds. */
@@ -185,18 +206,27 @@
     private dispatchQueue(service: string): void {
         const { queue, fairness } = this.getQueue(service);
         const now = this.options.timers.now();
+        const closedRegions = new Set<string>();
         for (
             const waiter of queue.listInDispatchOrder(now, rank => fairness.computeEffectiveRank(rank, now))
         ) {
+            if (isClosed(waiter.request, closedRegions)) {
+                continue;
+            }
             const effectiveRank = fairness.computeEffectiveRank(waiter.rank, now);
-            const placement = this.place(waiter.request, effectiveRank, queue.length);
+            const placement = this.place(waiter.request, effectiveRank, queue.length, closedRegions);
             if (placement instanceof Placement) {
                 queue.remove(waiter);
                 fairness.recordOutcome(waiter.rank, true, now);
                 waiter.settle(Ok(placement));
             }
             else if (placement === "no-place" && waiter.request.excludedInstances.size === 0) {
-                break;
+                const { allowedRegions } = waiter.request;
+                if (allowedRegions === undefined) {
+                    break;
+                }
+                // Requests behind it may go elsewhere, but don't take the slots in its regions that it waits for.
+                allowedRegions.forEach(region => closedRegions.add(region));
             }
         }
         this.scheduleRecheck(queue);
@@ -216,29 +246,70 @@
         request: PlacementRequest,
         effectiveRank: number,
         waiting: number,
+        closedRegions: ReadonlySet<string> = new Set(),
     ): Placement | ChoiceFailure {
+        const { peers } = this.options;
         const { reservation } = this.getQueue(request.service);
         const now = this.options.timers.now();
-        const choice = this.chooser.choose(
-            request,
-            instance => reservation.computeInFlightLimit(effectiveRank, instance, now),
-        );
-        if (typeof choice === "string") {
-            return choice;
+        const closed = new Set(closedRegions);
+        const computeLimit = (instance: Instance): number =>
+            closed.has(this.regions.getRegion(instance.dataCentre) ?? "")
+                ? 0
+                : reservation.computeInFlightLimit(effectiveRank, instance, now);
+        for (;;) {
+            const choice = this.chooser.choose(request, computeLimit);
+            if (typeof choice === "string") {
+                return choice;
+            }
+            const countWaiting = (rank: number): number => peers.countWaiting(request.service, rank);
+            if (!this.isTurnOfThisVm(effectiveRank, choice.freeSlots, waiting, countWaiting)) {
+                return "no-place";
+            }
+            const region = this.regions.getRegion(choice.instance.dataCentre);
+            if (
+                region === undefined
+                || this.isTurnInRegion(request, effectiveRank, region, waiting, computeLimit)
+            ) {
+                return this.occupy(request, choice);
+            }
+            closed.add(region);
         }
-        return this.isTurnOfThisVm(request.service, effectiveRank, choice.freeSlots, waiting)
-            ? this.occupy(request, choice)
-            : "no-place";
     }
 
-    /** Leaves scarce slots to other VMs' requests of better ranks, and shares the rest with those of the same rank. */
-    private isTurnOfThisVm(service: string, rank: number, free: number, waiting: number): boolean {
-        const { peers, random } = this.options;
-        const better = peers.countWaiting(service, Math.ceil(rank) - 1);
+    /** Shares the slots of a region with other VMs' requests that can go nowhere else. */
+    private isTurnInRegion(
+        request: PlacementRequest,
+        rank: number,
+        region: string,
+        waiting: number,
+        computeLimit: (instance: Instance) => number,
+    ): boolean {
+        const countWaiting = (worstRank: number): number =>
+            this.options.peers.countWaitingInRegion(request.service, worstRank, region);
+        return countWaiting(Math.ceil(rank)) === 0 || this.isTurnOfThisVm(
+            rank,
+            this.chooser.countFreeSlots(request, region, computeLimit),
+            waiting,
+            countWaiting,
+        );
+    }
+
+    /**
+     * Leaves scarce slots to other VMs' requests of better ranks, and shares the rest with those of the same rank.
+     * `countWaiting` returns the number of their requests up to a rank.
+     */
+    private isTurnOfThisVm(
+        rank: number,
+        free: number,
+        waiting: number,
+        countWaiting: (rank: number) => number,
+    ): boolean {
+        const { random } = this.options;
+        const better = countWaiting(Math.ceil(rank) - 1);
         if (better > 0 && free <= better) {
             return false;
         }
-        const others = peers.countWaiting(service, Math.ceil(rank)) - better;
+        const others = countWaiting(Math.ceil(rank)) - better;
         return others === 0 || free > others || random.pickFraction() * (waiting + others) < waiting;
     }
 
@@ -294,30 +365,58 @@
         this.dispatchQueue(service);
     }
 
+    /** True when the request can't be served however long it waits: no instance is registered where it may go. */
+    private isOutOfReach(request: PlacementRequest): boolean {
+        const { allowedRegions } = request;
+        return allowedRegions !== undefined
+            && (allowedRegions.size === 0
+                || (this.options.directory.isLoaded && this.listPermitted(request).length === 0));
+    }
+
+    /** Instances of the request's service to which it may go, whatever their state is. */
+    private listPermitted(request: PlacementRequest): readonly Instance[] {
+        return this.options.directory.list().filter(instance =>
+            instance.service === request.service && this.chooser.isPermitted(instance, request)
+        );
+    }
+
+    private isUsable({ id, state }: Instance): boolean {
+        return state === "ready" && this.health.canUse(id);
+    }
+
     private refuse(queue: RankQueue<Waiter>, waiter: Waiter): void {
         queue.remove(waiter);
-        const { directory, timers } = this.options;
         const { service, rank, excludedInstances } = waiter.request;
-        this.getQueue(service).fairness.recordOutcome(rank, false, timers.now());
-        const instances = directory.list().filter(instance =>
-            instance.service === service && !excludedInstances.has(instance.id)
-        );
-        this.writeRefusal(queue, waiter, instances);
-        const retryAfterMs = this.computeRetryAfterMs(waiter.request.remainingMs);
-        waiter.settle(Err(
-            instances.length > 0
-                ? SchedulerError.create("Overloaded", { tier: String(rank) }, { retryAfterMs })
-                : SchedulerError.create("NoEndpoint", { target: service }, { retryAfterMs }),
-        ));
+        const instances = this.listPermitted(waiter.request).filter(({ id }) => !excludedInstances.has(id));
+        const error = this.createRefusal(waiter.request, instances);
+        if (error.name !== "RegionUnavailable") {
+            // Slots of other regions don't help such a request, so its rank is not given more of them.
+            this.getQueue(service).fairness.recordOutcome(rank, false, this.options.timers.now());
+        }
+        this.writeRefusal(queue, waiter.request, instances);
+        waiter.settle(Err(error));
+    }
+
+    /** Creates the error of a request that got none of the `instances` to which it may go. */
+    private createRefusal(request: PlacementRequest, instances: readonly Instance[]): SchedulerError {
+        const { service, rank, allowedRegions } = request;
+        const retry = { retryAfterMs: this.computeRetryAfterMs(request.remainingMs) };
+        if (allowedRegions !== undefined && !instances.some(instance => this.isUsable(instance))) {
+            const regions = [...allowedRegions].toSorted().join(", ");
+            return SchedulerError.create("RegionUnavailable", { target: service, regions }, retry);
+        }
+        return instances.length > 0
+            ? SchedulerError.create("Overloaded", { tier: String(rank) }, retry)
+            : SchedulerError.create("NoEndpoint", { target: service }, retry);
     }
 
     private writeRefusal(
         queue: RankQueue<Waiter>,
-        { request }: Waiter,
+        request: PlacementRequest,
         instances: readonly Instance[],
     ): void {
         const { timers, logger } = this.options;
-        const usable = instances.filter(({ id, state }) => state === "ready" && this.health.canUse(id));
+        const usable = instances.filter(instance => this.isUsable(instance));
         logger.write("RequestNotPlaced", {
             id: request.requestId,
             service: request.service,
@@ -352,3 +451,23 @@
         return serviceQueue;
     }
 }
+
+/** True when a request can go to closed regions only. */
+const isClosed = ({ allowedRegions }: PlacementRequest, closedRegions: ReadonlySet<string>): boolean =>
+    allowedRegions !== undefined && [...allowedRegions].every(region => closedRegions.has(region));
+
+const countByRankAndRegions = (service: string, queue: RankQueue<Waiter>): readonly QueueLength[] => {
+    const lengths = new Map<string, QueueLength>();
+    queue.list().forEach(({ rank, request: { allowedRegions } }) => {
+        const regions = allowedRegions === undefined ? [] : [...allowedRegions].toSorted();
+        const key = `${rank} ${formatQueueName(service, regions)}`;
+        const count = (lengths.get(key)?.count ?? 0) + 1;
+        lengths.set(key, {
+            service,
+            rank,
+            count,
+            ...(regions.length > 0 ? { allowedRegions: regions } : {}),
+        });
+    });
+    return [...lengths.values()];
+};
--- a/packages/wigeonpulley/src/placement/rank-queue.ts
+++ b/packages/wigeonpulley/src/placement/rank-queue.ts
@@ -77,6 +77,11 @@
         ).length;
     }
 
+    /** All waiting requests, by rank and then by arrival. */
+    list(): readonly Request[] {
+        return this.requests;
+    }
+
     /** Number of waiting requests by rank. */
     countByRank(): ReadonlyMap<number, number> {
         const counts = new Map<number, number>();
--- a/packages/wigeonpulley/src/routed-vm/report-service.ts
+++ b/packages/wigeonpulley/src/routed-vm/report-service.ts
@@ -8,7 +8,7 @@
     LoadReportSchema,
 } from "../gen/wigeonpulley/peer/v1/peer_pb.js";
 import { ReportGossip } from "../membership/index.js";
-import type { PeerLoadReports, PlacementService } from "../placement/index.js";
+import { formatQueueName, type PeerLoadReports, type PlacementService } from "../placement/index.js";
 import type { SharedQuotaLimiter, WorkspaceUsage } from "../quotas/index.js";
 import { type RolloutProgress, type RolloutService, rolloutStateSchema } from "../rollouts/index.js";
 
@@ -66,7 +66,9 @@
             inFlight: busy.map(({ id }) => placement.countInFlight(id)),
             pendingTokens: busy.map(({ id }) => Math.round(placement.countPendingPromptTokens(id))),
             instanceGapMs: busy.map(instance => placement.getEventGapMs(instance)),
-            queueServices: queues.map(({ service }) => service),
+            queueServices: queues.map(({ service, allowedRegions }) =>
+                formatQueueName(service, allowedRegions)
+            ),
             queueRanks: queues.map(({ rank }) => rank),
             queueWaiting: queues.map(({ count }) => count),
             workspaces: usage.map(({ workspace }) => workspace),
--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -8,19 +8,26 @@
     FrontServer,
     PeerSelector,
     type RequestPeer,
+    RequestRegions,
 } from "../forwarding/index.js";
 import type { MemberDigest } from "../gen/wigeonpulley/peer/v1/peer_pb.js";
 import type { EventLogger } from "../logging/index.js";
 import { MembershipService } from "../membership/index.js";
 import type { MetricsRegistry } from "../metrics/index.js";
 import { GossipHandler, type GossipTransport } from "../peers/index.js";
-import { InstanceRateLimits, PeerLoadReports, PlacementService } from "../placement/index.js";
+import {
+    computeAllowedRegions,
+    DataCentreRegions,
+    InstanceRateLimits,
+    PeerLoadReports,
+    PlacementService,
+} from "../placement/index.js";
 import type { VmListEntry } from "../platform/index.js";
 import { Quarantine, QuarantineStore } from "../quarantine/index.js";
 import { SharedQuotaLimiter, SharedRetryBudget } from "../quotas/index.js";
 import type { RandomSource } from "../random/index.js";
 import { RolloutService, RolloutStateStore } from "../rollouts/index.js";
-import { ActiveConfiguration, computeAgeLimits } from "../routing/index.js";
+import { ActiveConfiguration, computeAgeLimits, type RoutingConfiguration } from "../routing/index.js";
 import { type RecordBatch, StoreVmList, type TopicPosition } from "../store/index.js";
 import type { CancelTimer, TimerService } from "../time/index.js";
 import { GossipedEvidence } from "./gossiped-evidence.js";
@@ -96,6 +103,7 @@
     readonly quarantine: Quarantine;
     private readonly quarantineStore: QuarantineStore;
     private readonly rateLimits: InstanceRateLimits;
+    private readonly regions: DataCentreRegions;
     private readonly reports: PeerLoadReports;
     private readonly subscriptions: StoreSubscriptions;
     private readonly recordExchange: OperatorRecordExchange;
@@ -108,7 +116,9 @@
         super();
         const { settings, timers, logger } = options;
         this.bounds = settings.bounds;
+        this.regions = DataCentreRegions.create(settings.regions);
         this.activeConfiguration = ActiveConfiguration.create(timers, logger);
+        this.activeConfiguration.subscribe(({ configuration }) => this.writeUnknownRegions(configuration));
         this.directory = InstanceDirectory.create(timers, logger);
         this.reports = PeerLoadReports.create(settings.name, timers);
         this.quarantine = Quarantine.create({ timers, logger, listInstances: () => this.directory.list() });
@@ -126,18 +136,7 @@
             logger,
             listVms: () => this.listSendingVms(),
         });
-        this.placement = PlacementService.create({
-            timers,
-            random: options.random,
-            logger,
-            directory: this.directory,
-            peers: this.reports,
-            rateLimits: this.rateLimits,
-            versions: this.rollouts,
-            dataCentre: settings.dataCentre,
-            region: settings.region,
-            regions: settings.regions,
-        });
+        this.placement = this.createPlacement();
         this.quotaLimiter = SharedQuotaLimiter.create({
             timers,
             countVms: () => this.membership.memberCount,
@@ -392,6 +391,16 @@
         return (live.length * 2 < members.length ? members : live).map(({ entry }) => entry.name);
     }
 
+    private writeUnknownRegions(configuration: RoutingConfiguration): void {
+        const unknown = this.regions.listUnknown(configuration);
+        if (unknown.length > 0) {
+            this.options.logger.write("RegionsUnknown", {
+                version: configuration.version,
+                regions: unknown.join(", "),
+            });
+        }
+    }
+
     private describeInstance(instance: Instance): unknown {
         return {
             id: instance.id,
@@ -406,6 +415,17 @@
         };
     }
 
+    private createPlacement(): PlacementService {
+        return PlacementService.create({
+            ...this.options,
+            ...this.options.settings,
+            directory: this.directory,
+            peers: this.reports,
+            rateLimits: this.rateLimits,
+            versions: this.rollouts,
+        });
+    }
+
     private createRollouts(): RolloutService {
         const { timers, random, logger, adapter, settings } = this.options;
         return RolloutService.create({
@@ -483,11 +503,13 @@
             transport,
             placement: this.placement,
             versions: this.rollouts,
+            regions: RequestRegions.create(this.activeConfiguration),
             quarantine: this.quarantine,
             peers: PeerSelector.create({
                 timers,
                 random,
                 region: settings.region,
+                regions: this.regions,
                 listPeers: () => this.listRequestPeers(),
             }),
             identity: { vm: settings.name, peerKey },
@@ -528,6 +550,8 @@
                 refreshConfiguration: () => this.subscriptions.refreshOperatorRecords(),
             }),
             peerKey,
+            canTakePassedOn: ({ route, workspace }) =>
+                this.regions.isAllowed(settings.dataCentre, computeAllowedRegions(route, workspace)),
         });
     }
 }
