Limit what all VMs together send to cold instances

Cause: a cold endpoint crashes when all VMs together send far more than coldPerS, and nothing limited them. Ruled out: leases in the store (a call per request), shares by demand (need gossip, which a partition stops), and tokens that refill at a part of the rate (a share of the burst and of the rate for every VM that thinks it shares). Change: cold phases from records and first sight, a fixed spacing per sharing VM, and a memory of the VMs that were known.

--- a/packages/wigeonpulley/src/logging/event-catalogue.ts
+++ b/packages/wigeonpulley/src/logging/event-catalogue.ts
@@ -323,6 +323,17 @@
             `one request with the quarantined prompt block or request ${block} may be sent: all VMs that knew why it is `
             + `quarantined have restarted`,
     ),
+    InstanceCold: defineEvent<{ instance: string; remainingMs: number; recordMs: number; }>(
+        520,
+        "info",
+        ({ instance, remainingMs, recordMs }) =>
+            `instance ${instance} is cold for ${remainingMs} ms, of which its record names ${recordMs} ms`,
+    ),
+    InstanceWarm: defineEvent<{ instance: string; }>(
+        521,
+        "info",
+        ({ instance }) => `instance ${instance} is no longer cold`,
+    ),
     RolloutOrdered: defineEvent<{ service: string; version: string; durationMs: number; }>(
         701,
         "info",
--- a/packages/wigeonpulley/src/membership/membership-service.ts
+++ b/packages/wigeonpulley/src/membership/membership-service.ts
@@ -232,6 +232,16 @@
         return (this.hasList ? this.table.listedCount : this.table.size) + 1;
     }
 
+    /** True once the platform's list has been read. */
+    get hasReadList(): boolean {
+        return this.hasList;
+    }
+
+    /** Returns the names of all known VMs, dead ones and those that only gossip names included, this one first. */
+    listKnownNames(): readonly string[] {
+        return [this.options.self.name, ...this.table.list().map(({ state }) => state.name)];
+    }
+
     /** True when the VM is live in the given incarnation as far as is known. */
     isIncarnationLive(name: string, incarnation: bigint): boolean {
         return this.listMembers().some(member =>
--- a/packages/wigeonpulley/src/metrics/metrics-registry.ts
+++ b/packages/wigeonpulley/src/metrics/metrics-registry.ts
@@ -81,6 +81,16 @@
         this.controlBytes.inc({ kind }, bytes);
     }
 
+    /** Adds a gauge whose value is read whenever the metrics are formatted. */
+    registerGauge(name: string, help: string, read: () => number): void {
+        const gauge: Gauge = new Gauge({
+            name,
+            help,
+            registers: [this.registry],
+            collect: () => gauge.set(read()),
+        });
+    }
+
     /** Formats all metrics in the Prometheus text format. */
     formatText(): Promise<string> {
         return this.registry.metrics();
--- a/packages/wigeonpulley/src/placement/index.ts
+++ b/packages/wigeonpulley/src/placement/index.ts
@@ -2,6 +2,8 @@
  * Placement: assigns requests to instances, orders the queues and detects failing instances.
  * Doesn't decide on retries and opens no connection.
  */
+export { ColdInstances, type ColdInstancesOptions, type ColdState } from "./cold-instances.js";
+export { type ColdLimits, type ColdShare, computeColdShare } from "./cold-share.js";
 export { DecayingLinearRegression } from "./decaying-linear-regression.js";
 export { InstanceHealth, type RequestOutcome } from "./instance-health.js";
 export { createFirstEventRegression, InstanceLatencyModel } from "./instance-latency-model.js";
--- a/packages/wigeonpulley/src/placement/instance-chooser.ts
+++ b/packages/wigeonpulley/src/placement/instance-chooser.ts
@@ -1,5 +1,6 @@
 /** Chooses the instance with the lowest expected cost for a request, in milliseconds of latency. */
 import type { Instance, InstanceDirectory } from "../discovery/index.js";
+import type { ColdInstances } from "./cold-instances.js";
 import type { InstanceHealth } from "./instance-health.js";
 import type { InstanceLatencyModel } from "./instance-latency-model.js";
 import type { InstanceLoads } from "./instance-loads.js";
@@ -15,6 +16,7 @@
     readonly loads: InstanceLoads;
     readonly health: InstanceHealth;
     readonly rateLimits: InstanceRateLimits;
+    readonly coldInstances: ColdInstances;
     readonly versions: VersionPolicy;
     readonly dataCentre: string;
     readonly region: string;
@@ -157,14 +159,15 @@
     }
 
     private isCandidate(instance: Instance, request: PlacementRequest): boolean {
-        const { health, loads, rateLimits, versions } = this.options;
+        const { health, loads, rateLimits, coldInstances, versions } = this.options;
         return instance.service === request.service
             && instance.state === "ready"
             && !request.excludedInstances.has(instance.id)
             && versions.canUse(instance, request.isCanary)
             && health.canUse(instance.id)
             && !loads.isFull(instance.id)
-            && rateLimits.canSend(instance, loads.countInFlight(instance.id));
+            && rateLimits.canSend(instance, loads.countInFlight(instance.id))
+            && coldInstances.canSend(instance);
     }
 
     /** Expected time to the first event or response when `tokens` have to be prefilled first, in milliseconds. */
--- a/packages/wigeonpulley/src/placement/placement-service.ts
+++ b/packages/wigeonpulley/src/placement/placement-service.ts
@@ -8,6 +8,7 @@
 import type { EventLogger } from "../logging/index.js";
 import type { RandomSource } from "../random/index.js";
 import type { TimerService } from "../time/index.js";
+import type { ColdInstances } from "./cold-instances.js";
 import { type ChoiceFailure, type InstanceChoice, InstanceChooser } from "./instance-chooser.js";
 import { InstanceHealth } from "./instance-health.js";
 import { InstanceLoads } from "./instance-loads.js";
@@ -29,6 +30,7 @@
     readonly directory: InstanceDirectory;
     readonly peers: PeerLoads;
     readonly rateLimits: InstanceRateLimits;
+    readonly coldInstances: ColdInstances;
     readonly versions: VersionPolicy;
     readonly dataCentre: string;
     readonly region: string;
@@ -252,6 +254,7 @@
         const occupiedAt = this.options.timers.now();
         this.loads.occupy(instance, request, uncachedTokens);
         this.options.rateLimits.recordDispatch(instance);
+        this.options.coldInstances.recordDispatch(instance);
         this.health.recordDispatch(instance.id);
         this.options.versions.recordDispatch(instance);
         return InstancePlacement.create({
@@ -329,6 +332,7 @@
             places: usable.reduce((sum, { slots }) => sum + slots, 0),
             limited: usable.filter(instance =>
                 !this.options.rateLimits.canSend(instance, this.loads.countInFlight(instance.id))
+                || !this.options.coldInstances.canSend(instance)
             ).length,
         });
     }
--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -14,7 +14,7 @@
 import { MembershipService } from "../membership/index.js";
 import type { MetricsRegistry } from "../metrics/index.js";
 import { GossipHandler, type GossipTransport } from "../peers/index.js";
-import { InstanceRateLimits, PeerLoadReports, PlacementService } from "../placement/index.js";
+import { ColdInstances, InstanceRateLimits, PeerLoadReports, PlacementService } from "../placement/index.js";
 import type { VmListEntry } from "../platform/index.js";
 import { Quarantine, QuarantineStore } from "../quarantine/index.js";
 import { SharedQuotaLimiter, SharedRetryBudget } from "../quotas/index.js";
@@ -96,6 +96,7 @@
     readonly quarantine: Quarantine;
     private readonly quarantineStore: QuarantineStore;
     private readonly rateLimits: InstanceRateLimits;
+    readonly coldInstances: ColdInstances;
     private readonly reports: PeerLoadReports;
     private readonly subscriptions: StoreSubscriptions;
     private readonly recordExchange: OperatorRecordExchange;
@@ -126,6 +127,7 @@
             logger,
             listVms: () => this.listSendingVms(),
         });
+        this.coldInstances = this.createColdInstances();
         this.placement = PlacementService.create({
             timers,
             random: options.random,
@@ -133,21 +135,15 @@
             directory: this.directory,
             peers: this.reports,
             rateLimits: this.rateLimits,
+            coldInstances: this.coldInstances,
             versions: this.rollouts,
             dataCentre: settings.dataCentre,
             region: settings.region,
             regions: settings.regions,
         });
-        this.quotaLimiter = SharedQuotaLimiter.create({
-            timers,
-            countVms: () => this.membership.memberCount,
-            getTolerance: () => ({
-                slack: this.bounds.quotaSlack,
-                overrun: this.bounds.quotaOverrun,
-                windowMs: this.bounds.quotaWindowS * MS_PER_S,
-            }),
-        });
+        this.quotaLimiter = this.createQuotaLimiter();
         this.membership = this.createMembership();
+        this.membership.subscribe(() => this.coldInstances.refreshVms());
         this.subscriptions = StoreSubscriptions.create({
             ...options,
             activeConfiguration: this.activeConfiguration,
@@ -403,9 +399,44 @@
             failureShare: Number(this.placement.health.getFailureRate(instance.id).toFixed(2)),
             inFlight: this.placement.countInFlight(instance.id),
             inFlightElsewhere: this.reports.countInFlight(instance.id),
+            cold: this.coldInstances.describe(instance),
         };
     }
 
+    private createColdInstances(): ColdInstances {
+        const { settings, timers, logger, metrics } = this.options;
+        const coldInstances = ColdInstances.create({
+            self: settings.name,
+            timers,
+            logger,
+            directory: this.directory,
+            listVms: () => this.membership.listKnownNames(),
+            hasReadVmList: () => this.membership.hasReadList,
+            getTolerance: () => ({ overrun: this.bounds.coldOverrun, slack: this.bounds.coldSlack }),
+        });
+        this.activeConfiguration.subscribe(({ configuration }) =>
+            coldInstances.applyServices(configuration.services)
+        );
+        metrics.registerGauge(
+            "wigeonpulley_cold_instances",
+            "Instances that are cold, as far as this VM knows.",
+            () => coldInstances.coldCount,
+        );
+        return coldInstances;
+    }
+
+    private createQuotaLimiter(): SharedQuotaLimiter {
+        return SharedQuotaLimiter.create({
+            timers: this.options.timers,
+            countVms: () => this.membership.memberCount,
+            getTolerance: () => ({
+                slack: this.bounds.quotaSlack,
+                overrun: this.bounds.quotaOverrun,
+                windowMs: this.bounds.quotaWindowS * MS_PER_S,
+            }),
+        });
+    }
+
     private createRollouts(): RolloutService {
         const { timers, random, logger, adapter, settings } = this.options;
         return RolloutService.create({
--- a/packages/wigeonpulley/test/placement/long-prompts.test.ts
+++ b/packages/wigeonpulley/test/placement/long-prompts.test.ts
@@ -13,6 +13,7 @@
     SeededRandom,
     VirtualTimerService,
 } from "wigeonpulley";
+import { createColdInstances } from "../fixtures/cold-instances.js";
 import { createRateLimits } from "../fixtures/rate-limits.js";
 import { createInstance } from "../fixtures/raw-endpoint.js";
 
@@ -64,6 +65,7 @@
         directory,
         peers: NoPeerLoads.create(),
         rateLimits: createRateLimits(timers, logger),
+        coldInstances: createColdInstances(timers, logger, directory),
         versions: AnyVersionPolicy.create(),
         dataCentre: "south-1",
         region: "south",
