Deal the requests that a cold instance tolerates out to the VMs one by one

Cause: with whole requests per VM, six VMs used two thirds of the allowance, so that two groups of six that don't know each other could have sent 24 requests in a second instead of 21.5. Ruled out: a reserve for missing VMs alone (a group of any size may be missing), and a reserve of half for each number of VMs with equal whole parts (six VMs would have used half of the rate). Change: half of the allowance is dealt out in the order of the hashes. Tests of the division, of the phases and of placement.

--- a/packages/wigeonpulley/src/placement/cold-instances.ts
+++ b/packages/wigeonpulley/src/placement/cold-instances.ts
@@ -1,6 +1,6 @@
 /**
- * Limits what all VMs together send to a cold instance, without calls between them. A few VMs, chosen by rendezvous hashing
- * among all that this VM knows, each send a request at a time with a fixed spacing; the others send nothing. Dead VMs keep
+ * Limits what all VMs together send to a cold instance, without calls between them. The VMs that come first by rendezvous
+ * hashing among all that this VM knows each send their requests with a fixed spacing; the others send nothing. Dead VMs keep
  * their part, so that a partition doesn't give it to both sides.
  */
 import { hashIncarnation, type Instance, type InstanceDirectory } from "../discovery/index.js";
@@ -8,7 +8,7 @@
 import type { EventLogger } from "../logging/index.js";
 import type { TimerService } from "../time/index.js";
 import { ColdPhases, type ColdService } from "./cold-phases.js";
-import { type ColdLimits, type ColdShare, computeColdShare } from "./cold-share.js";
+import { type ColdLimits, computeColdSpacingMs } from "./cold-share.js";
 import { KnownVms } from "./known-vms.js";
 
 /** Dependencies of the cold instances. */
@@ -145,17 +145,16 @@
 
     /** Returns the shortest time between two requests of this VM, in milliseconds; infinite if it may send none. */
     private computeSpacingMs(instance: Instance, part: OwnPart): number {
-        const { sharingVms, spacingMs } = this.computeShare(instance);
-        return this.vms.isSettled && this.getRank(instance, part) < sharingVms
-            ? spacingMs
+        const perS = this.phases.findService(instance.service)?.coldPerS ?? 0;
+        return this.vms.isSettled
+            ? computeColdSpacingMs(
+                { perS, ...this.options.getTolerance() },
+                this.vms.listOthers().length + 1,
+                this.getRank(instance, part),
+            )
             : Number.POSITIVE_INFINITY;
     }
 
-    private computeShare({ service }: Instance): ColdShare {
-        const perS = this.phases.findService(service)?.coldPerS ?? 0;
-        return computeColdShare({ perS, ...this.options.getTolerance() }, this.vms.listOthers().length + 1);
-    }
-
     private getRank(instance: Instance, part: OwnPart): number {
         const others = this.vms.listOthers();
         if (part.rankedVms !== others) {
--- a/packages/wigeonpulley/src/placement/index.ts
+++ b/packages/wigeonpulley/src/placement/index.ts
@@ -3,7 +3,7 @@
  * Doesn't decide on retries and opens no connection.
  */
 export { ColdInstances, type ColdInstancesOptions, type ColdState } from "./cold-instances.js";
-export { type ColdLimits, type ColdShare, computeColdShare } from "./cold-share.js";
+export { type ColdLimits, computeColdSpacingMs } from "./cold-share.js";
 export { DecayingLinearRegression } from "./decaying-linear-regression.js";
 export { InstanceHealth, type RequestOutcome } from "./instance-health.js";
 export { createFirstEventRegression, InstanceLatencyModel } from "./instance-latency-model.js";
--- a/packages/wigeonpulley/src/placement/known-vms.ts
+++ b/packages/wigeonpulley/src/placement/known-vms.ts
@@ -25,7 +25,7 @@
  * read, which they repeat every 8 s.
  */
 const LONE_SETTLING_MS = 10_000;
-/** Additions during the settling time above which it begins again. */
+/** Additions during the settling time above which it begins again: lists that lack up to three VMs do no harm. */
 const MAX_SETTLING_ADDITIONS = 3;
 
 /** The VMs known to one VM. */
