Let VMs without contact to others settle for longer before they send to cold instances

Cause: with the list of VMs lost, all 58 VMs restarted and each cut off, 27 to 38 requests a second reached a cold instance: each VM had read a list with only those that registered before it. The fixture hid it by reading the list again after 0.6 s. Ruled out: a larger reserve (it would have to cover any number of views); a longer time for all (fleets start together). Change: 10 s, beyond the second read of the list, until another VM has sent a message.

--- a/packages/wigeonpulley/src/membership/membership-service.ts
+++ b/packages/wigeonpulley/src/membership/membership-service.ts
@@ -237,6 +237,11 @@
         return this.hasList;
     }
 
+    /** True once another VM has sent a message to this one. */
+    get hasContact(): boolean {
+        return this.table.list().some(({ lastContactAt }) => Number.isFinite(lastContactAt));
+    }
+
     /** Returns the names of all known VMs, dead ones and those that only gossip names included, this one first. */
     listKnownNames(): readonly string[] {
         return [this.options.self.name, ...this.table.list().map(({ state }) => state.name)];
--- a/packages/wigeonpulley/src/placement/cold-instances.ts
+++ b/packages/wigeonpulley/src/placement/cold-instances.ts
@@ -21,6 +21,8 @@
     readonly listVms: () => readonly string[];
     /** True once the list of VMs has been read since the start. */
     readonly hasReadVmList: () => boolean;
+    /** True once another VM has sent a message to this one since the start. */
+    readonly hasContact: () => boolean;
     /** Returns by how much the rate that a cold instance tolerates may be exceeded. */
     readonly getTolerance: () => Omit<ColdLimits, "perS">;
 }
--- a/packages/wigeonpulley/src/placement/known-vms.ts
+++ b/packages/wigeonpulley/src/placement/known-vms.ts
@@ -12,6 +12,8 @@
     readonly listVms: () => readonly string[];
     /** True once the list of VMs has been read since the start. */
     readonly hasReadVmList: () => boolean;
+    /** True once another VM has sent a message to this one since the start. */
+    readonly hasContact: () => boolean;
 }
 
 /** Time for which the names of VMs are used before they are listed again, in milliseconds. */
@@ -21,8 +23,8 @@
 /** Time for which the VMs must have been known, in milliseconds: a new VM is gossiped to all others within 2.5 s. */
 const SETTLING_MS = 2_500;
 /**
- * The same for a VM that knows no others, in milliseconds: a store that lost the list has it again after the others' next
- * read, which they repeat every 8 s.
+ * The same for a VM without contact to others, in milliseconds. It reads the list again in that time, after 8 s: a store that
+ * lost the list names only the VMs that have registered again since.
  */
 const LONE_SETTLING_MS = 10_000;
 /** Additions during the settling time above which it begins again: lists that lack up to three VMs do no harm. */
@@ -88,7 +90,7 @@
         if (this.settling === undefined || count > this.settling.count + MAX_SETTLING_ADDITIONS) {
             this.settling = { startedAt: now, count };
         }
-        const settlingMs = count === 0 ? LONE_SETTLING_MS : SETTLING_MS;
+        const settlingMs = this.options.hasContact() ? SETTLING_MS : LONE_SETTLING_MS;
         this.hasSettled = now - this.settling.startedAt >= settlingMs;
     }
 }
--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -412,6 +412,7 @@
             directory: this.directory,
             listVms: () => this.membership.listKnownNames(),
             hasReadVmList: () => this.membership.hasReadList,
+            hasContact: () => this.membership.hasContact,
             getTolerance: () => ({ overrun: this.bounds.coldOverrun, slack: this.bounds.coldSlack }),
         });
         this.activeConfiguration.subscribe(({ configuration }) =>
