--- a/packages/wigeonpulley/src/placement/index.ts
+++ b/packages/wigeonpulley/src/placement/index.ts
@@ -9,6 +9,8 @@
     formatQueueName,
     parseQueueName,
 } from "./allowed-regions.js";
+export { ColdInstances, type ColdInstancesOptions, type ColdState } from "./cold-instances.js";
+export { type ColdLimits, computeColdSpacingMs } from "./cold-share.js";
 export { DecayingLinearRegression } from "./decaying-linear-regression.js";
 export { InstanceHealth, type RequestOutcome } from "./instance-health.js";
 export { createFirstEventRegression, InstanceLatencyModel } from "./instance-latency-model.js";
--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -16,6 +16,7 @@
 import type { MetricsRegistry } from "../metrics/index.js";
 import { GossipHandler, type GossipTransport } from "../peers/index.js";
 import {
+    ColdInstances,
     computeAllowedRegions,
     DataCentreRegions,
     InstanceRateLimits,
@@ -107,6 +108,7 @@
     private readonly quarantineStore: QuarantineStore;
     private readonly rateLimits: InstanceRateLimits;
     private readonly regions: DataCentreRegions;
+    readonly coldInstances: ColdInstances;
     private readonly reports: PeerLoadReports;
     private readonly subscriptions: StoreSubscriptions;
     private readonly recordExchange: OperatorRecordExchange;
@@ -141,16 +143,9 @@
             logger,
             listVms: () => this.listSendingVms(),
         });
+        this.coldInstances = this.createColdInstances();
         this.placement = this.createPlacement();
-        this.quotaLimiter = SharedQuotaLimiter.create({
-            timers,
-            countVms: () => this.membership.memberCount,
-            getTolerance: () => ({
-                slack: this.bounds.quotaSlack,
-                overrun: this.bounds.quotaOverrun,
-                windowMs: this.bounds.quotaWindowS * MS_PER_S,
-            }),
-        });
+        this.quotaLimiter = this.createQuotaLimiter();
         this.subscriptions = StoreSubscriptions.create({
             ...options,
             activeConfiguration: this.activeConfiguration,
@@ -160,6 +155,7 @@
             getReadingRole: () => this.membership.storeReadingRole,
         });
         this.membership = this.createMembership();
+        this.membership.subscribe(() => this.coldInstances.refreshVms());
         this.recordExchange = this.createRecordExchange();
         this.forwarder = this.createForwarder();
         this.frontServer = this.createFrontServer(settings.listen.callers, undefined);
@@ -438,6 +434,7 @@
             failureShare: Number(this.placement.health.getFailureRate(instance.id).toFixed(2)),
             inFlight: this.placement.countInFlight(instance.id),
             inFlightElsewhere: this.reports.countInFlight(instance.id),
+            cold: this.coldInstances.describe(instance),
         };
     }
 
@@ -454,10 +451,46 @@
             directory: this.directory,
             peers: this.reports,
             rateLimits: this.rateLimits,
+            coldInstances: this.coldInstances,
             versions: this.rollouts,
         });
     }
 
+    private createColdInstances(): ColdInstances {
+        const { settings, timers, logger, metrics } = this.options;
+        const coldInstances = ColdInstances.create({
+            self: settings.name,
+            timers,
+            logger,
+            directory: this.directory,
+            listVms: () => this.membership.listKnownNames(),
+            hasReadVmList: () => this.membership.hasReadList,
+            hasContact: () => this.membership.hasContact,
+            getTolerance: () => ({ overrun: this.bounds.coldOverrun, slack: this.bounds.coldSlack }),
+        });
+        this.activeConfiguration.subscribe(({ configuration }) =>
+            coldInstances.applyServices(configuration.services)
+        );
+        metrics.registerGauge(
+            "wigeonpulley_cold_instances",
+            "Instances that are cold, as far as this VM knows.",
+            () => coldInstances.coldCount,
+        );
+        return coldInstances;
+    }
+
+    private createQuotaLimiter(): SharedQuotaLimiter {
+        return SharedQuotaLimiter.create({
+            timers: this.options.timers,
+            countVms: () => this.membership.memberCount,
+            getTolerance: () => ({
+                slack: this.bounds.quotaSlack,
+                overrun: this.bounds.quotaOverrun,
+                windowMs: this.bounds.quotaWindowS * MS_PER_S,
+            }),
+        });
+    }
+
     private createRollouts(): RolloutService {
         const { timers, random, logger, adapter, settings } = this.options;
         return RolloutService.create({
--- a/packages/wigeonpulley/test/placement/allowed-regions.test.ts
+++ b/packages/wigeonpulley/test/placement/allowed-regions.test.ts
@@ -18,6 +18,7 @@
     SeededRandom,
     VirtualTimerService,
 } from "wigeonpulley";
+import { createColdInstances } from "../fixtures/cold-instances.js";
 import { UNIT_PROPERTY } from "../fixtures/properties.js";
 import { createRateLimits } from "../fixtures/rate-limits.js";
 import { createInstance } from "../fixtures/raw-endpoint.js";
@@ -80,6 +81,7 @@
         directory,
         peers,
         rateLimits: createRateLimits(timers, logger),
+        coldInstances: createColdInstances(timers, logger, directory),
         versions: AnyVersionPolicy.create(),
         dataCentre: "south-1",
         region: "south",
@@ -322,6 +324,7 @@
             directory: empty,
             peers: NoPeerLoads.create(),
             rateLimits: createRateLimits(timers, EventLogger.create(MemorySink.create())),
+            coldInstances: createColdInstances(timers, EventLogger.create(MemorySink.create()), empty),
             versions: AnyVersionPolicy.create(),
             dataCentre: "south-1",
             region: "south",
--- a/packages/wigeonpulley/test/routed-vm/operator-record-exchange.test.ts
+++ b/packages/wigeonpulley/test/routed-vm/operator-record-exchange.test.ts
@@ -51,7 +51,7 @@
 
 test("a VM answers few of those that ask at the same time for long records", async () => {
     const fleet = await createFleet();
-    fleet.publish(NEW_VERSION, " ".repeat(150_000));
+    fleet.publish(NEW_VERSION, { padding: " ".repeat(150_000) });
     await fleet.timers.advance(5_000);
     const { vm } = fleet.getVm("vm-1");
     const answers = Array.from({ length: 20 }, () => vm.handleFetchOperatorRecords(undefined));
@@ -74,7 +74,7 @@
     await fleet.timers.advance(2_000);
     const before = fleet.store.readCounts.get("operator") ?? 0;
     fleet.store.deliveredBytes = 0;
-    fleet.publish(NEW_VERSION, " ".repeat(150_000));
+    fleet.publish(NEW_VERSION, { padding: " ".repeat(150_000) });
     // Large deployments require new versions to be in force within 4 s.
     await fleet.timers.advance(3_500);
     expect(listVersions(fleet)).toEqual(fleet.vmNames.map(() => NEW_VERSION));
@@ -84,7 +84,7 @@
 
 test("VMs of a large region that start together take the configuration from the few that read it", async () => {
     const fleet = await createFleet(24);
-    fleet.publish(NEW_VERSION, " ".repeat(150_000));
+    fleet.publish(NEW_VERSION, { padding: " ".repeat(150_000) });
     await fleet.timers.advance(5_000);
     fleet.store.deliveredBytes = 0;
     fleet.vmNames.forEach(name => fleet.restartVm(name));
