Send nothing to the instances of an evacuated data centre

Cause: operators had no way to take the instances of a data centre out of use without the instances' own records.

Ruled out: a flag in the configuration (a new version of a long record each time), gossip of evacuations (a removal needs the order that only the store gives), and rejecting records by their content (the key says all).

--- a/packages/wigeonpulley/src/forwarding/forwarder.ts
+++ b/packages/wigeonpulley/src/forwarding/forwarder.ts
@@ -230,7 +230,7 @@
         if (
             reservedPlacement === undefined
             || this.options.placement.isPermitted(
-                reservedPlacement.instance,
+                reservedPlacement,
                 this.createPlacementRequest(request, progress),
             )
         ) {
--- a/packages/wigeonpulley/src/logging/event-catalogue.ts
+++ b/packages/wigeonpulley/src/logging/event-catalogue.ts
@@ -163,6 +163,22 @@
         ({ version, regions }) =>
             `configuration ${version} allows regions in which no known data centre lies: ${regions}`,
     ),
+    EvacuationStarted: defineEvent<{ dataCentre: string; }>(
+        210,
+        "warn",
+        ({ dataCentre }) => `data centre ${dataCentre} is evacuated; its instances get no further requests`,
+    ),
+    EvacuationEnded: defineEvent<{ dataCentre: string; }>(
+        211,
+        "warn",
+        ({ dataCentre }) => `the evacuation of data centre ${dataCentre} has ended`,
+    ),
+    EvacuationUnchanged: defineEvent<{ dataCentre: string; reason: string; }>(
+        212,
+        "warn",
+        ({ dataCentre, reason }) =>
+            `a record about the evacuation of data centre ${dataCentre} changes nothing: ${reason}`,
+    ),
     RequestEnded: defineEvent<
         {
             id: string;
--- a/packages/wigeonpulley/src/placement/instance-chooser.ts
+++ b/packages/wigeonpulley/src/placement/instance-chooser.ts
@@ -1,5 +1,5 @@
 /** Chooses the instance with the lowest expected cost for a request, in milliseconds of latency. */
-import type { Instance, InstanceDirectory } from "../discovery/index.js";
+import type { Evacuations, Instance, InstanceDirectory } from "../discovery/index.js";
 import type { DataCentreRegions } from "./allowed-regions.js";
 import type { InstanceHealth } from "./instance-health.js";
 import type { InstanceLatencyModel } from "./instance-latency-model.js";
@@ -12,6 +12,7 @@
 /** Options of the chooser. */
 export interface InstanceChooserOptions {
     readonly directory: InstanceDirectory;
+    readonly evacuations: Evacuations;
     readonly peers: PeerLoads;
     readonly loads: InstanceLoads;
     readonly health: InstanceHealth;
@@ -173,11 +174,17 @@
             );
     }
 
-    /** True when the request may go to the instance, whatever the instance's state and load are. */
-    isPermitted({ dataCentre }: Instance, { allowedRegions }: PlacementRequest): boolean {
+    /** True when the instance lies in a region that the request may use. */
+    isInAllowedRegion({ dataCentre }: Instance, { allowedRegions }: PlacementRequest): boolean {
         return this.options.regions.isAllowed(dataCentre, allowedRegions);
     }
 
+    /** True when the request may go to the instance now, whatever the instance's state and load are. */
+    isPermitted(instance: Instance, request: PlacementRequest): boolean {
+        return this.isInAllowedRegion(instance, request)
+            && !this.options.evacuations.isEvacuated(instance.dataCentre);
+    }
+
     private isCandidate(instance: Instance, request: PlacementRequest): boolean {
         const { health, loads, rateLimits, versions } = this.options;
         return instance.service === request.service
--- a/packages/wigeonpulley/src/placement/placement-service.ts
+++ b/packages/wigeonpulley/src/placement/placement-service.ts
@@ -3,7 +3,7 @@
  * order of arrival and don't know priority ranks.
  */
 import { Err, Ok, type Result } from "ts-results-es";
-import type { Instance, InstanceDirectory } from "../discovery/index.js";
+import type { Evacuations, Instance, InstanceDirectory } from "../discovery/index.js";
 import { SchedulerError } from "../errors/index.js";
 import type { EventLogger } from "../logging/index.js";
 import type { RandomSource } from "../random/index.js";
@@ -28,6 +28,7 @@
     readonly random: RandomSource;
     readonly logger: EventLogger;
     readonly directory: InstanceDirectory;
+    readonly evacuations: Evacuations;
     readonly peers: PeerLoads;
     readonly rateLimits: InstanceRateLimits;
     readonly versions: VersionPolicy;
@@ -84,6 +85,7 @@
             regions: this.regions,
         });
         options.directory.subscribe(() => this.applyDirectory());
+        options.evacuations.subscribe(() => this.dispatchAllQueues());
     }
 
     /** Creates empty queues. */
@@ -155,13 +157,20 @@
      * them.
      */
     isCutOff(request: PlacementRequest): boolean {
-        const ready = this.listPermitted(request).filter(({ state }) => state === "ready");
+        const ready = this.listRegistered(request).filter(instance =>
+            instance.state === "ready" && this.chooser.isPermitted(instance, request)
+        );
         return ready.filter(({ id }) => this.health.isUnreachable(id)).length * 2 > ready.length;
     }
 
-    /** True when the request may go to the instance now; its regions may have changed since the instance was chosen. */
-    isPermitted(instance: Instance, request: PlacementRequest): boolean {
-        return this.chooser.isPermitted(instance, request);
+    /**
+     * True when the request may go where it was placed: its regions, or the evacuated data centres, may have changed since.
+     * A VM in an evacuated data centre still passes requests on.
+     */
+    isPermitted({ instance, isPeer }: Placement, request: PlacementRequest): boolean {
+        return isPeer
+            ? this.chooser.isInAllowedRegion(instance, request)
+            : this.chooser.isPermitted(instance, request);
     }
 
     /** Dispatches every waiting request that can be placed now, for example after a load report of another VM. */
@@ -370,24 +379,25 @@
         const { allowedRegions } = request;
         return allowedRegions !== undefined
             && (allowedRegions.size === 0
-                || (this.options.directory.isLoaded && this.listPermitted(request).length === 0));
+                || (this.options.directory.isLoaded && this.listRegistered(request).length === 0));
     }
 
-    /** Instances of the request's service to which it may go, whatever their state is. */
-    private listPermitted(request: PlacementRequest): readonly Instance[] {
+    /** Instances of the request's service in its regions, whatever their state is. */
+    private listRegistered(request: PlacementRequest): readonly Instance[] {
         return this.options.directory.list().filter(instance =>
-            instance.service === request.service && this.chooser.isPermitted(instance, request)
+            instance.service === request.service && this.chooser.isInAllowedRegion(instance, request)
         );
     }
 
-    private isUsable({ id, state }: Instance): boolean {
-        return state === "ready" && this.health.canUse(id);
+    private isUsable({ id, state, dataCentre }: Instance): boolean {
+        return state === "ready" && this.health.canUse(id)
+            && !this.options.evacuations.isEvacuated(dataCentre);
     }
 
     private refuse(queue: RankQueue<Waiter>, waiter: Waiter): void {
         queue.remove(waiter);
         const { service, rank, excludedInstances } = waiter.request;
-        const instances = this.listPermitted(waiter.request).filter(({ id }) => !excludedInstances.has(id));
+        const instances = this.listRegistered(waiter.request).filter(({ id }) => !excludedInstances.has(id));
         const error = this.createRefusal(waiter.request, instances);
         if (error.name !== "RegionUnavailable") {
             // Slots of other regions don't help such a request, so its rank is not given more of them.
--- a/packages/wigeonpulley/src/routed-vm/platform-adapter.ts
+++ b/packages/wigeonpulley/src/routed-vm/platform-adapter.ts
@@ -11,6 +11,8 @@
 export type OperatorRecord =
     | { readonly kind: "configuration"; readonly configuration: RoutingConfiguration; }
     | { readonly kind: "rollout"; readonly order: RolloutOrder; }
+    /** Requests the evacuation of a data centre; or withdraws it, when the record was removed. */
+    | { readonly kind: "evacuation"; readonly dataCentre: string; readonly isRequested: boolean; }
     | { readonly kind: "other"; };
 
 /** Adapter for one platform. */
--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -1,6 +1,6 @@
 /** Wires the parts of a VM for routed traffic: configuration, instances, placement, quotas, rollouts and forwarding. */
 import type { Server } from "node:net";
-import { type Instance, InstanceDirectory } from "../discovery/index.js";
+import { Evacuations, type Instance, InstanceDirectory } from "../discovery/index.js";
 import {
     AdmissionCheck,
     type EndpointTransport,
@@ -92,6 +92,7 @@
 export class RoutedVm extends GossipHandler {
     readonly activeConfiguration: ActiveConfiguration;
     readonly directory: InstanceDirectory;
+    readonly evacuations: Evacuations;
     readonly placement: PlacementService;
     readonly membership: MembershipService;
     readonly forwarder: Forwarder;
@@ -120,6 +121,7 @@
         this.activeConfiguration = ActiveConfiguration.create(timers, logger);
         this.activeConfiguration.subscribe(({ configuration }) => this.writeUnknownRegions(configuration));
         this.directory = InstanceDirectory.create(timers, logger);
+        this.evacuations = Evacuations.create(logger, dataCentre => this.isKnownDataCentre(dataCentre));
         this.reports = PeerLoadReports.create(settings.name, timers);
         this.quarantine = Quarantine.create({ timers, logger, listInstances: () => this.directory.list() });
         this.quarantineStore = QuarantineStore.create({
@@ -151,6 +153,7 @@
             ...options,
             activeConfiguration: this.activeConfiguration,
             directory: this.directory,
+            evacuations: this.evacuations,
             rollouts: this.rollouts,
             drainMs: this.bounds.drainMs,
         });
@@ -235,7 +238,7 @@
     /** True while the load balancer may send callers here. */
     isReady(): boolean {
         return !this.isStopping && this.activeConfiguration.routeTable !== undefined
-            && this.directory.isLoaded;
+            && this.directory.isLoaded && this.evacuations.isLoaded;
     }
 
     /**
@@ -331,6 +334,7 @@
                 isLeaving,
             })),
             instances: this.directory.list().map(instance => this.describeInstance(instance)),
+            evacuatedDataCentres: this.evacuations.list(),
             queues: this.placement.listQueueLengths(),
             quotas: this.quotaLimiter.listUsage(),
             quarantinedPromptBlocks: this.quarantine.listQuarantined().map(({ trait, remainingMs }) => ({
@@ -391,6 +395,12 @@
         return (live.length * 2 < members.length ? members : live).map(({ entry }) => entry.name);
     }
 
+    private isKnownDataCentre(dataCentre: string): boolean {
+        return dataCentre === this.options.settings.dataCentre
+            || this.regions.getRegion(dataCentre) !== undefined
+            || this.directory.list().some(instance => instance.dataCentre === dataCentre);
+    }
+
     private writeUnknownRegions(configuration: RoutingConfiguration): void {
         const unknown = this.regions.listUnknown(configuration);
         if (unknown.length > 0) {
@@ -420,6 +430,7 @@
             ...this.options,
             ...this.options.settings,
             directory: this.directory,
+            evacuations: this.evacuations,
             peers: this.reports,
             rateLimits: this.rateLimits,
             versions: this.rollouts,
--- a/packages/wigeonpulley/src/routed-vm/store-subscriptions.ts
+++ b/packages/wigeonpulley/src/routed-vm/store-subscriptions.ts
@@ -1,5 +1,5 @@
 /** Follows the records of operators and instances in the store, and applies them to the parts of the VM. */
-import type { Instance, InstanceChange, InstanceDirectory } from "../discovery/index.js";
+import type { Evacuations, Instance, InstanceChange, InstanceDirectory } from "../discovery/index.js";
 import type { EventLogger } from "../logging/index.js";
 import type { RandomSource } from "../random/index.js";
 import type { RolloutService } from "../rollouts/index.js";
@@ -13,7 +13,7 @@
     type TopicPosition,
 } from "../store/index.js";
 import type { TimerService } from "../time/index.js";
-import type { PlatformAdapter } from "./platform-adapter.js";
+import type { OperatorRecord, PlatformAdapter } from "./platform-adapter.js";
 
 /** Dependencies of the followers, and the parts that the records are applied to. */
 export interface StoreSubscriptionsOptions {
@@ -23,6 +23,7 @@
     readonly adapter: PlatformAdapter;
     readonly activeConfiguration: ActiveConfiguration;
     readonly directory: InstanceDirectory;
+    readonly evacuations: Evacuations;
     readonly rollouts: RolloutService;
     /** Time within which a leaving instance gets no more requests, in milliseconds. */
     readonly drainMs: number;
@@ -99,15 +100,22 @@
     }
 
     private createOperatorFollower(): TopicFollower {
-        const { adapter, activeConfiguration, rollouts } = this.options;
-        const apply = (records: readonly KeyedRecord[], isRestored: boolean): void =>
-            records.forEach(record => this.applyOperatorRecord(record, isRestored));
+        const { adapter, activeConfiguration, evacuations, rollouts } = this.options;
         const applySnapshot = (records: readonly KeyedRecord[], isRestored: boolean): void => {
             const { operatorPosition } = this;
             if (operatorPosition !== undefined) {
                 this.operatorRecords.applySnapshot(records, operatorPosition);
             }
-            apply(records, isRestored);
+            const parsed = records.flatMap(record => this.readOperatorRecord(record) ?? []);
+            // Before the configuration, from which on requests are admitted.
+            evacuations.applySnapshot(
+                new Set(
+                    parsed.flatMap(record =>
+                        record.kind === "evacuation" && record.isRequested ? [record.dataCentre] : []
+                    ),
+                ),
+            );
+            parsed.forEach(record => this.applyOperatorRecord(record, isRestored));
             if (isRestored) {
                 rollouts.handleStoreRestored();
             }
@@ -125,7 +133,7 @@
                     if (operatorPosition !== undefined) {
                         this.operatorRecords.applyChanges(records, operatorPosition);
                     }
-                    apply(records, false);
+                    records.forEach(record => this.applyOperatorChange(record));
                 },
                 confirm: sentAt => {
                     activeConfiguration.confirm(sentAt);
@@ -137,18 +145,36 @@
         });
     }
 
-    private applyOperatorRecord(record: KeyedRecord, isRestored: boolean): void {
-        const { adapter, logger, activeConfiguration, rollouts } = this.options;
+    /** Parses a record of the operators; one that is invalid has no effect. */
+    private readOperatorRecord(record: KeyedRecord): OperatorRecord | undefined {
+        const { adapter, logger } = this.options;
         logger.write("OperatorRecordRead", { key: record.key, offset: record.offset });
         const parsed = adapter.parseOperatorRecord(record);
         if (parsed.isErr()) {
             logger.writeError(parsed.error);
+            return undefined;
+        }
+        return parsed.value;
+    }
+
+    private applyOperatorChange(record: KeyedRecord): void {
+        const parsed = this.readOperatorRecord(record);
+        if (parsed?.kind === "evacuation") {
+            this.options.evacuations.applyChange(parsed.dataCentre, parsed.isRequested);
+        }
+        else if (parsed !== undefined) {
+            this.applyOperatorRecord(parsed, false);
         }
-        else if (parsed.value.kind === "configuration") {
-            activeConfiguration.apply(parsed.value.configuration);
+    }
+
+    /** Applies a configuration or an order. */
+    private applyOperatorRecord(record: OperatorRecord, isRestored: boolean): void {
+        const { activeConfiguration, rollouts } = this.options;
+        if (record.kind === "configuration") {
+            activeConfiguration.apply(record.configuration);
         }
-        else if (parsed.value.kind === "rollout") {
-            rollouts.applyOrder(parsed.value.order, isRestored);
+        else if (record.kind === "rollout") {
+            rollouts.applyOrder(record.order, isRestored);
         }
     }
 
