--- a/packages/wigeonpulley/test/placement/cold-placement.test.ts
+++ b/packages/wigeonpulley/test/placement/cold-placement.test.ts
@@ -2,6 +2,7 @@
 import { expect, test } from "vitest";
 import {
     AnyVersionPolicy,
+    Evacuations,
     EventLogger,
     InstanceDirectory,
     MemorySink,
@@ -58,6 +59,7 @@
         peers: NoPeerLoads.create(),
         rateLimits: createRateLimits(timers, logger),
         coldInstances,
+        evacuations: Evacuations.create(logger),
         versions: AnyVersionPolicy.create(),
         dataCentre: "south-1",
         region: "south",
