Create no error and no abort signal for requests that need none

Cause: a profile of a VM under load (78 instances, ten events a stream) shows 3 to 5 % of its processor time in abort signals, which each chunk of a response aborted again, and 2 % in an error that every admission check created and mostly discarded; both read the stack. Change: the signal exists only while an attempt waits for a successor; the error is created when it is returned.

--- a/packages/wigeonpulley/src/forwarding/admission-check.ts
+++ b/packages/wigeonpulley/src/forwarding/admission-check.ts
@@ -97,18 +97,24 @@
             return Err(SchedulerError.create("ConfigurationUnavailable", {}, retry));
         }
         const ageMs = activeConfiguration.getAgeMs();
-        const stale = SchedulerError.create("ConfigurationStale", { ageMs: Math.round(ageMs) }, retry);
+        // Created on demand: an error reads the stack, which is dear for every request.
+        const refuseAsStale = (): Result<never, SchedulerError> =>
+            Err(SchedulerError.create("ConfigurationStale", { ageMs: Math.round(ageMs) }, retry));
         const route = Option.toUndefined(table.findRoute(host, path));
         if (route === undefined) {
-            return Err(ageMs > maxAgeForUnknownMs ? stale : SchedulerError.create("NoRoute", { path }));
+            return ageMs > maxAgeForUnknownMs
+                ? refuseAsStale()
+                : Err(SchedulerError.create("NoRoute", { path }));
         }
         const workspace = key === undefined ? undefined : Option.toUndefined(table.findWorkspace(key));
         if (table.isKeyRequired(route)) {
             if (ageMs > maxAgeForKeysMs) {
-                return Err(stale);
+                return refuseAsStale();
             }
             if (workspace === undefined) {
-                return Err(ageMs > maxAgeForUnknownMs ? stale : SchedulerError.create("UnknownCaller", {}));
+                return ageMs > maxAgeForUnknownMs
+                    ? refuseAsStale()
+                    : Err(SchedulerError.create("UnknownCaller", {}));
             }
         }
         return Ok({ table, route, workspace });
--- a/packages/wigeonpulley/src/forwarding/attempt.ts
+++ b/packages/wigeonpulley/src/forwarding/attempt.ts
@@ -76,8 +76,8 @@
     private progressAt: number;
     private isFinished = false;
     private isWriting = false;
-    /** Aborts when the instance is silent no more. */
-    private silence = new AbortController();
+    /** Aborts when the instance is silent no more; undefined while nothing waits for that. */
+    private silence: AbortController | undefined;
 
     private constructor(private readonly options: AttemptOptions) {
         this.startedAt = options.timers.now();
@@ -107,7 +107,7 @@
         }
         finally {
             this.isFinished = true;
-            this.silence.abort();
+            this.endSilence();
             unsubscribe();
             // Without effect unless the relay threw.
             this.exchange.abort("the relay failed");
@@ -306,12 +306,18 @@
 
     private recordProgress(): void {
         this.progressAt = this.options.timers.now();
-        this.silence.abort();
+        this.endSilence();
         if (!this.options.placement.isPeer) {
             this.evidence.recordProgress(this.startedAt);
         }
     }
 
+    /** Ends the wait for another instance, if any. Each call of `abort` creates an error with its stack, also the later ones. */
+    private endSilence(): void {
+        this.silence?.abort();
+        this.silence = undefined;
+    }
+
     /** True when the endpoint was asked to go on after an event, so that no event may be left. */
     private get isResumed(): boolean {
         const { relay, request } = this.options;
@@ -348,8 +354,9 @@
     /** Aborts the exchange once another instance can take over, unless it makes progress meanwhile; true when it was aborted. */
     private async tryReplace(limitMs: number): Promise<boolean> {
         const { prepareRetry, confirmRetry } = this.options;
-        this.silence = new AbortController();
-        const next = await prepareRetry(this.silence.signal);
+        const silence = new AbortController();
+        this.silence = silence;
+        const next = await prepareRetry(silence.signal);
         if (next === undefined) {
             return false;
         }
