--- a/packages/wigeonpulley/test/placement/allowed-regions.test.ts
+++ b/packages/wigeonpulley/test/placement/allowed-regions.test.ts
@@ -241,6 +241,7 @@
         expect(await isSettled(anywhere)).toBe(false);
         inSouth.forEach(placement => placement.release("success", ""));
         await timers.advance(1);
+        expect(await isSettled(anywhere)).toBe(true);
         expect((await anywhere).unwrap().instance.dataCentre).toBe("south-1");
         expect(await isSettled(bound)).toBe(false);
         inNorth[0]?.release("success", "");
@@ -268,8 +269,9 @@
     test("requests that wait at other VMs for one region leave free slots in others to this VM", async () => {
         const instances = createInstances(["north-1", "south-1"], 2);
         const { acquire } = createSystem(instances, WaitingElsewhere.create(5));
-        const placed = (await acquire(undefined, { rank: 1 })).unwrap();
-        expect(placed.instance.dataCentre).toBe("south-1");
+        const placed = acquire(undefined, { rank: 1 });
+        expect(await isSettled(placed)).toBe(true);
+        expect((await placed).unwrap().instance.dataCentre).toBe("south-1");
     });
 
     // Guards strict ranks between VMs: scarce slots in the region are left to the better ranks that can go nowhere else.
@@ -305,7 +307,9 @@
         ["route and workspace allow no common region", []],
     ])("%s: the request is refused at once as not run", async (reason, allowed) => {
         const { timers, acquire } = createSystem(createInstances(["north-1", "south-1", "unlisted-1"]));
-        const error = (await acquire(allowed)).unwrapErr();
+        const refused = acquire(allowed);
+        expect(await isSettled(refused)).toBe(true);
+        const error = (await refused).unwrapErr();
         expect(error.name).toBe("RegionUnavailable");
         expect(error.entry).toMatchObject({ status: 503, notRun: true });
         expect(error.retryAfterMs).toBeGreaterThan(0);
@@ -331,7 +335,9 @@
             regions: REGIONS,
         });
         const { createRequest } = createSystem([]);
-        expect((await acquire(["north"])).isErr()).toBe(true);
+        const refused = acquire(["north"]);
+        expect(await isSettled(refused)).toBe(true);
+        expect((await refused).isErr()).toBe(true);
         const waiting = service.acquire(createRequest(["north"]), { subscribe: () => () => undefined });
         await timers.advance(1);
         expect(await isSettled(waiting)).toBe(false);
