Choose homes for prompt blocks by rendezvous hashing

Cause: each VM knows only the prompts that it sent itself, so that engines read again what another VM's requests have already brought to another engine. Change: rendezvous hashing of each block over the usable instances of the region, nested along the prompt, more homes for a larger share of the requests, bounded load; block counts per VM decide which blocks recur. Event 520 states the weights.

--- a/packages/wigeonpulley/src/logging/event-catalogue.ts
+++ b/packages/wigeonpulley/src/logging/event-catalogue.ts
@@ -323,6 +323,41 @@
             `one request with the quarantined prompt block or request ${block} may be sent: all VMs that knew why it is `
             + `quarantined have restarted`,
     ),
+    PromptHomesWeighed: defineEvent<
+        {
+            id: string;
+            instance: string;
+            blocks: number;
+            depth: number;
+            homes: number;
+            candidates: number;
+            homeDepth: number;
+            share: number;
+            likelihood: number;
+            promptTokens: number;
+            uncachedTokens: number;
+        }
+    >(
+        520,
+        "debug",
+        (
+            {
+                id,
+                instance,
+                blocks,
+                depth,
+                homes,
+                candidates,
+                homeDepth,
+                share,
+                likelihood,
+                promptTokens,
+                uncachedTokens,
+            },
+        ) => `request ${id} goes to ${instance}, a home of ${homeDepth} of its ${blocks} prompt blocks; ${homes} of `
+            + `${candidates} possible instances are homes of ${depth} blocks, with share ${share} of the service's requests `
+            + `and likelihood ${likelihood}; ${uncachedTokens} of ${promptTokens} prompt tokens are expected to be read`,
+    ),
     RolloutOrdered: defineEvent<{ service: string; version: string; durationMs: number; }>(
         701,
         "info",
--- a/packages/wigeonpulley/src/placement/index.ts
+++ b/packages/wigeonpulley/src/placement/index.ts
@@ -2,7 +2,16 @@
  * Placement: assigns requests to instances, orders the queues and detects failing instances.
  * Doesn't decide on retries and opens no connection.
  */
+export { BlockRecurrences } from "./block-recurrences.js";
 export { DecayingLinearRegression } from "./decaying-linear-regression.js";
+export { evaluateHomeCandidates, type LoadedInstance } from "./home-candidates.js";
+export {
+    HomePolicy,
+    NoHomes,
+    type PromptHomes,
+    RendezvousHomes,
+    type RendezvousHomesOptions,
+} from "./home-policy.js";
 export { InstanceHealth, type RequestOutcome } from "./instance-health.js";
 export { createFirstEventRegression, InstanceLatencyModel } from "./instance-latency-model.js";
 export { InstancePrefixIndex, type PromptBlock } from "./instance-prefix-index.js";
@@ -17,6 +26,14 @@
 export { type PlacementRequest, type WaitCancellation } from "./placement-request.js";
 export { PlacementService, type PlacementServiceOptions } from "./placement-service.js";
 export { Placement, type ReleaseOutcome } from "./placement.js";
+export {
+    chooseHomeDepths,
+    combineHashes,
+    computeExpectedUncachedTokens,
+    computeHomeCount,
+    type HomeCandidate,
+    type WeighedBlock,
+} from "./prompt-homes.js";
 export { combineRanks, RankFairness } from "./rank-fairness.js";
 export { type QueuedRequest, RankQueue } from "./rank-queue.js";
 export { RankReservation } from "./rank-reservation.js";
--- a/packages/wigeonpulley/src/placement/instance-chooser.ts
+++ b/packages/wigeonpulley/src/placement/instance-chooser.ts
@@ -1,11 +1,14 @@
 /** Chooses the instance with the lowest expected cost for a request, in milliseconds of latency. */
 import type { Instance, InstanceDirectory } from "../discovery/index.js";
+import type { LoadedInstance } from "./home-candidates.js";
+import type { HomePolicy, PromptHomes } from "./home-policy.js";
 import type { InstanceHealth } from "./instance-health.js";
 import type { InstanceLatencyModel } from "./instance-latency-model.js";
 import type { InstanceLoads } from "./instance-loads.js";
 import type { InstanceRateLimits } from "./instance-rate-limits.js";
 import type { PeerLoads } from "./peer-loads.js";
 import type { PlacementRequest } from "./placement-request.js";
+import { computeExpectedUncachedTokens } from "./prompt-homes.js";
 import type { VersionPolicy } from "./version-policy.js";
 
 /** Options of the chooser. */
@@ -16,6 +19,7 @@
     readonly health: InstanceHealth;
     readonly rateLimits: InstanceRateLimits;
     readonly versions: VersionPolicy;
+    readonly homes: HomePolicy;
     readonly dataCentre: string;
     readonly region: string;
     /** Region by data centre. */
@@ -28,8 +32,12 @@
 /** The best instance for a request. */
 export interface InstanceChoice {
     readonly instance: Instance;
-    /** Prompt tokens that it has to prefill. */
+    /** Prompt tokens that it is expected to prefill. */
     readonly uncachedTokens: number;
+    /** Number of leading prompt blocks that it is a home of. */
+    readonly homeDepth: number;
+    /** Homes of the prompt; undefined for none. */
+    readonly homes: PromptHomes | undefined;
     /** Free slots of all instances that may take the request. */
     readonly freeSlots: number;
 }
@@ -40,6 +48,11 @@
 const OTHER_REGION_COST_MS = 60;
 /** Weight of the time for which a stream holds its slot, relative to the time to its first event. */
 const SLOT_HOLD_WEIGHT = 0.1;
+/**
+ * Weight of the delay that a prefill causes to an engine's other requests. In the simulation of prompt-homes.test.ts fewer
+ * tokens are read again with a higher weight, but from 2 on the slowest first events come later.
+ */
+const ENGINE_TIME_WEIGHT = 1.5;
 
 /**
  * Most prompt tokens that an engine prefills between two events of a stream: it prefills in chunks between decoding
@@ -83,33 +96,62 @@
         computeLimit: (instance: Instance) => number,
         isSuitable: (instance: Instance) => boolean,
     ): InstanceChoice | ChoiceFailure {
-        const { directory, loads } = this.options;
+        const { directory, loads, homes } = this.options;
         const isDelayAvoidable = this.hasInstanceWithoutDelay(request);
-        let best:
-            | { readonly instance: Instance; readonly costMs: number; readonly uncachedTokens: number; }
-            | undefined;
-        let freeSlots = 0;
-        for (const instance of directory.list()) {
-            const free = isSuitable(instance) && this.isCandidate(instance, request)
-                ? computeLimit(instance) - this.countInFlight(instance)
-                : 0;
-            if (free <= 0) {
+        const usable = directory.list().filter(instance =>
+            isSuitable(instance) && this.isCandidate(instance, request)
+        );
+        const free = usable.map(instance => computeLimit(instance) - this.countInFlight(instance));
+        const freeSlots = free.reduce((sum, count) => sum + Math.max(0, count), 0);
+        const promptHomes = freeSlots > 0
+            ? homes.findHomes(request, this.listLoaded(usable, free))
+            : undefined;
+        let best: Omit<InstanceChoice, "freeSlots" | "homes"> | undefined;
+        let lowestCostMs = Number.POSITIVE_INFINITY;
+        for (const [index, instance] of usable.entries()) {
+            if ((free[index] ?? 0) <= 0) {
                 continue;
             }
-            freeSlots += free;
-            const uncachedTokens = loads.countUncachedTokens(instance.id, request);
-            if (isDelayAvoidable && this.isDelayingStreams(instance, request, uncachedTokens)) {
+            // A home is only likely to have the prompt cached, so that streams are protected as if it had not.
+            const knownUncachedTokens = loads.countUncachedTokens(instance.id, request);
+            if (isDelayAvoidable && this.isDelayingStreams(instance, request, knownUncachedTokens)) {
                 continue;
             }
-            const costMs = this.estimateCostMs(instance, request, uncachedTokens);
-            if (best === undefined || costMs < best.costMs) {
-                best = { instance, costMs, uncachedTokens };
+            const homeDepth = promptHomes?.depths[index] ?? 0;
+            const uncachedTokens = promptHomes === undefined
+                ? knownUncachedTokens
+                : computeExpectedUncachedTokens(
+                    knownUncachedTokens,
+                    promptHomes.blocks,
+                    loads.countCachedBlocks(instance.id, request),
+                    homeDepth,
+                );
+            const costMs = this.estimateCostMs(instance, request, uncachedTokens)
+                + (promptHomes === undefined
+                    ? 0
+                    : this.estimateEngineTimeCostMs(
+                        instance,
+                        promptHomes.canBeHome[index] === true ? uncachedTokens : request.promptTokens,
+                        promptHomes.meanInFlight,
+                    ));
+            if (best === undefined || costMs < lowestCostMs) {
+                best = { instance, uncachedTokens, homeDepth };
+                lowestCostMs = costMs;
             }
         }
         if (best === undefined) {
             return freeSlots > 0 ? "unsuitable" : "no-place";
         }
-        return { instance: best.instance, uncachedTokens: best.uncachedTokens, freeSlots };
+        return { ...best, freeSlots, homes: promptHomes };
+    }
+
+    private listLoaded(usable: readonly Instance[], free: readonly number[]): readonly LoadedInstance[] {
+        return usable.map((instance, index) => ({
+            instance,
+            inFlight: this.countInFlight(instance),
+            hasFreeSlot: (free[index] ?? 0) > 0,
+            eventGapMs: this.options.loads.getLatencyModel(instance).estimateEventGapMs(),
+        }));
     }
 
     /** True when some instance, busy or not, could prefill the prompt within the gap target of its streams. */
@@ -191,6 +233,15 @@
             + this.getDistanceCostMs(instance);
     }
 
+    /**
+     * Cost of a prefill for the engine's other requests, each of which it delays, in milliseconds. It counts their mean
+     * number over all engines, so that it compares engines by what they have cached and not once more by their load.
+     */
+    private estimateEngineTimeCostMs(instance: Instance, tokens: number, meanInFlight: number): number {
+        const model = this.options.loads.getLatencyModel(instance);
+        return model.estimatePrefillMs(tokens) * meanInFlight * ENGINE_TIME_WEIGHT;
+    }
+
     private getDistanceCostMs({ dataCentre }: Instance): number {
         const { dataCentre: ownDataCentre, region, regions } = this.options;
         if (dataCentre === ownDataCentre) {
--- a/packages/wigeonpulley/src/placement/instance-loads.ts
+++ b/packages/wigeonpulley/src/placement/instance-loads.ts
@@ -45,6 +45,11 @@
         return this.prefixIndex.countUncachedTokens(id, promptBlocks, promptTokens);
     }
 
+    /** Number of leading blocks of a request's prompt that this VM recently sent to the instance. */
+    countCachedBlocks(id: string, { promptBlocks }: PlacementRequest): number {
+        return this.prefixIndex.countCachedBlocks(id, promptBlocks);
+    }
+
     /** True for a short time after an instance refused a request as full. */
     isFull(id: string): boolean {
         return (this.loads.get(id)?.fullUntil ?? 0) > this.timers.now();
--- a/packages/wigeonpulley/src/placement/instance-prefix-index.ts
+++ b/packages/wigeonpulley/src/placement/instance-prefix-index.ts
@@ -45,6 +45,13 @@
         }
     }
 
+    /** Number of leading blocks of a prompt that the instance has cached. */
+    countCachedBlocks(instance: string, promptBlocks: readonly PromptBlock[]): number {
+        const blocks = this.blocksByInstance.get(instance);
+        const firstMissing = promptBlocks.findIndex(({ id }) => blocks?.has(id) !== true);
+        return firstMissing < 0 ? promptBlocks.length : firstMissing;
+    }
+
     /** Prompt tokens after the cached prefix, which the instance would have to prefill. */
     countUncachedTokens(
         instance: string,
--- a/packages/wigeonpulley/src/placement/placement-service.ts
+++ b/packages/wigeonpulley/src/placement/placement-service.ts
@@ -8,6 +8,7 @@
 import type { EventLogger } from "../logging/index.js";
 import type { RandomSource } from "../random/index.js";
 import type { TimerService } from "../time/index.js";
+import { type HomePolicy, NoHomes } from "./home-policy.js";
 import { type ChoiceFailure, type InstanceChoice, InstanceChooser } from "./instance-chooser.js";
 import { InstanceHealth } from "./instance-health.js";
 import { InstanceLoads } from "./instance-loads.js";
@@ -30,6 +31,8 @@
     readonly peers: PeerLoads;
     readonly rateLimits: InstanceRateLimits;
     readonly versions: VersionPolicy;
+    /** Homes of prompt blocks; none by default. */
+    readonly homes?: HomePolicy;
     readonly dataCentre: string;
     readonly region: string;
     /** Region by data centre. */
@@ -60,12 +63,19 @@
     private readonly queues = new Map<string, ServiceQueue>();
     private readonly loads: InstanceLoads;
     private readonly chooser: InstanceChooser;
+    private readonly homes: HomePolicy;
     private isRecheckScheduled = false;
 
     private constructor(private readonly options: PlacementServiceOptions) {
         this.health = InstanceHealth.create(options.timers, options.logger);
         this.loads = InstanceLoads.create(options.timers, options.peers);
-        this.chooser = InstanceChooser.create({ ...options, loads: this.loads, health: this.health });
+        this.homes = options.homes ?? NoHomes.create();
+        this.chooser = InstanceChooser.create({
+            ...options,
+            loads: this.loads,
+            health: this.health,
+            homes: this.homes,
+        });
         options.directory.subscribe(() => this.applyDirectory());
     }
 
@@ -242,7 +252,9 @@
         return others === 0 || free > others || random.pickFraction() * (waiting + others) < waiting;
     }
 
-    private occupy(request: PlacementRequest, { instance, uncachedTokens }: InstanceChoice): Placement {
+    private occupy(request: PlacementRequest, choice: InstanceChoice): Placement {
+        const { instance, uncachedTokens } = choice;
+        this.writeHomes(request, choice);
         const pendingPromptTokens = this.chooser.countPendingPromptTokens(instance.id);
         const predictedMs = this.chooser.predictFirstResponseMs(
             instance,
@@ -251,6 +263,7 @@
         );
         const occupiedAt = this.options.timers.now();
         this.loads.occupy(instance, request, uncachedTokens);
+        this.homes.recordPrompt(request);
         this.options.rateLimits.recordDispatch(instance);
         this.health.recordDispatch(instance.id);
         this.options.versions.recordDispatch(instance);
@@ -279,6 +292,31 @@
         });
     }
 
+    private writeHomes(
+        request: PlacementRequest,
+        { instance, uncachedTokens, homeDepth, homes }: InstanceChoice,
+    ): void {
+        if (homes === undefined) {
+            return;
+        }
+        const { blocks, depths, canBeHome } = homes;
+        const depth = Math.max(...depths);
+        const { share = 0, likelihood = 0 } = blocks[depth - 1] ?? {};
+        this.options.logger.write("PromptHomesWeighed", {
+            id: request.requestId,
+            instance: instance.id,
+            blocks: blocks.length,
+            depth,
+            homes: depths.filter(value => value === depth).length,
+            candidates: canBeHome.filter(value => value).length,
+            homeDepth,
+            share: Number(share.toFixed(3)),
+            likelihood: Number(likelihood.toFixed(3)),
+            promptTokens: request.promptTokens,
+            uncachedTokens: Math.round(uncachedTokens),
+        });
+    }
+
     private release(instance: Instance, outcome: ReleaseOutcome, reason: string): void {
         const { id, service } = instance;
         this.loads.release(instance, outcome === "full");
@@ -337,6 +375,7 @@
         const ids = new Set(this.options.directory.list().map(instance => instance.id));
         this.health.retain(ids);
         this.loads.retain(ids);
+        this.homes.retain(ids);
         this.options.rateLimits.retain(this.options.directory.list());
         this.dispatchAllQueues();
     }
--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -14,7 +14,12 @@
 import { MembershipService } from "../membership/index.js";
 import type { MetricsRegistry } from "../metrics/index.js";
 import { GossipHandler, type GossipTransport } from "../peers/index.js";
-import { InstanceRateLimits, PeerLoadReports, PlacementService } from "../placement/index.js";
+import {
+    InstanceRateLimits,
+    PeerLoadReports,
+    PlacementService,
+    RendezvousHomes,
+} from "../placement/index.js";
 import type { VmListEntry } from "../platform/index.js";
 import { Quarantine, QuarantineStore } from "../quarantine/index.js";
 import { SharedQuotaLimiter, SharedRetryBudget } from "../quotas/index.js";
@@ -134,6 +139,7 @@
             peers: this.reports,
             rateLimits: this.rateLimits,
             versions: this.rollouts,
+            homes: this.createHomes(),
             dataCentre: settings.dataCentre,
             region: settings.region,
             regions: settings.regions,
@@ -425,6 +431,17 @@
         });
     }
 
+    private createHomes(): RendezvousHomes {
+        const { settings: { dataCentre, region, regions }, timers } = this.options;
+        return RendezvousHomes.create({
+            timers,
+            dataCentre,
+            region,
+            regions,
+            countVms: () => this.membership.memberCount,
+        });
+    }
+
     private createMembership(): MembershipService {
         const { settings, timers, random, logger, adapter, peers } = this.options;
         const self: VmListEntry = {
