--- a/packages/wigeonpulley/src/placement/block-recurrences.ts
+++ b/packages/wigeonpulley/src/placement/block-recurrences.ts
@@ -33,7 +33,7 @@
     readonly inner: Recurrence;
 }
 
-/** Blocks that are counted; an entry takes about 250 bytes, so all of them take about 2 MB. */
+/** Blocks that are counted; an entry takes about 330 bytes, so all of them take 2.7 MB. */
 const MAX_BLOCKS = 8_192;
 /** Blocks of one prompt that are counted and weighed; bounds the time that a prompt of very many blocks takes. */
 const MAX_PROMPT_BLOCKS = 32;
