--- a/bench/src/system.ts
+++ b/bench/src/system.ts
@@ -45,6 +45,10 @@
 }
 
 class NullSink extends EventSink {
+    override isEnabled(): boolean {
+        return false;
+    }
+
     override write(): void {
         // Benchmarks don't read the log.
     }
--- a/packages/wigeonpulley/src/logging/event-logger.ts
+++ b/packages/wigeonpulley/src/logging/event-logger.ts
@@ -27,6 +27,9 @@
     /** Writes one event. */
     abstract write(event: LoggedEvent): void;
 
+    /** True when events of a level are written; the messages of others needn't be formatted. */
+    abstract isEnabled(level: EventLevel): boolean;
+
     /** Resolves when all written events have been handed to the output. */
     close(): Promise<void> {
         return Promise.resolve();
@@ -38,7 +41,7 @@
     private readonly consola: ConsolaInstance;
     private readonly writer: LineWriter;
 
-    private constructor(level: EventLevel, vm: string) {
+    private constructor(private readonly level: EventLevel, vm: string) {
         super();
         const formatLine = (date: Date, name: string, fields: object): string =>
             JSON.stringify({ time: date.toISOString(), vm, name, ...fields });
@@ -66,6 +69,10 @@
         return new ConsolaSink(level, vm);
     }
 
+    override isEnabled(level: EventLevel): boolean {
+        return CONSOLA_LEVELS[level] <= CONSOLA_LEVELS[this.level];
+    }
+
     override write(event: LoggedEvent): void {
         const { number, name, level, message, details } = event;
         // Passes two arguments, because consola unpacks a single object that has a `message`.
@@ -87,6 +94,10 @@
         return new MemorySink();
     }
 
+    override isEnabled(): boolean {
+        return true;
+    }
+
     override write(event: LoggedEvent): void {
         this.events.push(event);
     }
@@ -105,6 +116,9 @@
     write<Name extends EventName>(name: Name, details: EventDetails<Name>): void {
         const entry = eventCatalogue[name] as EventEntry<EventDetails<Name>>;
         const { number, level } = entry;
+        if (!this.sink.isEnabled(level)) {
+            return;
+        }
         this.sink.write({ number, name, level, message: entry.message(details), details });
     }
 
--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -22,6 +22,7 @@
     InstanceRateLimits,
     PeerLoadReports,
     PlacementService,
+    RendezvousHomes,
 } from "../placement/index.js";
 import type { VmListEntry } from "../platform/index.js";
 import { Quarantine, QuarantineStore } from "../quarantine/index.js";
@@ -470,6 +471,7 @@
             rateLimits: this.rateLimits,
             coldInstances: this.coldInstances,
             versions: this.rollouts,
+            homes: this.createHomes(),
         });
     }
 
@@ -527,6 +529,17 @@
         });
     }
 
+    private createHomes(): RendezvousHomes {
+        const { settings: { dataCentre, region, regions }, timers } = this.options;
+        return RendezvousHomes.create({
+            timers,
+            dataCentre,
+            region,
+            regions,
+            countVms: () => this.membership.memberCount,
+        });
+    }
+
     private describeSelf(): VmListEntry {
         const { settings } = this.options;
         return {
