Move open responses and pending input to a domain of their own

Cause: the bounds on clients, which all servers of a process share, need to know the open responses of a connection and to poll before a verdict; importing them from forwarding would make the domains depend on each other. countOpenResponses is new; nothing else changes.

--- a/packages/wigeonpulley/src/forwarding/connection-guard.ts
+++ b/packages/wigeonpulley/src/forwarding/connection-guard.ts
@@ -4,8 +4,12 @@
  */
 import { type Server, STATUS_CODES } from "node:http";
 import { Socket } from "node:net";
-import { countRequests, listOpenResponses, recordRequest } from "./open-responses.js";
-import { waitForPendingInput } from "./pending-input.js";
+import {
+    countRequests,
+    listOpenResponses,
+    recordRequest,
+    waitForPendingInput,
+} from "../http-connections/index.js";
 
 /** Code of the error for a request head that exceeds its timeout. */
 const HEAD_TIMEOUT = "ERR_HTTP_REQUEST_TIMEOUT";
--- a/packages/wigeonpulley/src/forwarding/front-server.ts
+++ b/packages/wigeonpulley/src/forwarding/front-server.ts
@@ -21,7 +21,7 @@
 import type { Forwarder, ForwardSummary } from "./forwarder.js";
 import type { HeaderCodec, RequestMetadata } from "./header-codec.js";
 import { parsePeerHeaders, type PeerRequestOrigin, removePeerHeaders } from "./peer-headers.js";
-import { waitForPendingInput, waitUntilLoopIsInTime } from "./pending-input.js";
+import { waitForPendingInput, waitUntilLoopIsInTime } from "../http-connections/index.js";
 import { RequestLifetime } from "./request-lifetime.js";
 import { ResponseWriter } from "./response-writer.js";
 import { computeRank, countQuotaUnits, type RoutedRequest } from "./routed-request.js";
--- a/packages/wigeonpulley/src/forwarding/response-writer.ts
+++ b/packages/wigeonpulley/src/forwarding/response-writer.ts
@@ -1,9 +1,9 @@
 /** Writes the response to a caller. A response that ends early never looks complete. */
 import type { ServerResponse } from "node:http";
 import { createProblemBody, type SchedulerError } from "../errors/index.js";
+import { isNewest } from "../http-connections/index.js";
 import type { ResponseHead } from "./endpoint-transport.js";
 import { listForwardedResponseHeaders } from "./hop-by-hop.js";
-import { isNewest } from "./open-responses.js";
 import { VM_ERROR_HEADER } from "./peer-headers.js";
 import { getReasonPhrase } from "./reason-phrase.js";
 
--- a/packages/wigeonpulley/src/forwarding/undici-transport.ts
+++ b/packages/wigeonpulley/src/forwarding/undici-transport.ts
@@ -2,6 +2,7 @@
 import type { Dispatcher } from "undici";
 import type { Instance } from "../discovery/index.js";
 import { describeCause } from "../errors/index.js";
+import { waitForPendingInput } from "../http-connections/index.js";
 import type { TimerService } from "../time/index.js";
 import { ConnectionPool, type ConnectionPoolOptions } from "./connection-pool.js";
 import type { EndpointConnection } from "./endpoint-connection.js";
@@ -13,7 +14,6 @@
     type ResponseHead,
 } from "./endpoint-transport.js";
 import type { ParsedHeaders } from "./header-codec.js";
-import { waitForPendingInput } from "./pending-input.js";
 import { selectReasonPhrase } from "./reason-phrase.js";
 
 const FIRST_FINAL_STATUS = 200;
--- a/packages/wigeonpulley/src/forwarding/open-responses.ts
+++ b/packages/wigeonpulley/src/http-connections/open-responses.ts
@@ -28,6 +28,9 @@
     ...stateBySocket.get(socket)?.responses ?? [],
 ];
 
+/** Returns the number of open responses on a connection. */
+export const countOpenResponses = (socket: Socket): number => stateBySocket.get(socket)?.responses.size ?? 0;
+
 /** Returns the number of requests whose heads have arrived on a connection so far. */
 export const countRequests = (socket: Socket): number => stateBySocket.get(socket)?.requestCount ?? 0;
 
