Add a byte budget, compact bodies and a monitor of clients' connections

Nothing uses the modules yet; the settings, the metrics, the errors UploadTooSlow and ClientMemoryExhausted and the event ClientsLimited (412) are there.

Ruled out: joining chunks by doubling a buffer (garbage of up to twice the body), judging unread responses by `drain` alone (the kernel reports a connection writable only when a third of its buffer is free).

--- /dev/null
+++ b/packages/wigeonpulley/src/clients/client-settings.ts
@@ -0,0 +1,29 @@
+/** Settings that bound what clients may hold of a process. */
+import * as z from "zod";
+
+const millisecondsSchema = z.number().positive();
+
+/** Section `clients` of the settings. */
+export const clientSettingsSchema = z.object({
+    memoryShare: z.number().positive().max(0.5).default(0.15).describe(
+        "Share of `memoryMb` that bodies, queued requests, responses in progress and connections may hold together.",
+    ),
+    minUploadBytesPerS: z.number().min(0).default(100).describe(
+        "Lowest rate of a body, in bytes a second over `uploadWindowMs`; a slower one is refused as not run.",
+    ),
+    uploadWindowMs: millisecondsSchema.default(10_000).describe(
+        "Window in which the rate of a body is measured, in milliseconds; also the time for which the rest of a refused body is read.",
+    ),
+    unreadMs: millisecondsSchema.default(10_000).describe(
+        "Time for which a client may read nothing of a response that waits for it before its connection is closed, in milliseconds.",
+    ),
+    maxConnections: z.number().int().positive().optional().describe(
+        "Connections of callers and of other VMs with requests; by default half of `mostDescriptors`, or twice `limits.openRequests`.",
+    ),
+    maxOperatorConnections: z.number().int().positive().optional().describe(
+        "Connections to each of the operators', readiness and metrics ports; by default a 32nd of `mostDescriptors`, from 4 to 32.",
+    ),
+});
+
+/** Section `clients` with defaults filled in. */
+export type ClientSettings = z.infer<typeof clientSettingsSchema>;
--- a/packages/wigeonpulley/src/config/settings.ts
+++ b/packages/wigeonpulley/src/config/settings.ts
@@ -1,5 +1,6 @@
 /** Schema and defaults of the settings of one process, which are read from a JSON file. */
 import * as z from "zod";
+import { clientSettingsSchema } from "../clients/index.js";
 import { ipUrlSchema } from "./field-schemas.js";
 
 const portSchema = z.number().int().min(0).max(65_535);
@@ -104,6 +105,10 @@
     ),
     limits: limitsSchema.prefault({}).describe("Limits that protect one VM."),
     timing: timingSchema.prefault({}).describe("Intervals and timeouts."),
+    memoryMb: z.number().positive().default(512).describe("Memory that the process may use, in megabytes."),
+    clients: clientSettingsSchema.omit({ maxOperatorConnections: true }).prefault({}).describe(
+        "Bounds on what clients may hold of the process.",
+    ),
     logLevel: z.enum(["error", "warn", "info", "debug"]).default("info").describe(
         "Lowest level that is logged.",
     ),
--- a/packages/wigeonpulley/src/errors/error-catalogue.ts
+++ b/packages/wigeonpulley/src/errors/error-catalogue.ts
@@ -250,6 +250,23 @@
         status: 413,
         notRun: true,
     }),
+    UploadTooSlow: defineError<{ bytesPerS: number; }>({
+        title: "The body arrives too slowly.",
+        message: ({ bytesPerS }) =>
+            `The body arrives at less than ${bytesPerS} bytes a second; the request did not run.`,
+        hint: "Send the body faster; operators find the limit in the settings' section `clients`.",
+        status: 408,
+        notRun: true,
+    }),
+    ClientMemoryExhausted: defineError<Record<never, never>>({
+        title: "The memory for callers' requests is used up.",
+        message: () =>
+            "This VM holds as many bytes for callers as its settings allow; the request did not run.",
+        hint:
+            "Send the request again after the time in Retry-After; operators look at wigeonpulley_client_bytes.",
+        status: 503,
+        notRun: true,
+    }),
     QuotaExceeded: defineError<{ workspace: string; }>({
         title: "The quota of the workspace is used up.",
         message: ({ workspace }) => `Workspace ${workspace} has used its quota up; the request did not run.`,
--- a/packages/wigeonpulley/src/index.ts
+++ b/packages/wigeonpulley/src/index.ts
@@ -1,6 +1,7 @@
 /** Public interface of the library. */
 export * from "./claims/index.js";
 export { callOperatorApi, type OperatorCallOptions } from "./cli/operator-client.js";
+export * from "./clients/index.js";
 export * from "./collections/index.js";
 export * from "./concurrency/index.js";
 export * from "./config/index.js";
--- a/packages/wigeonpulley/src/logging/event-catalogue.ts
+++ b/packages/wigeonpulley/src/logging/event-catalogue.ts
@@ -247,6 +247,24 @@
         ({ id, service, to }) =>
             `request ${id} is passed on to ${to}, because this VM reaches too few instances of ${service}`,
     ),
+    ClientsLimited: defineEvent<
+        {
+            memory: number;
+            slowUploads: number;
+            unread: number;
+            connections: number;
+            pipelined: number;
+            heldBytes: number;
+            budgetBytes: number;
+        }
+    >(
+        412,
+        "warn",
+        ({ memory, slowUploads, unread, connections, pipelined, heldBytes, budgetBytes }) =>
+            `limits on clients ended ${memory} requests for lack of memory and ${slowUploads} slow bodies, and closed `
+            + `${unread} connections with unread responses, ${connections} excess ones and ${pipelined} with too many `
+            + `unanswered requests; ${heldBytes} of ${budgetBytes} bytes are held`,
+    ),
     InstanceBrittle: defineEvent<{ instance: string; rejectionsPerS: number; before: number; }>(
         512,
         "info",
--- a/packages/wigeonpulley/src/metrics/index.ts
+++ b/packages/wigeonpulley/src/metrics/index.ts
@@ -1,2 +1,2 @@
 /** Metrics: histograms and counters of one VM in the Prometheus format. Imports no other domain. */
-export { createHistogram, MetricsRegistry, type RequestPhase } from "./metrics-registry.js";
+export { type ClientLimit, createHistogram, MetricsRegistry, type RequestPhase } from "./metrics-registry.js";
--- a/packages/wigeonpulley/src/metrics/metrics-registry.ts
+++ b/packages/wigeonpulley/src/metrics/metrics-registry.ts
@@ -5,6 +5,9 @@
 /** Phases of a request whose durations are recorded. */
 export type RequestPhase = "event-loop" | "queue" | "first-token" | "inter-token" | "total";
 
+/** Limit on clients that refused or ended something. */
+export type ClientLimit = "memory" | "slow-upload" | "unread" | "connections" | "pipelined";
+
 const PERCENTILES = [50, 95, 99] as const;
 const PERCENT = 100;
 const MAX_DURATION_MS = 3_600_000;
@@ -25,6 +28,7 @@
     private readonly histograms = new Map<string, Histogram>();
     private readonly requests: Counter<"tier" | "outcome">;
     private readonly controlBytes: Counter<"kind">;
+    private readonly clientLimits: Counter<"limit">;
 
     private constructor() {
         const registers = [this.registry];
@@ -40,6 +44,12 @@
             labelNames: ["kind"],
             registers,
         });
+        this.clientLimits = new Counter({
+            name: "wigeonpulley_client_limits_total",
+            help: "Requests and connections of clients that a limit refused or ended.",
+            labelNames: ["limit"],
+            registers,
+        });
         const phases = new Gauge({
             name: "wigeonpulley_phase_milliseconds",
             help: "Quantiles of the time that requests spent in each phase.",
@@ -81,6 +91,22 @@
         this.controlBytes.inc({ kind }, bytes);
     }
 
+    /** Counts a request or connection that a limit on clients refused or ended. */
+    recordClientLimit(limit: ClientLimit): void {
+        this.clientLimits.inc({ limit });
+    }
+
+    /** Makes the bytes that are held for clients part of the metrics, by kind. */
+    observeClientBytes(kinds: readonly string[], getBytes: (kind: string) => number): void {
+        const clientBytes = new Gauge({
+            name: "wigeonpulley_client_bytes",
+            help: "Bytes held for clients, by kind.",
+            labelNames: ["kind"],
+            registers: [this.registry],
+            collect: () => kinds.forEach(kind => clientBytes.set({ kind }, getBytes(kind))),
+        });
+    }
+
     /** Formats all metrics in the Prometheus text format. */
     formatText(): Promise<string> {
         return this.registry.metrics();
--- a/packages/wigeonpulley/src/routed-vm/routed-settings.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-settings.ts
@@ -1,5 +1,6 @@
 /** Settings of a VM that serves routed traffic, read from a JSON file. */
 import * as z from "zod";
+import { clientSettingsSchema } from "../clients/index.js";
 
 const addressSchema = z.string().regex(
     /^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/,
@@ -80,6 +81,7 @@
     mostDescriptors: z.number().int().positive().default(1_024).describe(
         "File descriptors that the process may use.",
     ),
+    clients: clientSettingsSchema.prefault({}).describe("Bounds on what clients may hold of the process."),
     bounds: boundsSchema.prefault({}).describe("Bounds that the operators of the platform require."),
     logLevel: z.enum(["error", "warn", "info", "debug"]).default("info").describe(
         "Lowest level that is logged.",
