Bound what clients of routed traffic and of the operators' ports hold

Cause: chunks were kept one by one, and nothing bounded the sum of bodies, the time of an upload or of an unread response, or the number of connections.

FrontServer reads bodies through the budget and gives each request an account; an attempt charges what it buffers and keeps it compactly; the monitor watches the connections to all ports. Heads and requests to the operators' ports have time limits, and at most eight unanswered requests a connection. Another VM that refuses for these reasons counts as unable.

--- a/packages/wigeonpulley/src/forwarding/attempt.ts
+++ b/packages/wigeonpulley/src/forwarding/attempt.ts
@@ -1,4 +1,5 @@
 /** One attempt: a request sent to one instance, and the relay of its response to the caller. */
+import { CompactBytes, SegmentPool } from "../clients/index.js";
 import type { EventLogger } from "../logging/index.js";
 import type { Placement, RequestOutcome } from "../placement/index.js";
 import type { Quarantine } from "../quarantine/index.js";
@@ -46,6 +47,8 @@
     readonly createPeerHeaders: (elapsedMs: number) => readonly string[];
 }
 
+/** Buffered responses are short and are not held together with uploads, whose segments are reused. */
+const UNPOOLED = SegmentPool.create(0);
 /** Longest response that is buffered before it is sent to the caller; a longer one is relayed as it arrives. */
 const MAX_BUFFERED_BYTES = 262_144;
 /** Multiple of the target latency after which a silent instance is abandoned for a retry. */
@@ -247,12 +250,12 @@
 
     private async relayBuffered(head: ResponseHead): Promise<AttemptOutcome> {
         const { writer, placement, request } = this.options;
+        const { account } = request;
         if (writer.hasStarted) {
             this.exchange.abort("the response has started");
             return createFailedOutcome(`status ${head.status} after the response had started`);
         }
-        const chunks: Buffer[] = [];
-        let bufferedBytes = 0;
+        const buffered = CompactBytes.create(UNPOOLED);
         for (;;) {
             const chunk = await this.exchange.readChunk();
             if (isExchangeFailure(chunk)) {
@@ -262,17 +265,20 @@
                 break;
             }
             this.recordProgress();
-            chunks.push(chunk);
-            bufferedBytes += chunk.length;
-            if (bufferedBytes > MAX_BUFFERED_BYTES) {
-                return this.relayUnbuffered(head, chunks);
+            const growth = buffered.computeGrowth(chunk.length);
+            buffered.push(chunk);
+            if (
+                buffered.length > MAX_BUFFERED_BYTES || (growth > 0 && account?.tryAdd(growth) === false)
+            ) {
+                return this.relayUnbuffered(head, buffered.take());
             }
         }
         placement.recordFirstEvent();
         placement.recordResponse();
         this.evidence.recordEnd(head);
         const hasBody = request.method !== "HEAD" && !BODILESS_STATUSES.has(head.status);
-        const sendResponse = (): void => writer.sendComplete(head, Buffer.concat(chunks), hasBody);
+        const body = buffered.take();
+        const sendResponse = (): void => writer.sendComplete(head, body, hasBody);
         if (head.status >= HTTP_SERVER_ERROR) {
             return {
                 kind: "failed",
@@ -286,10 +292,10 @@
         return { kind: "answered", status: head.status };
     }
 
-    private async relayUnbuffered(head: ResponseHead, buffered: readonly Buffer[]): Promise<AttemptOutcome> {
+    private async relayUnbuffered(head: ResponseHead, buffered: Buffer): Promise<AttemptOutcome> {
         const { writer } = this.options;
         writer.startStream(head);
-        await this.write(writer.write(Buffer.concat(buffered)));
+        await this.write(writer.write(buffered));
         for (;;) {
             const chunk = await this.exchange.readChunk();
             if (isExchangeFailure(chunk)) {
--- a/packages/wigeonpulley/src/forwarding/front-server.ts
+++ b/packages/wigeonpulley/src/forwarding/front-server.ts
@@ -7,7 +7,9 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { Server as NetServer, type Socket } from "node:net";
 import { Err, Ok, type Result } from "ts-results-es";
+import { type ByteAccount, type ClientResources, createMemoryError } from "../clients/index.js";
 import { SchedulerError } from "../errors/index.js";
+import { countOpenResponses, waitForPendingInput, waitUntilLoopIsInTime } from "../http-connections/index.js";
 import type { EventLogger } from "../logging/index.js";
 import type { MetricsRegistry } from "../metrics/index.js";
 import type { RandomSource } from "../random/index.js";
@@ -15,13 +17,11 @@
 import type { TimerService } from "../time/index.js";
 import { type AdmissionCheck, type AdmittedRequest } from "./admission-check.js";
 import type { QuotaLimiter } from "./admission-limits.js";
-import { readBody } from "./body-reader.js";
 import { CallerRetryDetector } from "./caller-retry-detector.js";
 import { closeAfterInput } from "./connection-guard.js";
 import type { Forwarder, ForwardSummary } from "./forwarder.js";
 import type { HeaderCodec, RequestMetadata } from "./header-codec.js";
 import { parsePeerHeaders, type PeerRequestOrigin, removePeerHeaders } from "./peer-headers.js";
-import { waitForPendingInput, waitUntilLoopIsInTime } from "../http-connections/index.js";
 import { RequestLifetime } from "./request-lifetime.js";
 import { ResponseWriter } from "./response-writer.js";
 import { computeRank, countQuotaUnits, type RoutedRequest } from "./routed-request.js";
@@ -39,6 +39,7 @@
     readonly host: string;
     readonly port: number;
     readonly maxOpenRequests: number;
+    readonly clients: ClientResources;
     readonly admission: AdmissionCheck;
     /** Key that all VMs share, for a server that takes requests of other VMs only; undefined for callers. */
     readonly peerKey?: string | undefined;
@@ -50,6 +51,7 @@
     readonly metadata: RequestMetadata;
     readonly admitted: AdmittedRequest;
     readonly body: Buffer | undefined;
+    readonly account: ByteAccount;
     /** Monotonic time of arrival, in milliseconds. */
     readonly arrivedAt: number;
     /** VM that passed it on; undefined when a caller sent it to this VM. */
@@ -71,6 +73,11 @@
 /** Delay of the event loop above which this VM takes no requests of other VMs: it is late for its own callers. */
 const MAX_PEER_LOOP_DELAY_MS = 250;
 
+/** Memory planned for a request beside its body and head, in bytes. */
+const REQUEST_BYTES = 8_192;
+/** Multiple of the open requests from which on connections with several unanswered requests are closed. */
+const PIPELINED_FACTOR = 2;
+
 /** HTTP server for callers, or for other VMs that pass on requests of their callers. */
 export class FrontServer {
     private readonly server: Server;
@@ -94,7 +101,10 @@
             requestTimeout: 0,
             noDelay: true,
         }, (request, response) => {
-            if (measureHead(request) < this.maxHeaderBytes) {
+            if (this.isPipeliningTooMany(request)) {
+                options.clients.connections.close(request.socket, "pipelined");
+            }
+            else if (measureHead(request) < this.maxHeaderBytes) {
                 void this.handleRequest(request, response);
             }
             else {
@@ -106,6 +116,7 @@
             socket.once("close", () => this.requestCountBySocket.delete(socket));
         });
         closeAfterInput(this.server);
+        options.clients.connections.watch(this.server, options.clients.requestConnections);
         options.activeConfiguration.subscribe(({ configuration }) => this.applyLimits(configuration.limits));
     }
 
@@ -199,6 +210,16 @@
         return this.options.timers.now() >= this.refusesFrom;
     }
 
+    /**
+     * True for a request on a closed connection, and for one that a client sends behind unanswered ones while refusals that
+     * wait to be sent take more memory than the requests that are served.
+     */
+    private isPipeliningTooMany({ socket }: IncomingMessage): boolean {
+        return socket.destroyed
+            || (this.openRequests > PIPELINED_FACTOR * this.options.maxOpenRequests
+                && countOpenResponses(socket) > 1);
+    }
+
     private applyLimits(limits: CallerLimits): void {
         this.server.headersTimeout = limits.headerTimeoutMs;
         this.server.keepAliveTimeout = limits.idleTimeoutMs;
@@ -216,10 +237,12 @@
             () => this.isDraining,
             this.options.peerKey !== undefined,
         );
+        const { clients } = this.options;
+        const account = clients.budget.open("requests");
         this.openRequests += 1;
         this.updateRequestCount(message.socket, 1);
         try {
-            await this.serve(message, response, writer, arrivedAt);
+            await this.serve(message, response, writer, arrivedAt, account);
         }
         catch (cause) {
             this.reportFailure(writer, SchedulerError.fromUnknown(cause));
@@ -227,6 +250,8 @@
         finally {
             // A shutdown must not end the process before the last bytes of a response are flushed.
             await waitUntilFlushed(response);
+            account.close();
+            clients.uploads.closeUnlessEnded(message);
             this.openRequests -= 1;
             this.updateRequestCount(message.socket, -1);
             if (this.openRequests === 0) {
@@ -260,8 +285,9 @@
         response: ServerResponse,
         writer: ResponseWriter,
         arrivedAt: number,
+        account: ByteAccount,
     ): Promise<void> {
-        const { peerKey } = this.options;
+        const { peerKey, clients } = this.options;
         const origin = peerKey === undefined ? undefined : parsePeerHeaders(message.headers, peerKey);
         if (peerKey !== undefined && origin === undefined) {
             this.refuse(writer, "", "", SchedulerError.create("NotPermitted", {}));
@@ -272,12 +298,14 @@
             this.refuse(writer, "", "", metadata.error);
             return;
         }
-        const admitted = this.refuseBeforeAdmission() ?? await this.options.admission.admit(
+        const admitted = this.refuseBeforeAdmission(message, account) ?? await this.options.admission.admit(
             { host: message.headers.host ?? "", path: getPath(message) },
             metadata.value,
         );
         const limitBytes = this.options.activeConfiguration.routeTable?.configuration.limits.bodyBytes ?? 0;
-        const body = admitted.isOk() ? await readBody(message, limitBytes) : Ok(undefined);
+        const body = admitted.isOk()
+            ? await clients.uploads.read(message, account, limitBytes)
+            : Ok(undefined);
         // A body may arrive slowly. Near the end of the grace period, its request would be cut while it runs.
         const isTooLate = admitted.isOk() && this.isRefusingNew;
         const refusal = admitted.isErr() ? admitted.error : body.isErr() ? body.error : undefined;
@@ -296,6 +324,7 @@
             metadata: metadata.value,
             admitted: admitted.value,
             body: body.value,
+            account,
             arrivedAt,
             origin,
         };
@@ -369,19 +398,27 @@
     }
 
     /** Refuses any request while this VM shuts down or is full; undefined when it may be admitted. */
-    private refuseBeforeAdmission(): Result<AdmittedRequest, SchedulerError> | undefined {
-        const { maxOpenRequests } = this.options;
+    private refuseBeforeAdmission(
+        message: IncomingMessage,
+        account: ByteAccount,
+    ): Result<AdmittedRequest, SchedulerError> | undefined {
+        const { maxOpenRequests, clients } = this.options;
         const retry = { retryAfterMs: RETRY_AFTER_MS };
         if (this.isRefusingNew) {
             return Err(SchedulerError.create("Stopping", {}, retry));
         }
-        return this.openRequests > maxOpenRequests
-            ? Err(SchedulerError.create("TooManyStreams", { limit: maxOpenRequests }, retry))
-            : undefined;
+        if (this.openRequests > maxOpenRequests) {
+            return Err(SchedulerError.create("TooManyStreams", { limit: maxOpenRequests }, retry));
+        }
+        if (account.tryAdd(REQUEST_BYTES + measureHead(message))) {
+            return undefined;
+        }
+        clients.recorder.record("memory");
+        return Err(createMemoryError());
     }
 
     private createRequest(
-        { message, metadata, admitted, body, arrivedAt, origin }: ReceivedRequest,
+        { message, metadata, admitted, body, account, arrivedAt, origin }: ReceivedRequest,
     ): RoutedRequest {
         const { table, route, workspace } = admitted;
         const { timers, random } = this.options;
@@ -403,6 +440,7 @@
             configurationVersion: table.configuration.version,
             lifetime: RequestLifetime.create(timers, arrivedAt + limitMs),
             peer: origin?.vm,
+            account,
         };
     }
 
--- a/packages/wigeonpulley/src/forwarding/peer-response.ts
+++ b/packages/wigeonpulley/src/forwarding/peer-response.ts
@@ -6,6 +6,7 @@
 
 /** Errors by which another VM says that it can't serve any request for the service now. */
 const UNABLE_PEER_ERRORS: ReadonlySet<ErrorName> = new Set([
+    "ClientMemoryExhausted",
     "ConfigurationStale",
     "ConfigurationUnavailable",
     "EndpointUnreachable",
@@ -13,6 +14,7 @@
     "NotPermitted",
     "Stopping",
     "TooManyStreams",
+    "UploadTooSlow",
 ]);
 /** Errors of another VM that any VM would respond with. */
 const FINAL_PEER_ERRORS: ReadonlySet<ErrorName> = new Set([
--- a/packages/wigeonpulley/src/forwarding/routed-request.ts
+++ b/packages/wigeonpulley/src/forwarding/routed-request.ts
@@ -1,4 +1,5 @@
 /** A caller's request with its route, and values derived from both. */
+import type { ByteAccount } from "../clients/index.js";
 import { combineRanks } from "../placement/index.js";
 import type { Route, Workspace } from "../routing/index.js";
 import type { RequestMetadata } from "./header-codec.js";
@@ -26,6 +27,8 @@
     readonly lifetime: RequestLifetime;
     /** VM that passed the request on; undefined when a caller sent it to this VM. */
     readonly peer: string | undefined;
+    /** Holds its bytes; undefined where nothing bounds them. */
+    readonly account?: ByteAccount | undefined;
 }
 
 /** By the platform's protocol, callers abandon a stream that is silent for the longest of these three limits. */
--- a/packages/wigeonpulley/src/routed-vm/daemon.ts
+++ b/packages/wigeonpulley/src/routed-vm/daemon.ts
@@ -58,6 +58,7 @@
             getStatus: () => vm.getStatus(),
             drain: () => void this.drain(),
             metrics,
+            clients: vm.clients,
             operatorKeyHash: settings.operatorKeyHash,
         });
     }
--- a/packages/wigeonpulley/src/routed-vm/operator-server.ts
+++ b/packages/wigeonpulley/src/routed-vm/operator-server.ts
@@ -1,6 +1,7 @@
 /** HTTP servers for the load balancer's health checks and for operators: readiness, status, metrics and drain. */
 import { timingSafeEqual } from "node:crypto";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { ClientResources } from "../clients/index.js";
 import { hashKey } from "../config/index.js";
 import type { MetricsRegistry } from "../metrics/index.js";
 
@@ -9,6 +10,12 @@
 const HTTP_FORBIDDEN = 403;
 const HTTP_NOT_FOUND = 404;
 const HTTP_UNAVAILABLE = 503;
+/** Time limits for a request and its head, in milliseconds. Such requests are short and have no body that matters. */
+const HEADERS_TIMEOUT_MS = 5_000;
+const REQUEST_TIMEOUT_MS = 10_000;
+const CONNECTIONS_CHECK_INTERVAL_MS = 1_000;
+/** Unanswered requests on one connection; a client that sends more does not wait for the pages that they ask for. */
+const MAX_UNANSWERED = 8;
 const BEARER = /^bearer +(\S+) *$/i;
 
 /** Dependencies and settings of the server. */
@@ -18,6 +25,7 @@
     /** Starts a graceful shutdown. */
     readonly drain: () => void;
     readonly metrics: MetricsRegistry;
+    readonly clients: ClientResources;
     /** SHA-256 of the operators' key in hexadecimal; without it, status and drain are not permitted. */
     readonly operatorKeyHash: string | undefined;
 }
@@ -61,7 +69,23 @@
         handler: (request: IncomingMessage, response: ServerResponse) => void,
     ): Promise<void> {
         const [host = "", port = "0"] = address.split(":");
-        const server = createServer(handler);
+        const { clients } = this.options;
+        const server = createServer({
+            headersTimeout: HEADERS_TIMEOUT_MS,
+            requestTimeout: REQUEST_TIMEOUT_MS,
+            connectionsCheckingInterval: CONNECTIONS_CHECK_INTERVAL_MS,
+        }, (request, response) => {
+            if (request.socket.destroyed) {
+                return;
+            }
+            clients.uploads.closeUnlessEnded(request);
+            handler(request, response);
+        });
+        clients.connections.watchPipelined(
+            server,
+            { maxConnections: clients.maxOperatorConnections, open: 0 },
+            MAX_UNANSWERED,
+        );
         this.servers.push(server);
         return new Promise((resolve, reject) => {
             server.once("error", reject);
--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -1,5 +1,6 @@
 /** Wires the parts of a VM for routed traffic: configuration, instances, placement, quotas, rollouts and forwarding. */
 import type { Server } from "node:net";
+import { ClientResources } from "../clients/index.js";
 import { type Instance, InstanceDirectory } from "../discovery/index.js";
 import {
     AdmissionCheck,
@@ -76,6 +77,12 @@
 const CANCELLED_FLUSH_MS = 300;
 /** Share of the grace period before which no response is cut: five sixths, and a margin. */
 const UNCUT_GRACE_SHARE = 0.85;
+/** Share of the descriptors for connections with requests; the rest is for endpoints, other VMs, the store and files. */
+const CONNECTION_DESCRIPTOR_SHARE = 0.5;
+/** The same for each of the operators' ports, with its bounds. */
+const OPERATOR_DESCRIPTOR_SHARE = 1 / 32;
+const MIN_OPERATOR_CONNECTIONS = 4;
+const MAX_OPERATOR_CONNECTIONS = 32;
 /** File descriptors planned for an open request: one to the caller, one to the endpoint, and one in reserve. */
 const DESCRIPTORS_PER_REQUEST = 3;
 /** Maximum memory planned for an open request with its body and response, in megabytes. */
@@ -83,6 +90,8 @@
 
 /** One VM for routed traffic. */
 export class RoutedVm extends GossipHandler {
+    /** What clients of all its servers hold. */
+    readonly clients: ClientResources;
     readonly activeConfiguration: ActiveConfiguration;
     readonly directory: InstanceDirectory;
     readonly placement: PlacementService;
@@ -108,6 +117,7 @@
         super();
         const { settings, timers, logger } = options;
         this.bounds = settings.bounds;
+        this.clients = this.createClients();
         this.activeConfiguration = ActiveConfiguration.create(timers, logger);
         this.directory = InstanceDirectory.create(timers, logger);
         this.reports = PeerLoadReports.create(settings.name, timers);
@@ -503,6 +513,21 @@
         });
     }
 
+    private createClients(): ClientResources {
+        const { settings } = this.options;
+        const { clients, memoryMb, mostDescriptors } = settings;
+        return ClientResources.create({
+            ...this.options,
+            settings: clients,
+            memoryMb,
+            maxConnections: Math.floor(mostDescriptors * CONNECTION_DESCRIPTOR_SHARE),
+            maxOperatorConnections: Math.min(
+                MAX_OPERATOR_CONNECTIONS,
+                Math.max(MIN_OPERATOR_CONNECTIONS, Math.floor(mostDescriptors * OPERATOR_DESCRIPTOR_SHARE)),
+            ),
+        });
+    }
+
     private createFrontServer(address: string, peerKey: string | undefined): FrontServer {
         const { settings, timers, random, logger, metrics, adapter } = this.options;
         const { memoryMb, mostDescriptors } = settings;
@@ -514,6 +539,7 @@
             metrics,
             codec: adapter.headerCodec,
             activeConfiguration: this.activeConfiguration,
+            clients: this.clients,
             forwarder: this.forwarder,
             quotaLimiter: this.quotaLimiter,
             host,
