Bound what callers of the product's own interface hold; document the bounds

Cause: Fastify collected each body as text, in pieces for chunks of one byte; nothing bounded the sum of bodies or the number of connections, and request heads without an end were found only every 30 s.

HttpServer reads bodies through the process's budget, watches its connections, and checks time limits every second. A body that is too long gets 413 BodyTooLong, as on routed traffic.

--- a/packages/wigeonpulley/src/gateway/http-server.ts
+++ b/packages/wigeonpulley/src/gateway/http-server.ts
@@ -5,8 +5,10 @@
 import { Readable } from "node:stream";
 import { Err, Ok, type Result } from "ts-results-es";
 import * as z from "zod";
+import { type ClientResources, createMemoryError } from "../clients/index.js";
 import { type Caller, findCaller, hashKey, type Settings } from "../config/index.js";
 import { computeRetryAfterSeconds, createProblemBody, SchedulerError } from "../errors/index.js";
+import { listOpenResponses } from "../http-connections/index.js";
 import type { MetricsRegistry } from "../metrics/index.js";
 import { type CallerRequest, parseChatBody, parseHeaders } from "./caller-request.js";
 import { mergeChunks } from "./chat-completion.js";
@@ -24,12 +26,21 @@
     readonly settings: Settings;
     readonly gateway: Gateway;
     readonly metrics: MetricsRegistry;
+    readonly clients: ClientResources;
     /** Callers by the hash of their key. */
     readonly getCallers: () => ReadonlyMap<string, Caller>;
     readonly isReady: () => boolean;
     readonly operators: OperatorHandlers;
 }
 
+/** Interval at which Node.js checks connections for requests that exceed their timeout. */
+const CONNECTION_CHECK_INTERVAL_MS = 1_000;
+/** Unanswered requests on one connection above which it is closed; ordinary callers send far fewer without waiting. */
+const MAX_UNANSWERED = 256;
+/** Memory planned for a request beside its body, in bytes. */
+const REQUEST_BYTES = 8_192;
+/** Copies of a body that are held while its request is served: its text, and its parsed fields or what goes to the endpoint. */
+const BODY_COPIES = 2;
 const HTTP_OK = 200;
 const HTTP_ACCEPTED = 202;
 const HTTP_UNAVAILABLE = 503;
@@ -49,14 +60,19 @@
         const app = fastify({
             bodyLimit: limits.bodyBytes,
             requestTimeout: limits.headerTimeoutMs,
-            http: { headersTimeout: limits.headerTimeoutMs },
+            http: {
+                headersTimeout: limits.headerTimeoutMs,
+                connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
+            },
             forceCloseConnections: "idle",
         });
         const server = new HttpServer(app, options);
+        server.watchClients();
         server.addCallerRoutes();
         server.addOperatorRoutes();
         app.setErrorHandler((cause, request, reply) => {
-            const isClientError = cause instanceof Error && "statusCode" in cause
+            const isClientError = !(cause instanceof SchedulerError) && cause instanceof Error
+                && "statusCode" in cause
                 && Number(cause.statusCode) < 500;
             const problems = cause instanceof Error ? cause.message : String(cause);
             const error = isClientError
@@ -79,8 +95,50 @@
         return this.app.close();
     }
 
+    private watchClients(): void {
+        const { connections, uploads, requestConnections } = this.options.clients;
+        connections.watchPipelined(this.app.server, requestConnections, MAX_UNANSWERED);
+        this.app.addHook("onResponse", (request, reply, done) => {
+            uploads.closeUnlessEnded(request.raw);
+            done();
+        });
+    }
+
+    /** Reads a body as text. What it holds is released when the response ends. */
+    private async readText(request: FastifyRequest): Promise<string> {
+        const { clients, settings } = this.options;
+        const { raw } = request;
+        const account = clients.budget.open("requests");
+        const response = listOpenResponses(raw.socket).find(({ req }) => req === raw);
+        if (response === undefined || response.closed) {
+            account.close();
+            throw SchedulerError.create("RequestCancelled", {});
+        }
+        response.once("close", () => account.close());
+        if (!account.tryAdd(REQUEST_BYTES)) {
+            clients.recorder.record("memory");
+            throw createMemoryError();
+        }
+        const body = await clients.uploads.read(raw, account, settings.limits.bodyBytes);
+        if (body.isErr()) {
+            throw body.error;
+        }
+        const bytes = body.value ?? Buffer.alloc(0);
+        account.set(REQUEST_BYTES + bytes.length * BODY_COPIES);
+        return bytes.toString();
+    }
+
     private addCallerRoutes(): void {
         const { gateway } = this.options;
+        const parseJson = this.app.getDefaultJsonParser("error", "error");
+        this.app.removeAllContentTypeParsers();
+        this.app.addContentTypeParser("application/json", (request, payload, done) => {
+            this.readText(request).then(
+                text => void parseJson(request, text, done),
+                (cause: Error) => done(cause),
+            );
+        });
+        this.app.addContentTypeParser("text/plain", (request: FastifyRequest) => this.readText(request));
         this.app.post(
             "/v1/chat/completions",
             (request, reply) =>
@@ -113,11 +171,7 @@
         );
         void this.app.register((scope, options, done) => {
             scope.removeAllContentTypeParsers();
-            scope.addContentTypeParser(
-                "*",
-                { parseAs: "string" },
-                (request: unknown, body: string) => Promise.resolve(body),
-            );
+            scope.addContentTypeParser("*", (request: FastifyRequest) => this.readText(request));
             scope.all<{ Params: { service: string; "*": string; }; }>(
                 "/services/:service/*",
                 (request, reply) =>
--- a/packages/wigeonpulley/src/vm/daemon.ts
+++ b/packages/wigeonpulley/src/vm/daemon.ts
@@ -1,4 +1,5 @@
 /** Runs one VM as a process: starts its servers, joins the system and shuts down gracefully. */
+import { ClientResources } from "../clients/index.js";
 import type { Settings } from "../config/index.js";
 import { HttpEndpointClient } from "../endpoints/index.js";
 import { HttpServer } from "../gateway/index.js";
@@ -7,9 +8,11 @@
 import { ConnectPeerTransport, PeerServer } from "../peers/index.js";
 import { HttpPlatformLog, HttpVmList } from "../platform/index.js";
 import { SystemRandom } from "../random/index.js";
-import { SystemTimerService } from "../time/index.js";
+import { SystemTimerService, type TimerService } from "../time/index.js";
 import { EntryVm } from "./entry-vm.js";
 
+/** Connections of callers for each request that may be open, since callers keep idle ones. */
+const CONNECTIONS_PER_REQUEST = 2;
 /** Time for the last bytes of complete responses to reach their callers, in milliseconds. */
 const FLUSH_TIMEOUT_MS = 5_000;
 
@@ -54,6 +57,7 @@
         settings,
         gateway: vm.gateway,
         metrics,
+        clients: createClients(settings, timers, logger, metrics),
         getCallers: () => vm.getCallers(),
         isReady: () => vm.isReady(),
         operators: { getStatus: () => vm.getStatus(), drain: () => shutdown.stop() },
@@ -78,6 +82,23 @@
     return { vm, stop: shutdown.stop, stopped };
 };
 
+const createClients = (
+    settings: Settings,
+    timers: TimerService,
+    logger: EventLogger,
+    metrics: MetricsRegistry,
+): ClientResources =>
+    ClientResources.create({
+        timers,
+        logger,
+        metrics,
+        settings: settings.clients,
+        memoryMb: settings.memoryMb,
+        maxConnections: settings.limits.openRequests * CONNECTIONS_PER_REQUEST,
+        // Operators and callers share one port.
+        maxOperatorConnections: 0,
+    });
+
 /** Creates a shutdown: the first call of `stop` starts it gracefully, a second one ends it at once. */
 const createShutdown = (
     vm: EntryVm,
