Read the kernel's send queues only for connections in doubt

Cause: the monitor read the kernel's list of all connections at every check while any response waited; on a machine with thousands of connections that takes milliseconds of the event loop.

Now a connection whose bytes don't leave the process for half of unreadMs raises the doubt, and only then are the queues read.

--- a/packages/wigeonpulley/src/clients/connection-monitor.ts
+++ b/packages/wigeonpulley/src/clients/connection-monitor.ts
@@ -9,7 +9,7 @@
 import type { ByteAccount, ByteBudget } from "./byte-budget.js";
 import type { ClientSettings } from "./client-settings.js";
 import type { LimitRecorder } from "./limit-recorder.js";
-import { findSendQueue, readSendQueues, type SendQueues } from "./send-queues.js";
+import { findSendQueue, readSendQueues } from "./send-queues.js";
 
 /** Interval between two looks at all connections, in milliseconds; lower for short limits. */
 const MAX_CHECK_INTERVAL_MS = 500;
@@ -39,8 +39,10 @@
     readonly group: ConnectionGroup;
     bytesRead: number;
     inputAt: number;
-    /** Bytes that have left the process and bytes that are not acknowledged; any change shows that the client reads. */
-    sent: string;
+    /** Bytes that have left the process; a change shows that the client reads. */
+    sentBytes: number;
+    /** Bytes that the client has not acknowledged; a change shows the same. Undefined while nothing raises doubts. */
+    sendQueue: number | undefined;
     /** Monotonic time since when the client reads nothing though something waits for it; undefined when nothing waits. */
     unreadSince: number | undefined;
     isClosing: boolean;
@@ -98,7 +100,8 @@
             group,
             bytesRead: socket.bytesRead,
             inputAt: timers.now(),
-            sent: "",
+            sentBytes: 0,
+            sendQueue: undefined,
             unreadSince: undefined,
             isClosing: false,
         };
@@ -168,13 +171,14 @@
     }
 
     private async check(): Promise<void> {
-        const unread = [...this.connections].filter(([{ writableLength }]) => writableLength > 0);
-        const queues = unread.length === 0 ? new Map<string, number>() : await readSendQueues();
-        this.responses.set(unread.reduce((bytes, [{ writableLength }]) => bytes + writableLength, 0));
+        let unreadBytes = 0;
         this.connections.forEach((connection, socket) => {
+            unreadBytes += socket.writableLength;
             this.updateInput(socket, connection);
-            this.checkUnread(socket, connection, queues);
+            this.updateUnread(socket, connection);
         });
+        this.responses.set(unreadBytes);
+        await this.closeUnread();
         this.relieveBudget();
         this.isScheduled = false;
         if (this.connections.size > 0) {
@@ -197,20 +201,41 @@
         }
     }
 
-    private checkUnread(socket: Socket, connection: Connection, queues: SendQueues): void {
-        const { timers, settings } = this.options;
-        const now = timers.now();
+    /** Notes since when the client has read nothing, as far as this process sees without the kernel's lists. */
+    private updateUnread(socket: Socket, connection: Connection): void {
+        const sentBytes = socket.bytesWritten - socket.writableLength;
         if (socket.writableLength === 0) {
             connection.unreadSince = undefined;
-            return;
         }
-        const sent = `${socket.bytesWritten - socket.writableLength} ${findSendQueue(queues, socket) ?? ""}`;
-        if (sent !== connection.sent || connection.unreadSince === undefined) {
-            connection.sent = sent;
-            connection.unreadSince = now;
+        else if (connection.unreadSince === undefined || sentBytes !== connection.sentBytes) {
+            connection.unreadSince = this.options.timers.now();
+            connection.sendQueue = undefined;
         }
-        else if (now - connection.unreadSince >= settings.unreadMs) {
-            this.close(socket, "unread");
+        connection.sentBytes = sentBytes;
+    }
+
+    /**
+     * Closes connections whose clients have read nothing for too long. From half of that time on, it looks at the kernel's send
+     * queues, which are long on a machine with many connections.
+     */
+    private async closeUnread(): Promise<void> {
+        const { timers, settings } = this.options;
+        const findDoubtful = (durationMs: number): readonly (readonly [Socket, Connection])[] =>
+            [...this.connections].filter(([, { unreadSince }]) =>
+                unreadSince !== undefined && timers.now() - unreadSince >= durationMs
+            );
+        const doubtful = findDoubtful(settings.unreadMs / 2);
+        if (doubtful.length === 0) {
+            return;
         }
+        const queues = await readSendQueues();
+        doubtful.forEach(([socket, connection]) => {
+            const sendQueue = findSendQueue(queues, socket);
+            if (connection.sendQueue !== undefined && sendQueue !== connection.sendQueue) {
+                connection.unreadSince = timers.now();
+            }
+            connection.sendQueue = sendQueue;
+        });
+        findDoubtful(settings.unreadMs).forEach(([socket]) => this.close(socket, "unread"));
     }
 }
