--- a/packages/wigeonpulley/src/gateway/http-server.ts
+++ b/packages/wigeonpulley/src/gateway/http-server.ts
@@ -104,10 +104,13 @@
         });
     }
 
-    /** Reads a body as text. What it holds is released when the response ends. */
+    /** Reads the body of a known caller as text. What it holds is released when the response ends. */
     private async readText(request: FastifyRequest): Promise<string> {
-        const { clients, settings } = this.options;
+        const { clients, settings, getCallers } = this.options;
         const { raw } = request;
+        if (Option.isNone(findCaller(getCallers(), parseBearer(request)))) {
+            throw SchedulerError.create("UnknownCaller", {});
+        }
         const account = clients.budget.open("requests");
         const response = listOpenResponses(raw.socket).find(({ req }) => req === raw);
         if (response === undefined || response.closed) {
@@ -121,7 +124,9 @@
         }
         const body = await clients.uploads.read(raw, account, settings.limits.bodyBytes);
         if (body.isErr()) {
-            throw body.error;
+            throw body.error.name === "BodyTooLong"
+                ? SchedulerError.create("InvalidRequest", { problems: body.error.message })
+                : body.error;
         }
         const bytes = body.value ?? Buffer.alloc(0);
         account.set(REQUEST_BYTES + bytes.length * BODY_COPIES);
