Share capacity between the workspaces of a rank in proportion to their weights

Cause: requests of one rank waited in one queue in order of arrival, so a workspace at seven times its usual load, inside its quota, took the capacity of fifteen others. With scarce slots the rule for whose turn it is between VMs also left slots empty while requests waited: it claimed about one slot per check for all VMs together and gave up slots that a VM had freed itself. Ruled out: yielding strictly to VMs whose workspaces are below their shares (slots idle on outdated reports); counting requests instead of tokens; linear counts in reports (round the use of small workspaces). Change: start-time fair queueing over decayed tokens per weight within one combined rank (workspace-shares.ts, share-order.ts); uses and waiting requests by workspace in field 17 of the load report, only for services for which requests wait; waiting requests in the decision whose turn it is are weighted by their workspaces' uses; a VM uses a slot again that it has freed; counts of waiting requests over all VMs are summed when a report arrives, not per request. RequestNotPlaced states the workspace and its share; a metric counts dispatched tokens.

--- a/packages/wigeonpulley/src/logging/event-catalogue.ts
+++ b/packages/wigeonpulley/src/logging/event-catalogue.ts
@@ -225,13 +225,16 @@
             inFlight: number;
             places: number;
             limited: number;
+            workspace: string;
+            sharePercent: number;
         }
     >(
         410,
         "info",
-        ({ id, service, waitedMs, ahead, instances, inFlight, places, limited }) =>
+        ({ id, service, waitedMs, ahead, instances, inFlight, places, limited, workspace, sharePercent }) =>
             `request ${id} got no slot in ${waitedMs} ms: ${ahead} requests ahead, ${instances} instances of ${service} `
-            + `have ${inFlight} requests in flight on ${places} slots, ${limited} of them take none now by their rate limit`,
+            + `have ${inFlight} requests in flight on ${places} slots, ${limited} of them take none now by their rate limit; `
+            + `workspace ${workspace} has used ${sharePercent}% of its share`,
     ),
     RequestRepeated: defineEvent<
         { id: string; instance: string; reason: string; attempts: number; lastEventId: string; }
--- a/packages/wigeonpulley/src/metrics/metrics-registry.ts
+++ b/packages/wigeonpulley/src/metrics/metrics-registry.ts
@@ -25,6 +25,7 @@
     private readonly histograms = new Map<string, Histogram>();
     private readonly requests: Counter<"tier" | "outcome">;
     private readonly controlBytes: Counter<"kind">;
+    private readonly dispatchedTokens: Counter<"workspace">;
 
     private constructor() {
         const registers = [this.registry];
@@ -40,6 +41,12 @@
             labelNames: ["kind"],
             registers,
         });
+        this.dispatchedTokens = new Counter({
+            name: "wigeonpulley_dispatched_tokens_total",
+            help: "Tokens of work dispatched to instances, by workspace; a plain request counts as one.",
+            labelNames: ["workspace"],
+            registers,
+        });
         const phases = new Gauge({
             name: "wigeonpulley_phase_milliseconds",
             help: "Quantiles of the time that requests spent in each phase.",
@@ -81,6 +88,11 @@
         this.controlBytes.inc({ kind }, bytes);
     }
 
+    /** Counts tokens of work that were dispatched to an instance for a workspace. */
+    recordDispatchedTokens(workspace: string, tokens: number): void {
+        this.dispatchedTokens.inc({ workspace }, tokens);
+    }
+
     /** Formats all metrics in the Prometheus text format. */
     formatText(): Promise<string> {
         return this.registry.metrics();
--- a/packages/wigeonpulley/src/placement/brittle-instances.ts
+++ b/packages/wigeonpulley/src/placement/brittle-instances.ts
@@ -78,6 +78,11 @@
         }
     }
 
+    /** True while the instance names how many requests it may turn away. */
+    isBrittle(instance: Instance): boolean {
+        return this.find(instance) !== undefined;
+    }
+
     /** True when this VM, with `inFlight` requests at the instance, may send another one. */
     canSend(instance: Instance, inFlight: number): boolean {
         const brittle = this.find(instance);
--- a/packages/wigeonpulley/src/placement/index.ts
+++ b/packages/wigeonpulley/src/placement/index.ts
@@ -20,4 +20,18 @@
 export { combineRanks, RankFairness } from "./rank-fairness.js";
 export { type QueuedRequest, RankQueue } from "./rank-queue.js";
 export { RankReservation } from "./rank-reservation.js";
+export { computeStartTags, computeTurnWeights, type TurnWeights } from "./share-order.js";
 export { AnyVersionPolicy, VersionPolicy } from "./version-policy.js";
+export {
+    countByRankAndWorkspace,
+    hashWorkspace,
+    type SharedRequest,
+    WorkspaceShares,
+} from "./workspace-shares.js";
+export {
+    decodeUse,
+    encodeUse,
+    type RankUses,
+    selectReportedUses,
+    type WorkspaceUse,
+} from "./workspace-use.js";
--- a/packages/wigeonpulley/src/placement/instance-rate-limits.ts
+++ b/packages/wigeonpulley/src/placement/instance-rate-limits.ts
@@ -107,6 +107,11 @@
         return known.tokens >= 1;
     }
 
+    /** True while the instance fails when it has to turn away too many requests. */
+    isBrittle(instance: Instance): boolean {
+        return this.brittle.isBrittle(instance);
+    }
+
     /** Records that a request is sent to the instance. */
     recordDispatch(instance: Instance): void {
         const known = this.limits.size === 0 ? undefined : this.limits.get(hashIncarnation(instance));
--- a/packages/wigeonpulley/src/placement/peer-load-reports.ts
+++ b/packages/wigeonpulley/src/placement/peer-load-reports.ts
@@ -8,6 +8,7 @@
 } from "../gen/wigeonpulley/peer/v1/peer_pb.js";
 import type { TimerService } from "../time/index.js";
 import { PeerLoads } from "./peer-loads.js";
+import { decodeUse, type WorkspaceUse } from "./workspace-use.js";
 
 /** Age at which a report expires, in milliseconds; several report intervals. */
 const MAX_AGE_MS = 2_500;
@@ -32,14 +33,25 @@
 }
 
 const NO_LOAD: InstanceLoad = { inFlight: 0, pendingTokens: 0, gapMs: 0 };
+const NO_USE: WorkspaceUse = { perWeight: 0, waiting: 0 };
+const NO_USES: ReadonlyMap<number, WorkspaceUse> = new Map();
+
+/** Sums over reports. */
+interface ReportTotals {
+    /** Monotonic time at which the first of the reports expires, in milliseconds. */
+    readonly validUntil: number;
+    readonly byInstance: ReadonlyMap<string, InstanceLoad>;
+    /** Number of waiting requests by service, then by rank. */
+    readonly waiting: ReadonlyMap<string, ReadonlyMap<number, number>>;
+    /** Uses by service, by rank, then by the hash of the workspace's name. */
+    readonly workspaceUses: ReadonlyMap<string, ReadonlyMap<number, ReadonlyMap<number, WorkspaceUse>>>;
+}
 
 /** Holds the newest report of each other VM. */
 export class PeerLoadReports extends PeerLoads {
     private readonly received = new Map<string, ReceivedReport>();
     /** Sums over all unexpired reports; computed again when a report arrives or expires. */
-    private totals:
-        | { readonly validUntil: number; readonly byInstance: ReadonlyMap<string, InstanceLoad>; }
-        | undefined;
+    private totals: ReportTotals | undefined;
 
     private constructor(private readonly ownVm: string, private readonly timers: TimerService) {
         super();
@@ -88,52 +100,42 @@
     }
 
     override countInFlight(instance: string): number {
-        return this.getTotals().get(instance)?.inFlight ?? 0;
+        return this.getTotals().byInstance.get(instance)?.inFlight ?? 0;
     }
 
     override countPendingPromptTokens(instance: string): number {
-        return this.getTotals().get(instance)?.pendingTokens ?? 0;
+        return this.getTotals().byInstance.get(instance)?.pendingTokens ?? 0;
     }
 
     override getEventGapMs(instance: string): number | undefined {
-        const gapMs = this.getTotals().get(instance)?.gapMs ?? 0;
+        const gapMs = this.getTotals().byInstance.get(instance)?.gapMs ?? 0;
         return gapMs === 0 ? undefined : gapMs;
     }
 
     override countWaiting(service: string, rank: number): number {
-        return this.sumReports(({ report }) =>
-            report.queueServices.reduce(
-                (count, name, index) =>
-                    count + (name === service && (report.queueRanks[index] ?? 0) <= rank
-                        ? report.queueWaiting[index] ?? 0
-                        : 0),
-                0,
-            )
-        );
+        let count = 0;
+        for (const [other, waiting] of this.getTotals().waiting.get(service) ?? []) {
+            count += other <= rank ? waiting : 0;
+        }
+        return count;
     }
 
-    private getTotals(): ReadonlyMap<string, InstanceLoad> {
-        const now = this.timers.now();
-        if (this.totals === undefined || now >= this.totals.validUntil) {
-            const byInstance = new Map<string, InstanceLoad>();
-            for (const { loadByInstance } of this.listUnexpired()) {
-                for (const [instance, load] of loadByInstance) {
-                    const total = byInstance.get(instance) ?? NO_LOAD;
-                    byInstance.set(instance, {
-                        inFlight: total.inFlight + load.inFlight,
-                        pendingTokens: total.pendingTokens + load.pendingTokens,
-                        gapMs: Math.max(total.gapMs, load.gapMs),
-                    });
-                }
-            }
-            const oldestMadeAt = Math.min(...[...this.received.values()].map(({ madeAt }) => madeAt));
-            this.totals = { validUntil: oldestMadeAt + MAX_AGE_MS, byInstance };
-        }
-        return this.totals.byInstance;
+    override listWorkspaceUses(service: string, rank: number): ReadonlyMap<number, WorkspaceUse> {
+        return this.getTotals().workspaceUses.get(service)?.get(rank) ?? NO_USES;
     }
 
-    private sumReports(count: (received: ReceivedReport) => number): number {
-        return this.listUnexpired().reduce((total, received) => total + count(received), 0);
+    private getTotals(): ReportTotals {
+        if (this.totals === undefined || this.timers.now() >= this.totals.validUntil) {
+            const reports = this.listUnexpired();
+            const oldestMadeAt = Math.min(...reports.map(({ madeAt }) => madeAt));
+            this.totals = {
+                validUntil: oldestMadeAt + MAX_AGE_MS,
+                byInstance: sumInstanceLoads(reports),
+                waiting: sumWaiting(reports),
+                workspaceUses: sumWorkspaceUses(reports),
+            };
+        }
+        return this.totals;
     }
 
     private listUnexpired(): readonly ReceivedReport[] {
@@ -146,3 +148,53 @@
         return [...this.received.values()];
     }
 }
+
+const sumInstanceLoads = (reports: readonly ReceivedReport[]): ReadonlyMap<string, InstanceLoad> => {
+    const byInstance = new Map<string, InstanceLoad>();
+    for (const { loadByInstance } of reports) {
+        for (const [instance, load] of loadByInstance) {
+            const total = byInstance.get(instance) ?? NO_LOAD;
+            byInstance.set(instance, {
+                inFlight: total.inFlight + load.inFlight,
+                pendingTokens: total.pendingTokens + load.pendingTokens,
+                gapMs: Math.max(total.gapMs, load.gapMs),
+            });
+        }
+    }
+    return byInstance;
+};
+
+const sumWaiting = (reports: readonly ReceivedReport[]): ReportTotals["waiting"] => {
+    const byService = new Map<string, Map<number, number>>();
+    for (const { report } of reports) {
+        report.queueServices.forEach((service, index) => {
+            const byRank = byService.get(service) ?? new Map<number, number>();
+            const rank = report.queueRanks[index] ?? 0;
+            byRank.set(rank, (byRank.get(rank) ?? 0) + (report.queueWaiting[index] ?? 0));
+            byService.set(service, byRank);
+        });
+    }
+    return byService;
+};
+
+const sumWorkspaceUses = (reports: readonly ReceivedReport[]): ReportTotals["workspaceUses"] => {
+    const byService = new Map<string, Map<number, Map<number, WorkspaceUse>>>();
+    for (
+        const { service, rank, workspaces, dispatched, waiting } of reports.flatMap(({ report }) =>
+            report.workspaceShares
+        )
+    ) {
+        const byRank = byService.get(service) ?? new Map<number, Map<number, WorkspaceUse>>();
+        const uses = byRank.get(rank) ?? new Map<number, WorkspaceUse>();
+        workspaces.forEach((workspace, index) => {
+            const total = uses.get(workspace) ?? NO_USE;
+            uses.set(workspace, {
+                perWeight: total.perWeight + decodeUse(dispatched[index] ?? 0),
+                waiting: total.waiting + (waiting[index] ?? 0),
+            });
+        });
+        byRank.set(rank, uses);
+        byService.set(service, byRank);
+    }
+    return byService;
+};
--- a/packages/wigeonpulley/src/placement/peer-loads.ts
+++ b/packages/wigeonpulley/src/placement/peer-loads.ts
@@ -1,3 +1,5 @@
+import type { WorkspaceUse } from "./workspace-use.js";
+
 /** Load that the other VMs put on instances, and their queues, as far as they have reported them. */
 export abstract class PeerLoads {
     /** Number of requests of other VMs in flight at an instance. */
@@ -11,8 +13,13 @@
 
     /** Number of requests of other VMs that wait for the service with the same or a better priority rank. */
     abstract countWaiting(service: string, rank: number): number;
+
+    /** Sums of the other VMs' uses of a service at a rank, by the hash of the workspace's name. */
+    abstract listWorkspaceUses(service: string, rank: number): ReadonlyMap<number, WorkspaceUse>;
 }
 
+const NO_USES: ReadonlyMap<number, WorkspaceUse> = new Map();
+
 /** Loads for a VM that knows of no other VM. */
 export class NoPeerLoads extends PeerLoads {
     private constructor() {
@@ -39,4 +46,8 @@
     override countWaiting(): number {
         return 0;
     }
+
+    override listWorkspaceUses(): ReadonlyMap<number, WorkspaceUse> {
+        return NO_USES;
+    }
 }
--- a/packages/wigeonpulley/src/placement/placement-service.ts
+++ b/packages/wigeonpulley/src/placement/placement-service.ts
@@ -19,7 +19,16 @@
 import { type QueuedRequest, RankQueue } from "./rank-queue.js";
 import { RankReservation } from "./rank-reservation.js";
 import { computeRetryDelayMs } from "./retry-delay.js";
+import { computeStartTags, computeTurnWeights } from "./share-order.js";
 import type { VersionPolicy } from "./version-policy.js";
+import { countByRankAndWorkspace, type SharedRequest, WorkspaceShares } from "./workspace-shares.js";
+import { type RankUses, selectReportedUses } from "./workspace-use.js";
+
+/** Records what is dispatched. */
+export interface DispatchMetrics {
+    /** Counts tokens of work that were dispatched for a workspace. */
+    readonly recordDispatchedTokens: (workspace: string, tokens: number) => void;
+}
 
 /** Options of the service. */
 export interface PlacementServiceOptions {
@@ -34,6 +43,7 @@
     readonly region: string;
     /** Region by data centre. */
     readonly regions: Readonly<Record<string, string>>;
+    readonly metrics?: DispatchMetrics;
 }
 
 /** Share of the target latency within which a request has to start to be on time; the rest is for its first event. */
@@ -42,8 +52,18 @@
 const RECHECK_INTERVAL_MS = 50;
 /** Share of an instance's slots in use from which slots count as scarce. */
 const CONTENDED_SHARE = 0.7;
+/**
+ * Free slots for which the VMs together claim one at each check. Within the second until reports show the claims, about as
+ * many checks follow, so that the free slots are claimed about once.
+ */
+const SLOTS_PER_CLAIM = 20;
+/**
+ * The same for instances that fail when they turn away too many requests, however many slots look free: a claim by an
+ * outdated report is turned away.
+ */
+const BRITTLE_CLAIMS = 0.5;
 
-interface Waiter extends QueuedRequest {
+interface Waiter extends QueuedRequest, SharedRequest {
     readonly request: PlacementRequest;
     readonly settle: (result: Result<Placement, SchedulerError>) => void;
 }
@@ -52,6 +72,17 @@
     readonly queue: RankQueue<Waiter>;
     readonly reservation: RankReservation;
     readonly fairness: RankFairness;
+    readonly shares: WorkspaceShares;
+}
+
+/** State of this VM in one dispatch. */
+interface DispatchRound {
+    /** Number of waiting requests. */
+    readonly waiting: number;
+    /** Instance of which a request of this VM has just released a slot, until the slot is used again. */
+    readonly freedInstance: string | undefined;
+    /** Waiting requests by rank, then by the hash of the workspace's name. */
+    readonly waitingByRank: ReadonlyMap<number, ReadonlyMap<number, number>>;
 }
 
 /** Queues and dispatches the requests of one VM. */
@@ -91,6 +122,9 @@
             const waiter: Waiter = {
                 request,
                 rank: request.rank,
+                workspace: request.workspace,
+                workspaceWeight: request.workspaceWeight,
+                workTokens: request.workTokens,
                 arrivedAt: request.arrivedAt,
                 latestOnTimeStartAt: request.arrivedAt - request.earlierAttemptsMs
                     + request.targetLatencyMs * START_SHARE,
@@ -125,7 +159,7 @@
             return undefined;
         }
         const rank = fairness.computeEffectiveRank(request.rank, this.options.timers.now());
-        const placement = this.place(request, rank, 1);
+        const placement = this.place(request, rank, createRound([request], undefined));
         return placement instanceof Placement ? placement : undefined;
     }
 
@@ -177,20 +211,46 @@
         );
     }
 
+    /**
+     * This VM's part of the workspaces' uses, for its report: only of services for which requests wait somewhere, because
+     * the order matters only there.
+     */
+    listWorkspaceUses(): readonly RankUses[] {
+        const now = this.options.timers.now();
+        return selectReportedUses(
+            [...this.queues]
+                .filter(([service, { queue }]) =>
+                    queue.length > 0
+                    || this.options.peers.countWaiting(service, Number.POSITIVE_INFINITY) > 0
+                )
+                .flatMap(([, { queue, shares }]) => shares.listOwnUses(queue.list(), now)),
+        );
+    }
+
     /** Randomised delay after which a refused caller should retry, in milliseconds. */
     computeRetryAfterMs(remainingMs?: number): number {
         return computeRetryDelayMs(this.options.random, remainingMs);
     }
 
-    private dispatchQueue(service: string): void {
-        const { queue, fairness } = this.getQueue(service);
+    private dispatchQueue(service: string, freedInstance?: string): void {
+        const { queue, fairness, shares } = this.getQueue(service);
         const now = this.options.timers.now();
-        for (
-            const waiter of queue.listInDispatchOrder(now, rank => fairness.computeEffectiveRank(rank, now))
-        ) {
+        const round = createRound(queue.list(), freedInstance);
+        let unusedFreedInstance = freedInstance;
+        const order = queue.listInDispatchOrder(
+            now,
+            rank => fairness.computeEffectiveRank(rank, now),
+            waiters => computeStartTags(waiters, shares, now),
+        );
+        for (const waiter of order) {
             const effectiveRank = fairness.computeEffectiveRank(waiter.rank, now);
-            const placement = this.place(waiter.request, effectiveRank, queue.length);
+            const placement = this.place(waiter.request, effectiveRank, {
+                ...round,
+                waiting: queue.length,
+                freedInstance: unusedFreedInstance,
+            });
             if (placement instanceof Placement) {
+                unusedFreedInstance = undefined;
                 queue.remove(waiter);
                 fairness.recordOutcome(waiter.rank, true, now);
                 waiter.settle(Ok(placement));
@@ -215,7 +275,7 @@
     private place(
         request: PlacementRequest,
         effectiveRank: number,
-        waiting: number,
+        round: DispatchRound,
     ): Placement | ChoiceFailure {
         const { reservation } = this.getQueue(request.service);
         const now = this.options.timers.now();
@@ -226,20 +286,42 @@
         if (typeof choice === "string") {
             return choice;
         }
-        return this.isTurnOfThisVm(request.service, effectiveRank, choice.freeSlots, waiting)
+        return this.isTurnOfThisVm(request.service, effectiveRank, choice, round)
             ? this.occupy(request, choice)
             : "no-place";
     }
 
-    /** Leaves scarce slots to other VMs' requests of better ranks, and shares the rest with those of the same rank. */
-    private isTurnOfThisVm(service: string, rank: number, free: number, waiting: number): boolean {
-        const { peers, random } = this.options;
+    /**
+     * Leaves scarce slots to other VMs' requests of better ranks, and shares the rest with those of the same rank. A slot
+     * that this VM has just freed is its own to use again, because the others learn of it only with the next report; it is
+     * left to them as far as its workspaces are above their shares. At an instance that fails when it has to turn away too
+     * many requests, only the slot that was freed there is used again.
+     */
+    private isTurnOfThisVm(
+        service: string,
+        rank: number,
+        { instance, freeSlots: free }: InstanceChoice,
+        round: DispatchRound,
+    ): boolean {
+        const { peers, random, timers, rateLimits } = this.options;
         const better = peers.countWaiting(service, Math.ceil(rank) - 1);
         if (better > 0 && free <= better) {
             return false;
         }
         const others = peers.countWaiting(service, Math.ceil(rank)) - better;
-        return others === 0 || free > others || random.pickFraction() * (waiting + others) < waiting;
+        if (others === 0 || free > others) {
+            return true;
+        }
+        const waitingOfRank = round.waitingByRank.get(rank) ?? new Map<number, number>();
+        const { shares } = this.getQueue(service);
+        const weights = computeTurnWeights(waitingOfRank, rank, others, shares, timers.now());
+        const isBrittle = rateLimits.isBrittle(instance);
+        if (isBrittle ? instance.id === round.freedInstance : round.freedInstance !== undefined) {
+            return random.pickFraction() < weights.best;
+        }
+        const own = round.waiting - sumCounts(waitingOfRank) + weights.own;
+        const claims = isBrittle ? BRITTLE_CLAIMS : Math.max(1, free / SLOTS_PER_CLAIM);
+        return random.pickFraction() * (own + weights.others) < own * claims;
     }
 
     private occupy(request: PlacementRequest, { instance, uncachedTokens }: InstanceChoice): Placement {
@@ -254,6 +336,11 @@
         this.options.rateLimits.recordDispatch(instance);
         this.health.recordDispatch(instance.id);
         this.options.versions.recordDispatch(instance);
+        const { shares } = this.getQueue(request.service);
+        shares.recordDispatch(request, occupiedAt);
+        if (request.workspace !== undefined) {
+            this.options.metrics?.recordDispatchedTokens(request.workspace, request.workTokens);
+        }
         return InstancePlacement.create({
             timers: this.options.timers,
             loads: this.loads,
@@ -263,6 +350,9 @@
             pendingPromptTokens,
             predictedMs,
             onRelease: (outcome, reason, firstEventMs) => {
+                if (outcome === "full" || outcome === "unreachable") {
+                    shares.removeDispatch(request, occupiedAt, this.options.timers.now());
+                }
                 if (outcome === "success") {
                     const slotTimeMs = this.options.timers.now() - occupiedAt;
                     this.getQueue(request.service).fairness.recordSlotTime(request.rank, slotTimeMs);
@@ -291,7 +381,8 @@
         else {
             this.health.recordOutcome(service, id, outcome, reason);
         }
-        this.dispatchQueue(service);
+        // An instance that turned the request away has freed no slot.
+        this.dispatchQueue(service, outcome === "full" || outcome === "unreachable" ? undefined : id);
     }
 
     private refuse(queue: RankQueue<Waiter>, waiter: Waiter): void {
@@ -330,6 +421,8 @@
             limited: usable.filter(instance =>
                 !this.options.rateLimits.canSend(instance, this.loads.countInFlight(instance.id))
             ).length,
+            workspace: request.workspace ?? "",
+            sharePercent: this.getQueue(request.service).shares.computeSharePercent(request, timers.now()),
         });
     }
 
@@ -347,8 +440,21 @@
                 queue: RankQueue.create<Waiter>(),
                 reservation: RankReservation.create(),
                 fairness: RankFairness.create(),
+                shares: WorkspaceShares.create(service, this.options.peers),
             };
         this.queues.set(service, serviceQueue);
         return serviceQueue;
     }
 }
+
+const createRound = (
+    requests: readonly SharedRequest[],
+    freedInstance: string | undefined,
+): DispatchRound => ({
+    waiting: requests.length,
+    freedInstance,
+    waitingByRank: countByRankAndWorkspace(requests),
+});
+
+const sumCounts = (counts: ReadonlyMap<number, number>): number =>
+    [...counts.values()].reduce((sum, count) => sum + count, 0);
--- a/packages/wigeonpulley/src/placement/rank-queue.ts
+++ b/packages/wigeonpulley/src/placement/rank-queue.ts
@@ -1,6 +1,7 @@
 /**
  * Orders the requests that wait for one service: strictly by priority rank; within a rank those that can still be on
- * time first; then by arrival. A request that can no longer be on time loses nothing by waiting behind one that can.
+ * time first; then by start tag, which gives each workspace its share; then by arrival. A request that can no longer be on
+ * time loses nothing by waiting behind one that can.
  */
 
 /** One waiting request. */
@@ -13,6 +14,9 @@
     readonly latestOnTimeStartAt: number;
 }
 
+/** Computes the start tags of requests of the same rank; given those that can still be on time first, then by arrival. */
+export type StartTagFunction<Request> = (requests: readonly Request[]) => ReadonlyMap<Request, number>;
+
 /** Queue of one service on this VM. */
 export class RankQueue<Request extends QueuedRequest> {
     /** Sorted by rank, then by arrival. */
@@ -30,6 +34,11 @@
         return this.requests.length;
     }
 
+    /** Waiting requests by rank, then by arrival. */
+    list(): readonly Request[] {
+        return this.requests;
+    }
+
     /** Adds a request. */
     add(request: Request): void {
         const index = this.requests.findIndex(({ rank, arrivedAt }) =>
@@ -53,11 +62,12 @@
 
     /**
      * Requests in the order of dispatch at the monotonic time `now`, in milliseconds. `computeEffectiveRank` may move a
-     * rank ahead of others.
+     * rank ahead of others; within a rank, the lowest start tag goes first.
      */
     listInDispatchOrder(
         now: number,
         computeEffectiveRank: (rank: number) => number = rank => rank,
+        computeStartTags: StartTagFunction<Request> = () => new Map(),
     ): readonly Request[] {
         const effectiveRanks = new Map([...new Set(this.requests.map(({ rank }) => rank))].map(rank => [
             rank,
@@ -65,8 +75,14 @@
         ]));
         const getRank = ({ rank }: Request): number => effectiveRanks.get(rank) ?? rank;
         const computeLateness = (request: Request): number => request.latestOnTimeStartAt < now ? 1 : 0;
-        return this.requests.toSorted((left, right) =>
+        const onTimeFirst = [0, 1].flatMap(lateness =>
+            this.requests.filter(request => computeLateness(request) === lateness)
+        );
+        const startTags = computeStartTags(onTimeFirst);
+        const getStartTag = (request: Request): number => startTags.get(request) ?? 0;
+        return onTimeFirst.toSorted((left, right) =>
             getRank(left) - getRank(right) || computeLateness(left) - computeLateness(right)
+            || left.rank - right.rank || getStartTag(left) - getStartTag(right)
         );
     }
 
--- a/packages/wigeonpulley/src/routed-vm/report-service.ts
+++ b/packages/wigeonpulley/src/routed-vm/report-service.ts
@@ -8,7 +8,7 @@
     LoadReportSchema,
 } from "../gen/wigeonpulley/peer/v1/peer_pb.js";
 import { ReportGossip } from "../membership/index.js";
-import type { PeerLoadReports, PlacementService } from "../placement/index.js";
+import { encodeUse, type PeerLoadReports, type PlacementService } from "../placement/index.js";
 import type { SharedQuotaLimiter, WorkspaceUsage } from "../quotas/index.js";
 import { type RolloutProgress, type RolloutService, rolloutStateSchema } from "../rollouts/index.js";
 
@@ -80,6 +80,13 @@
                 good: evidence.map(({ good }) => good),
                 bad: evidence.map(({ bad }) => bad),
             })),
+            workspaceShares: placement.listWorkspaceUses().map(({ service, rank, uses }) => ({
+                service,
+                rank,
+                workspaces: [...uses.keys()],
+                dispatched: [...uses.values()].map(({ perWeight }) => encodeUse(perWeight)),
+                waiting: [...uses.values()].map(({ waiting }) => waiting),
+            })),
         });
     }
 }
--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -127,9 +127,7 @@
             listVms: () => this.listSendingVms(),
         });
         this.placement = PlacementService.create({
-            timers,
-            random: options.random,
-            logger,
+            ...options,
             directory: this.directory,
             peers: this.reports,
             rateLimits: this.rateLimits,
--- a/packages/wigeonpulley/test/compatibility/recorded-examples.test.ts
+++ b/packages/wigeonpulley/test/compatibility/recorded-examples.test.ts
@@ -44,6 +44,7 @@
     MemberDigestSchema,
     parseRequestLogLine,
     PeerLoadReports,
+    type RankUses,
     type RecordBatch,
     ReportService,
     ResumeTokenSigner,
@@ -152,7 +153,7 @@
     );
 
 /** Creates a report service whose sources return fixed values; `applied` collects what it passes on of others' reports. */
-const createReportService = (applied: unknown[]): ReportService =>
+const createReportService = (applied: unknown[], uses: readonly RankUses[] = []): ReportService =>
     ReportService.create(
         {
             self: "vm-1",
@@ -162,6 +163,7 @@
                 countPendingPromptTokens: () => 1_234.4,
                 getEventGapMs: () => 27,
                 listQueueLengths: () => [{ service: "desk", rank: 2, count: 9 }],
+                listWorkspaceUses: () => uses,
                 dispatchAllQueues: () => undefined,
             },
             quotaLimiter: {
@@ -194,6 +196,25 @@
     return Buffer.from(report?.report ?? []).toString("hex");
 };
 
+/** A report that states the shares of workspaces, as it is encoded and as another VM reads it. */
+const exchangeShares = (): unknown => {
+    const uses = new Map([[17, { perWeight: 0.25, waiting: 0 }], [3_704_110_265, {
+        perWeight: 1e-6,
+        waiting: 4,
+    }]]);
+    const [carried] = createReportService([], [{ service: "desk", rank: 2, uses }]).createReports(5n);
+    const reports = PeerLoadReports.create("vm-9", VirtualTimerService.create());
+    if (carried !== undefined) {
+        reports.applyReport(carried);
+    }
+    return {
+        encoded: Buffer.from(carried?.report ?? []).toString("hex"),
+        decoded: [...reports.listWorkspaceUses("desk", 2)].map((
+            [workspace, { perWeight, waiting }],
+        ) => [workspace, perWeight.toPrecision(6), waiting]),
+    };
+};
+
 const decodeReport = (): unknown => {
     const applied: unknown[] = [];
     const report = Buffer.from(String(RECORDED["report"]), "hex");
@@ -360,6 +381,7 @@
     messages: encodeMessages,
     report: encodeReport,
     reportApplied: decodeReport,
+    reportOfShares: exchangeShares,
     claims: foldClaims,
     configuration: foldConfigurationRecords,
     token: signToken,
