Refuse requests at their arrival that can't be expected to start in time

Cause: above capacity, requests waited for 1.4 target latencies and were then refused, and callers returned only to be refused again. Ruled out: the rate of slots freed lately (at a jump it is that of the load before); refusing at the whole expected wait (at 40 VMs fewer requests on time); counting later requests of better ranks for requests that can be on time (RankFairness changes the order within a second). Change: a forecast in acquire from the queue ahead in dispatch order, here and as reported, and the rate of freed slots by Little's law; uncertain forecasts queue the request, as do brittle instances, idle services and waiting requests of worse ranks. Retry-After follows the forecast, within a third of the time that is left, which now excludes the wait. Requests that came back are queued by the arrival of their first attempt. RequestNotPlaced states the forecast.

--- a/packages/wigeonpulley/src/logging/event-catalogue.ts
+++ b/packages/wigeonpulley/src/logging/event-catalogue.ts
@@ -227,14 +227,31 @@
             limited: number;
             workspace: string;
             sharePercent: number;
+            forecastMs: number;
+            freedPerS: number;
         }
     >(
         410,
         "info",
-        ({ id, service, waitedMs, ahead, instances, inFlight, places, limited, workspace, sharePercent }) =>
-            `request ${id} got no slot in ${waitedMs} ms: ${ahead} requests ahead, ${instances} instances of ${service} `
+        (
+            {
+                id,
+                service,
+                waitedMs,
+                ahead,
+                instances,
+                inFlight,
+                places,
+                limited,
+                workspace,
+                sharePercent,
+                forecastMs,
+                freedPerS,
+            },
+        ) => `request ${id} got no slot in ${waitedMs} ms: ${ahead} requests ahead, ${instances} instances of ${service} `
             + `have ${inFlight} requests in flight on ${places} slots, ${limited} of them take none now by their rate limit; `
-            + `workspace ${workspace} has used ${sharePercent}% of its share`,
+            + `workspace ${workspace} has used ${sharePercent}% of its share; `
+            + `expected at its arrival to wait ${forecastMs} ms while ${freedPerS} slots a second are freed (-1: not refused then)`,
     ),
     RequestRepeated: defineEvent<
         { id: string; instance: string; reason: string; attempts: number; lastEventId: string; }
--- a/packages/wigeonpulley/src/placement/index.ts
+++ b/packages/wigeonpulley/src/placement/index.ts
@@ -2,6 +2,7 @@
  * Placement: assigns requests to instances, orders the queues and detects failing instances.
  * Doesn't decide on retries and opens no connection.
  */
+export { type AdmissionRefusal, forecastAdmission, type ForecastInput } from "./admission-forecast.js";
 export { DecayingLinearRegression } from "./decaying-linear-regression.js";
 export { InstanceHealth, type RequestOutcome } from "./instance-health.js";
 export { createFirstEventRegression, InstanceLatencyModel } from "./instance-latency-model.js";
@@ -20,7 +21,9 @@
 export { combineRanks, RankFairness } from "./rank-fairness.js";
 export { type QueuedRequest, RankQueue } from "./rank-queue.js";
 export { RankReservation } from "./rank-reservation.js";
-export { computeStartTags, computeTurnWeights, type TurnWeights } from "./share-order.js";
+export { computeForecastRetryDelayMs, computeRetryDelayMs } from "./retry-delay.js";
+export { computeStartTags, computeTurnWeights, countPeersAhead, type TurnWeights } from "./share-order.js";
+export { SlotTurnover } from "./slot-turnover.js";
 export { AnyVersionPolicy, VersionPolicy } from "./version-policy.js";
 export {
     countByRankAndWorkspace,
--- a/packages/wigeonpulley/src/placement/peer-load-reports.ts
+++ b/packages/wigeonpulley/src/placement/peer-load-reports.ts
@@ -34,6 +34,7 @@
 
 const NO_LOAD: InstanceLoad = { inFlight: 0, pendingTokens: 0, gapMs: 0 };
 const NO_USE: WorkspaceUse = { perWeight: 0, waiting: 0 };
+const NO_WAITING: ReadonlyMap<number, number> = new Map();
 const NO_USES: ReadonlyMap<number, WorkspaceUse> = new Map();
 
 /** Sums over reports. */
@@ -114,12 +115,16 @@
 
     override countWaiting(service: string, rank: number): number {
         let count = 0;
-        for (const [other, waiting] of this.getTotals().waiting.get(service) ?? []) {
+        for (const [other, waiting] of this.listWaiting(service)) {
             count += other <= rank ? waiting : 0;
         }
         return count;
     }
 
+    override listWaiting(service: string): ReadonlyMap<number, number> {
+        return this.getTotals().waiting.get(service) ?? NO_WAITING;
+    }
+
     override listWorkspaceUses(service: string, rank: number): ReadonlyMap<number, WorkspaceUse> {
         return this.getTotals().workspaceUses.get(service)?.get(rank) ?? NO_USES;
     }
--- a/packages/wigeonpulley/src/placement/peer-loads.ts
+++ b/packages/wigeonpulley/src/placement/peer-loads.ts
@@ -14,10 +14,14 @@
     /** Number of requests of other VMs that wait for the service with the same or a better priority rank. */
     abstract countWaiting(service: string, rank: number): number;
 
+    /** Number of requests of other VMs that wait for the service, by rank. */
+    abstract listWaiting(service: string): ReadonlyMap<number, number>;
+
     /** Sums of the other VMs' uses of a service at a rank, by the hash of the workspace's name. */
     abstract listWorkspaceUses(service: string, rank: number): ReadonlyMap<number, WorkspaceUse>;
 }
 
+const NO_WAITING: ReadonlyMap<number, number> = new Map();
 const NO_USES: ReadonlyMap<number, WorkspaceUse> = new Map();
 
 /** Loads for a VM that knows of no other VM. */
@@ -47,6 +51,10 @@
         return 0;
     }
 
+    override listWaiting(): ReadonlyMap<number, number> {
+        return NO_WAITING;
+    }
+
     override listWorkspaceUses(): ReadonlyMap<number, WorkspaceUse> {
         return NO_USES;
     }
--- a/packages/wigeonpulley/src/placement/placement-service.ts
+++ b/packages/wigeonpulley/src/placement/placement-service.ts
@@ -8,6 +8,7 @@
 import type { EventLogger } from "../logging/index.js";
 import type { RandomSource } from "../random/index.js";
 import type { TimerService } from "../time/index.js";
+import { type AdmissionRefusal, forecastAdmission } from "./admission-forecast.js";
 import { type ChoiceFailure, type InstanceChoice, InstanceChooser } from "./instance-chooser.js";
 import { InstanceHealth } from "./instance-health.js";
 import { InstanceLoads } from "./instance-loads.js";
@@ -18,10 +19,16 @@
 import { RankFairness } from "./rank-fairness.js";
 import { type QueuedRequest, RankQueue } from "./rank-queue.js";
 import { RankReservation } from "./rank-reservation.js";
-import { computeRetryDelayMs } from "./retry-delay.js";
-import { computeStartTags, computeTurnWeights } from "./share-order.js";
+import { computeForecastRetryDelayMs, computeRetryDelayMs } from "./retry-delay.js";
+import { computeStartTags, computeTurnWeights, countPeersAhead } from "./share-order.js";
+import { SlotTurnover } from "./slot-turnover.js";
 import type { VersionPolicy } from "./version-policy.js";
-import { countByRankAndWorkspace, type SharedRequest, WorkspaceShares } from "./workspace-shares.js";
+import {
+    countByRankAndWorkspace,
+    hashWorkspace,
+    type SharedRequest,
+    WorkspaceShares,
+} from "./workspace-shares.js";
 import { type RankUses, selectReportedUses } from "./workspace-use.js";
 
 /** Records what is dispatched. */
@@ -57,6 +64,8 @@
  * many checks follow, so that the free slots are claimed about once.
  */
 const SLOTS_PER_CLAIM = 20;
+/** Ratio of a workspace's use to another's from which the other's later requests go ahead of its own. */
+const LASTING_EXCESS = 1.5;
 /**
  * The same for instances that fail when they turn away too many requests, however many slots look free: a claim by an
  * outdated report is turned away.
@@ -65,6 +74,8 @@
 
 interface Waiter extends QueuedRequest, SharedRequest {
     readonly request: PlacementRequest;
+    /** Monotonic time at which it was added to the queue, in milliseconds. */
+    readonly queuedAt: number;
     readonly settle: (result: Result<Placement, SchedulerError>) => void;
 }
 
@@ -73,6 +84,7 @@
     readonly reservation: RankReservation;
     readonly fairness: RankFairness;
     readonly shares: WorkspaceShares;
+    readonly turnover: SlotTurnover;
 }
 
 /** State of this VM in one dispatch. */
@@ -121,11 +133,13 @@
             let cancelTimeout = (): void => undefined;
             const waiter: Waiter = {
                 request,
+                queuedAt: timers.now(),
                 rank: request.rank,
                 workspace: request.workspace,
                 workspaceWeight: request.workspaceWeight,
                 workTokens: request.workTokens,
-                arrivedAt: request.arrivedAt,
+                // A request that came back goes ahead of new ones of its rank and workspace.
+                arrivedAt: request.arrivedAt - request.earlierAttemptsMs,
                 latestOnTimeStartAt: request.arrivedAt - request.earlierAttemptsMs
                     + request.targetLatencyMs * START_SHARE,
                 settle: result => {
@@ -136,7 +150,11 @@
             };
             queue.add(waiter);
             this.dispatchQueue(request.service);
-            if (queue.has(waiter)) {
+            const refusal = queue.has(waiter) ? this.forecastRefusal(waiter) : undefined;
+            if (refusal !== undefined) {
+                this.refuse(queue, waiter, refusal);
+            }
+            else if (queue.has(waiter)) {
                 cancelTimeout = timers.schedule(
                     request.waitUntil - timers.now(),
                     () => this.refuse(queue, waiter),
@@ -233,7 +251,7 @@
     }
 
     private dispatchQueue(service: string, freedInstance?: string): void {
-        const { queue, fairness, shares } = this.getQueue(service);
+        const { queue, fairness, shares, turnover } = this.getQueue(service);
         const now = this.options.timers.now();
         const round = createRound(queue.list(), freedInstance);
         let unusedFreedInstance = freedInstance;
@@ -253,12 +271,21 @@
                 unusedFreedInstance = undefined;
                 queue.remove(waiter);
                 fairness.recordOutcome(waiter.rank, true, now);
+                turnover.recordStart(
+                    waiter.rank,
+                    hashWorkspace(waiter.workspace),
+                    waiter.latestOnTimeStartAt >= now,
+                    now,
+                );
                 waiter.settle(Ok(placement));
             }
             else if (placement === "no-place" && waiter.request.excludedInstances.size === 0) {
                 break;
             }
         }
+        const isAnyWaiting = queue.length > 0
+            || this.options.peers.countWaiting(service, Number.POSITIVE_INFINITY) > 0;
+        turnover.recordWaiting(isAnyWaiting, now);
         this.scheduleRecheck(queue);
     }
 
@@ -355,7 +382,9 @@
                 }
                 if (outcome === "success") {
                     const slotTimeMs = this.options.timers.now() - occupiedAt;
-                    this.getQueue(request.service).fairness.recordSlotTime(request.rank, slotTimeMs);
+                    const { fairness, turnover } = this.getQueue(request.service);
+                    fairness.recordSlotTime(request.rank, slotTimeMs);
+                    turnover.recordSlotTime(slotTimeMs, this.options.timers.now());
                 }
                 if (outcome === "success" || outcome === "failure") {
                     this.options.versions.recordOutcome(
@@ -385,7 +414,77 @@
         this.dispatchQueue(service, outcome === "full" || outcome === "unreachable" ? undefined : id);
     }
 
-    private refuse(queue: RankQueue<Waiter>, waiter: Waiter): void {
+    /** Returns why a waiting request is refused at its arrival; undefined when it stays in the queue. */
+    private forecastRefusal(waiter: Waiter): AdmissionRefusal | undefined {
+        const { request, rank, latestOnTimeStartAt } = waiter;
+        // A request that was sent before is not refused early, because that attempt would be wasted.
+        if (request.excludedInstances.size > 0) {
+            return undefined;
+        }
+        const { queue, fairness, shares, turnover } = this.getQueue(request.service);
+        const now = this.options.timers.now();
+        const { isBrittle, inFlight, slots } = this.observeCapacity(request.service);
+        const getRank = (other: number): number => fairness.computeEffectiveRank(other, now);
+        const effectiveRank = getRank(rank);
+        const isBetter = (other: number): boolean => getRank(other) < effectiveRank;
+        const order = queue.listInDispatchOrder(
+            now,
+            getRank,
+            waiters => computeStartTags(waiters, shares, now),
+        );
+        const ownAhead = order.indexOf(waiter);
+        const others = queue.list().filter(other => other !== waiter);
+        const ofRank = others.filter(other => other.rank === rank);
+        const ownAheadLate = others.filter(other => isBetter(other.rank)).length + ofRank.length;
+        const peers = this.options.peers.listWaiting(request.service);
+        const peersBetter = sumCounts(new Map([...peers].filter(([other]) => isBetter(other))));
+        const peersOfRank = peers.get(rank) ?? 0;
+        const startTag = computeStartTags(order, shares, now).get(waiter) ?? 0;
+        const isBelow = (workspace: number): boolean =>
+            shares.computeUse(rank, workspace, now) * LASTING_EXCESS < startTag;
+        // Late requests of other VMs are as frequent as here, as far as known.
+        const onTimeShare = (ofRank.filter(other => other.latestOnTimeStartAt >= now).length + 1)
+            / (ofRank.length + 1);
+        return forecastAdmission({
+            now,
+            latestOnTimeStartAt,
+            waitUntil: request.waitUntil,
+            aheadOnTime: ownAhead + peersBetter
+                + countPeersAhead(waiter, startTag, peersOfRank, shares, now) * onTimeShare,
+            aheadLate: Math.max(ownAhead, ownAheadLate) + peersBetter + peersOfRank,
+            overtakingOnTime: turnover.computeOvertakingShare(
+                (other, workspace, isOnTime) => other === rank && isOnTime && isBelow(workspace),
+                now,
+            ),
+            overtakingLate: turnover.computeOvertakingShare(
+                (other, unused, isOnTime) => isBetter(other) || (other === rank && isOnTime),
+                now,
+            ),
+            // The slots that brittle instances offer change with each request that they turn away.
+            freedPerS: isBrittle ? undefined : turnover.estimateFreedPerS(inFlight, now),
+            isIdle: inFlight * 2 < slots && others.length === 0 && sumCounts(peers) === 0,
+            isWorseRankWaiting: others.some(other => getRank(other.rank) > effectiveRank)
+                || [...peers].some(([other, count]) => count > 0 && getRank(other) > effectiveRank),
+        });
+    }
+
+    /** Requests in flight and slots of the service's usable instances; their changes make forecasts uncertain. */
+    private observeCapacity(
+        service: string,
+    ): { readonly isBrittle: boolean; readonly inFlight: number; readonly slots: number; } {
+        const usable = this.options.directory.list().filter(({ id, service: other, state }) =>
+            other === service && state === "ready" && this.health.isTrusted(id)
+        );
+        const slots = usable.reduce((sum, instance) => sum + instance.slots, 0);
+        this.getQueue(service).turnover.recordCapacity(usable.length, slots, this.options.timers.now());
+        return {
+            isBrittle: usable.some(instance => this.options.rateLimits.isBrittle(instance)),
+            inFlight: usable.reduce((sum, instance) => sum + this.chooser.countInFlight(instance), 0),
+            slots,
+        };
+    }
+
+    private refuse(queue: RankQueue<Waiter>, waiter: Waiter, refusal?: AdmissionRefusal): void {
         queue.remove(waiter);
         const { directory, timers } = this.options;
         const { service, rank, excludedInstances } = waiter.request;
@@ -393,8 +492,16 @@
         const instances = directory.list().filter(instance =>
             instance.service === service && !excludedInstances.has(instance.id)
         );
-        this.writeRefusal(queue, waiter, instances);
-        const retryAfterMs = this.computeRetryAfterMs(waiter.request.remainingMs);
+        this.writeRefusal(queue, waiter, instances, refusal);
+        const remainingMs = waiter.request.remainingMs - (timers.now() - waiter.queuedAt);
+        const retryAfterMs = refusal === undefined
+            ? this.computeRetryAfterMs(remainingMs)
+            : computeForecastRetryDelayMs(
+                this.options.random,
+                remainingMs,
+                refusal.roomInMs,
+                waiter.request.earlierAttemptsMs > 0,
+            );
         waiter.settle(Err(
             instances.length > 0
                 ? SchedulerError.create("Overloaded", { tier: String(rank) }, { retryAfterMs })
@@ -404,8 +511,9 @@
 
     private writeRefusal(
         queue: RankQueue<Waiter>,
-        { request }: Waiter,
+        { request, arrivedAt }: Waiter,
         instances: readonly Instance[],
+        refusal: AdmissionRefusal | undefined,
     ): void {
         const { timers, logger } = this.options;
         const usable = instances.filter(({ id, state }) => state === "ready" && this.health.canUse(id));
@@ -414,7 +522,7 @@
             service: request.service,
             rank: request.rank,
             waitedMs: Math.round(timers.now() - request.arrivedAt),
-            ahead: queue.countAhead(request.rank, request.arrivedAt),
+            ahead: queue.countAhead(request.rank, arrivedAt),
             instances: usable.length,
             inFlight: usable.reduce((sum, instance) => sum + this.chooser.countInFlight(instance), 0),
             places: usable.reduce((sum, { slots }) => sum + slots, 0),
@@ -422,6 +530,8 @@
                 !this.options.rateLimits.canSend(instance, this.loads.countInFlight(instance.id))
             ).length,
             workspace: request.workspace ?? "",
+            forecastMs: Math.round(refusal?.waitMs ?? -1),
+            freedPerS: Math.round(refusal?.freedPerS ?? -1),
             sharePercent: this.getQueue(request.service).shares.computeSharePercent(request, timers.now()),
         });
     }
@@ -431,6 +541,7 @@
         this.health.retain(ids);
         this.loads.retain(ids);
         this.options.rateLimits.retain(this.options.directory.list());
+        this.queues.forEach((unused, service) => this.observeCapacity(service));
         this.dispatchAllQueues();
     }
 
@@ -441,6 +552,7 @@
                 reservation: RankReservation.create(),
                 fairness: RankFairness.create(),
                 shares: WorkspaceShares.create(service, this.options.peers),
+                turnover: SlotTurnover.create(),
             };
         this.queues.set(service, serviceQueue);
         return serviceQueue;
--- a/packages/wigeonpulley/src/placement/share-order.ts
+++ b/packages/wigeonpulley/src/placement/share-order.ts
@@ -80,3 +80,23 @@
             + peerUses.reduce((sum, [workspace, use]) => sum + use.waiting * getWeight(workspace), 0),
     };
 };
+
+/**
+ * Number of a rank's `waiting` requests of other VMs that are dispatched before a request with the given start tag: those of
+ * its own workspace and of workspaces with a lower use. Those whose workspaces were not reported count, too.
+ */
+export const countPeersAhead = (
+    request: SharedRequest,
+    startTag: number,
+    waiting: number,
+    shares: WorkspaceShares,
+    now: number,
+): number => {
+    const own = hashWorkspace(request.workspace);
+    let behind = 0;
+    for (const [workspace, use] of shares.listPeerUses(request.rank)) {
+        const isAhead = workspace === own || shares.computeUse(request.rank, workspace, now) < startTag;
+        behind += isAhead ? 0 : use.waiting;
+    }
+    return Math.max(0, waiting - behind);
+};
