--- a/packages/wigeonpulley/src/metrics/metrics-registry.ts
+++ b/packages/wigeonpulley/src/metrics/metrics-registry.ts
@@ -29,6 +29,7 @@
     private readonly requests: Counter<"tier" | "outcome">;
     private readonly controlBytes: Counter<"kind">;
     private readonly clientLimits: Counter<"limit">;
+    private readonly dispatchedTokens: Counter<"workspace">;
 
     private constructor() {
         const registers = [this.registry];
@@ -48,6 +49,12 @@
             name: "wigeonpulley_client_limits_total",
             help: "Requests and connections of clients that a limit refused or ended.",
             labelNames: ["limit"],
+            registers: [this.registry],
+        });
+        this.dispatchedTokens = new Counter({
+            name: "wigeonpulley_dispatched_tokens_total",
+            help: "Tokens of work dispatched to instances, by workspace; a plain request counts as one.",
+            labelNames: ["workspace"],
             registers,
         });
         const phases = new Gauge({
@@ -117,6 +124,11 @@
         });
     }
 
+    /** Counts tokens of work that were dispatched to an instance for a workspace. */
+    recordDispatchedTokens(workspace: string, tokens: number): void {
+        this.dispatchedTokens.inc({ workspace }, tokens);
+    }
+
     /** Formats all metrics in the Prometheus text format. */
     formatText(): Promise<string> {
         return this.registry.metrics();
--- a/packages/wigeonpulley/src/placement/index.ts
+++ b/packages/wigeonpulley/src/placement/index.ts
@@ -2,6 +2,7 @@
  * Placement: assigns requests to instances, orders the queues and detects failing instances.
  * Doesn't decide on retries and opens no connection.
  */
+export { type AdmissionRefusal, forecastAdmission, type ForecastInput } from "./admission-forecast.js";
 export {
     combineAllowedRegions,
     computeAllowedRegions,
@@ -46,4 +47,20 @@
 export { combineRanks, RankFairness } from "./rank-fairness.js";
 export { type QueuedRequest, RankQueue } from "./rank-queue.js";
 export { RankReservation } from "./rank-reservation.js";
+export { computeForecastRetryDelayMs, computeRetryDelayMs } from "./retry-delay.js";
+export { computeStartTags, computeTurnWeights, countPeersAhead, type TurnWeights } from "./share-order.js";
+export { SlotTurnover } from "./slot-turnover.js";
 export { AnyVersionPolicy, VersionPolicy } from "./version-policy.js";
+export {
+    countByRankAndWorkspace,
+    hashWorkspace,
+    type SharedRequest,
+    WorkspaceShares,
+} from "./workspace-shares.js";
+export {
+    decodeUse,
+    encodeUse,
+    type RankUses,
+    selectReportedUses,
+    type WorkspaceUse,
+} from "./workspace-use.js";
--- a/packages/wigeonpulley/src/placement/peer-loads.ts
+++ b/packages/wigeonpulley/src/placement/peer-loads.ts
@@ -1,3 +1,5 @@
+import type { WorkspaceUse } from "./workspace-use.js";
+
 /** Load that the other VMs put on instances, and their queues, as far as they have reported them. */
 export abstract class PeerLoads {
     /** Number of requests of other VMs in flight at an instance. */
@@ -17,8 +19,16 @@
 
     /** The same for requests that are bound to regions, among them the given one. */
     abstract countWaitingInRegion(service: string, rank: number, region: string): number;
+    /** Number of requests of other VMs that wait for the service, by rank. */
+    abstract listWaiting(service: string): ReadonlyMap<number, number>;
+
+    /** Sums of the other VMs' uses of a service at a rank, by the hash of the workspace's name. */
+    abstract listWorkspaceUses(service: string, rank: number): ReadonlyMap<number, WorkspaceUse>;
 }
 
+const NO_WAITING: ReadonlyMap<number, number> = new Map();
+const NO_USES: ReadonlyMap<number, WorkspaceUse> = new Map();
+
 /** Loads for a VM that knows of no other VM. */
 export class NoPeerLoads extends PeerLoads {
     private constructor() {
@@ -49,4 +59,12 @@
     override countWaitingInRegion(): number {
         return 0;
     }
+
+    override listWaiting(): ReadonlyMap<number, number> {
+        return NO_WAITING;
+    }
+
+    override listWorkspaceUses(): ReadonlyMap<number, WorkspaceUse> {
+        return NO_USES;
+    }
 }
--- a/packages/wigeonpulley/src/placement/placement-service.ts
+++ b/packages/wigeonpulley/src/placement/placement-service.ts
@@ -8,6 +8,7 @@
 import type { EventLogger } from "../logging/index.js";
 import type { RandomSource } from "../random/index.js";
 import type { TimerService } from "../time/index.js";
+import { type AdmissionRefusal, forecastAdmission } from "./admission-forecast.js";
 import { DataCentreRegions, formatQueueName } from "./allowed-regions.js";
 import type { ColdInstances } from "./cold-instances.js";
 import { type HomePolicy, NoHomes } from "./home-policy.js";
@@ -21,8 +22,23 @@
 import { RankFairness } from "./rank-fairness.js";
 import { type QueuedRequest, RankQueue } from "./rank-queue.js";
 import { RankReservation } from "./rank-reservation.js";
-import { computeRetryDelayMs } from "./retry-delay.js";
+import { computeForecastRetryDelayMs, computeRetryDelayMs } from "./retry-delay.js";
+import { computeStartTags, computeTurnWeights, countPeersAhead } from "./share-order.js";
+import { SlotTurnover } from "./slot-turnover.js";
 import type { VersionPolicy } from "./version-policy.js";
+import {
+    countByRankAndWorkspace,
+    hashWorkspace,
+    type SharedRequest,
+    WorkspaceShares,
+} from "./workspace-shares.js";
+import { type RankUses, selectReportedUses } from "./workspace-use.js";
+
+/** Records what is dispatched. */
+export interface DispatchMetrics {
+    /** Counts tokens of work that were dispatched for a workspace. */
+    readonly recordDispatchedTokens: (workspace: string, tokens: number) => void;
+}
 
 /** Options of the service. */
 export interface PlacementServiceOptions {
@@ -41,6 +57,7 @@
     readonly region: string;
     /** Region by data centre. */
     readonly regions: Readonly<Record<string, string>>;
+    readonly metrics?: DispatchMetrics;
 }
 
 /** Share of the target latency within which a request has to start to be on time; the rest is for its first event. */
@@ -49,9 +66,23 @@
 const RECHECK_INTERVAL_MS = 50;
 /** Share of an instance's slots in use from which slots count as scarce. */
 const CONTENDED_SHARE = 0.7;
+/**
+ * Free slots for which the VMs together claim one at each check. Within the second until reports show the claims, about as
+ * many checks follow, so that the free slots are claimed about once.
+ */
+const SLOTS_PER_CLAIM = 20;
+/** Ratio of a workspace's use to another's from which the other's later requests go ahead of its own. */
+const LASTING_EXCESS = 1.5;
+/**
+ * The same for instances that fail when they turn away too many requests, however many slots look free: a claim by an
+ * outdated report is turned away.
+ */
+const BRITTLE_CLAIMS = 0.5;
 
-interface Waiter extends QueuedRequest {
+interface Waiter extends QueuedRequest, SharedRequest {
     readonly request: PlacementRequest;
+    /** Monotonic time at which it was added to the queue, in milliseconds. */
+    readonly queuedAt: number;
     readonly settle: (result: Result<Placement, SchedulerError>) => void;
 }
 
@@ -68,6 +99,18 @@
     readonly queue: RankQueue<Waiter>;
     readonly reservation: RankReservation;
     readonly fairness: RankFairness;
+    readonly shares: WorkspaceShares;
+    readonly turnover: SlotTurnover;
+}
+
+/** State of this VM in one dispatch. */
+interface DispatchRound {
+    /** Number of waiting requests. */
+    readonly waiting: number;
+    /** Instance of which a request of this VM has just released a slot, until the slot is used again. */
+    readonly freedInstance: string | undefined;
+    /** Waiting requests by rank, then by the hash of the workspace's name. */
+    readonly waitingByRank: ReadonlyMap<number, ReadonlyMap<number, number>>;
 }
 
 /** Queues and dispatches the requests of one VM. */
@@ -112,7 +155,7 @@
         const { timers } = this.options;
         const { queue, reservation } = this.getQueue(request.service);
         if (this.isOutOfReach(request)) {
-            this.writeRefusal(queue, request, []);
+            this.writeRefusal(queue, { request, arrivedAt: request.arrivedAt }, []);
             return Promise.resolve(Err(this.createRefusal(request, [])));
         }
         reservation.recordRequest(request.rank, timers.now());
@@ -121,8 +164,13 @@
             let cancelTimeout = (): void => undefined;
             const waiter: Waiter = {
                 request,
+                queuedAt: timers.now(),
                 rank: request.rank,
-                arrivedAt: request.arrivedAt,
+                workspace: request.workspace,
+                workspaceWeight: request.workspaceWeight,
+                workTokens: request.workTokens,
+                // A request that came back goes ahead of new ones of its rank and workspace.
+                arrivedAt: request.arrivedAt - request.earlierAttemptsMs,
                 latestOnTimeStartAt: request.arrivedAt - request.earlierAttemptsMs
                     + request.targetLatencyMs * START_SHARE,
                 settle: result => {
@@ -133,7 +181,11 @@
             };
             queue.add(waiter);
             this.dispatchQueue(request.service);
-            if (queue.has(waiter)) {
+            const refusal = queue.has(waiter) ? this.forecastRefusal(waiter) : undefined;
+            if (refusal !== undefined) {
+                this.refuse(queue, waiter, refusal);
+            }
+            else if (queue.has(waiter)) {
                 cancelTimeout = timers.schedule(
                     request.waitUntil - timers.now(),
                     () => this.refuse(queue, waiter),
@@ -156,7 +208,7 @@
             return undefined;
         }
         const rank = fairness.computeEffectiveRank(request.rank, this.options.timers.now());
-        const placement = this.place(request, rank, 1);
+        const placement = this.place(request, rank, createRound([request], undefined));
         return placement instanceof Placement ? placement : undefined;
     }
 
@@ -215,26 +267,58 @@
         return [...this.queues].flatMap(([service, { queue }]) => countByRankAndRegions(service, queue));
     }
 
+    /**
+     * This VM's part of the workspaces' uses, for its report: only of services for which requests wait somewhere, because
+     * the order matters only there.
+     */
+    listWorkspaceUses(): readonly RankUses[] {
+        const now = this.options.timers.now();
+        return selectReportedUses(
+            [...this.queues]
+                .filter(([service, { queue }]) =>
+                    queue.length > 0
+                    || this.options.peers.countWaiting(service, Number.POSITIVE_INFINITY) > 0
+                )
+                .flatMap(([, { queue, shares }]) => shares.listOwnUses(queue.list(), now)),
+        );
+    }
+
     /** Randomised delay after which a refused caller should retry, in milliseconds. */
     computeRetryAfterMs(remainingMs?: number): number {
         return computeRetryDelayMs(this.options.random, remainingMs);
     }
 
-    private dispatchQueue(service: string): void {
-        const { queue, fairness } = this.getQueue(service);
+    private dispatchQueue(service: string, freedInstance?: string): void {
+        const { queue, fairness, shares, turnover } = this.getQueue(service);
         const now = this.options.timers.now();
         const closedRegions = new Set<string>();
-        for (
-            const waiter of queue.listInDispatchOrder(now, rank => fairness.computeEffectiveRank(rank, now))
-        ) {
+        const round = createRound(queue.list(), freedInstance);
+        let unusedFreedInstance = freedInstance;
+        const order = queue.listInDispatchOrder(
+            now,
+            rank => fairness.computeEffectiveRank(rank, now),
+            waiters => computeStartTags(waiters, shares, now),
+        );
+        for (const waiter of order) {
             if (isClosed(waiter.request, closedRegions)) {
                 continue;
             }
             const effectiveRank = fairness.computeEffectiveRank(waiter.rank, now);
-            const placement = this.place(waiter.request, effectiveRank, queue.length, closedRegions);
+            const placement = this.place(waiter.request, effectiveRank, {
+                ...round,
+                waiting: queue.length,
+                freedInstance: unusedFreedInstance,
+            }, closedRegions);
             if (placement instanceof Placement) {
+                unusedFreedInstance = undefined;
                 queue.remove(waiter);
                 fairness.recordOutcome(waiter.rank, true, now);
+                turnover.recordStart(
+                    waiter.rank,
+                    hashWorkspace(waiter.workspace),
+                    waiter.latestOnTimeStartAt >= now,
+                    now,
+                );
                 waiter.settle(Ok(placement));
             }
             else if (placement === "no-place" && waiter.request.excludedInstances.size === 0) {
@@ -246,6 +330,9 @@
                 allowedRegions.forEach(region => closedRegions.add(region));
             }
         }
+        const isAnyWaiting = queue.length > 0
+            || this.options.peers.countWaiting(service, Number.POSITIVE_INFINITY) > 0;
+        turnover.recordWaiting(isAnyWaiting, now);
         this.scheduleRecheck(queue);
     }
 
@@ -262,10 +349,9 @@
     private place(
         request: PlacementRequest,
         effectiveRank: number,
-        waiting: number,
+        round: DispatchRound,
         closedRegions: ReadonlySet<string> = new Set(),
     ): Placement | ChoiceFailure {
-        const { peers } = this.options;
         const { reservation } = this.getQueue(request.service);
         const now = this.options.timers.now();
         const closed = new Set(closedRegions);
@@ -278,14 +364,13 @@
             if (typeof choice === "string") {
                 return choice;
             }
-            const countWaiting = (rank: number): number => peers.countWaiting(request.service, rank);
-            if (!this.isTurnOfThisVm(effectiveRank, choice.freeSlots, waiting, countWaiting)) {
+            if (!this.isTurnOfThisVm(request.service, effectiveRank, choice, round)) {
                 return "no-place";
             }
             const region = this.regions.getRegion(choice.instance.dataCentre);
             if (
                 region === undefined
-                || this.isTurnInRegion(request, effectiveRank, region, waiting, computeLimit)
+                || this.isTurnInRegion(request, effectiveRank, region, round.waiting, computeLimit)
             ) {
                 return this.occupy(request, choice);
             }
@@ -303,31 +388,48 @@
     ): boolean {
         const countWaiting = (worstRank: number): number =>
             this.options.peers.countWaitingInRegion(request.service, worstRank, region);
-        return countWaiting(Math.ceil(rank)) === 0 || this.isTurnOfThisVm(
-            rank,
-            this.chooser.countFreeSlots(request, region, computeLimit),
-            waiting,
-            countWaiting,
-        );
+        const better = countWaiting(Math.ceil(rank) - 1);
+        const others = countWaiting(Math.ceil(rank)) - better;
+        if (better + others === 0) {
+            return true;
+        }
+        const free = this.chooser.countFreeSlots(request, region, computeLimit);
+        return (better === 0 || free > better)
+            && (others === 0 || free > others
+                || this.options.random.pickFraction() * (waiting + others) < waiting);
     }
 
     /**
-     * Leaves scarce slots to other VMs' requests of better ranks, and shares the rest with those of the same rank.
-     * `countWaiting` returns the number of their requests up to a rank.
+     * Leaves scarce slots to other VMs' requests of better ranks, and shares the rest with those of the same rank. A slot
+     * that this VM has just freed is its own to use again, because the others learn of it only with the next report; it is
+     * left to them as far as its workspaces are above their shares. At an instance that fails when it has to turn away too
+     * many requests, only the slot that was freed there is used again.
      */
     private isTurnOfThisVm(
+        service: string,
         rank: number,
-        free: number,
-        waiting: number,
-        countWaiting: (rank: number) => number,
+        { instance, freeSlots: free }: InstanceChoice,
+        round: DispatchRound,
     ): boolean {
-        const { random } = this.options;
-        const better = countWaiting(Math.ceil(rank) - 1);
+        const { peers, random, timers, rateLimits } = this.options;
+        const better = peers.countWaiting(service, Math.ceil(rank) - 1);
         if (better > 0 && free <= better) {
             return false;
         }
-        const others = countWaiting(Math.ceil(rank)) - better;
-        return others === 0 || free > others || random.pickFraction() * (waiting + others) < waiting;
+        const others = peers.countWaiting(service, Math.ceil(rank)) - better;
+        if (others === 0 || free > others) {
+            return true;
+        }
+        const waitingOfRank = round.waitingByRank.get(rank) ?? new Map<number, number>();
+        const { shares } = this.getQueue(service);
+        const weights = computeTurnWeights(waitingOfRank, rank, others, shares, timers.now());
+        const isBrittle = rateLimits.isBrittle(instance);
+        if (isBrittle ? instance.id === round.freedInstance : round.freedInstance !== undefined) {
+            return random.pickFraction() < weights.best;
+        }
+        const own = round.waiting - sumCounts(waitingOfRank) + weights.own;
+        const claims = isBrittle ? BRITTLE_CLAIMS : Math.max(1, free / SLOTS_PER_CLAIM);
+        return random.pickFraction() * (own + weights.others) < own * claims;
     }
 
     private occupy(request: PlacementRequest, choice: InstanceChoice): Placement {
@@ -346,6 +448,11 @@
         this.options.coldInstances.recordDispatch(instance);
         this.health.recordDispatch(instance.id);
         this.options.versions.recordDispatch(instance);
+        const { shares } = this.getQueue(request.service);
+        shares.recordDispatch(request, occupiedAt);
+        if (request.workspace !== undefined) {
+            this.options.metrics?.recordDispatchedTokens(request.workspace, request.workTokens);
+        }
         return InstancePlacement.create({
             timers: this.options.timers,
             loads: this.loads,
@@ -355,9 +462,14 @@
             pendingPromptTokens,
             predictedMs,
             onRelease: (outcome, reason, firstEventMs) => {
+                if (outcome === "full" || outcome === "unreachable") {
+                    shares.removeDispatch(request, occupiedAt, this.options.timers.now());
+                }
                 if (outcome === "success") {
                     const slotTimeMs = this.options.timers.now() - occupiedAt;
-                    this.getQueue(request.service).fairness.recordSlotTime(request.rank, slotTimeMs);
+                    const { fairness, turnover } = this.getQueue(request.service);
+                    fairness.recordSlotTime(request.rank, slotTimeMs);
+                    turnover.recordSlotTime(slotTimeMs, this.options.timers.now());
                 }
                 if (outcome === "success" || outcome === "failure") {
                     this.options.versions.recordOutcome(
@@ -408,7 +520,8 @@
         else {
             this.health.recordOutcome(service, id, outcome, reason);
         }
-        this.dispatchQueue(service);
+        // An instance that turned the request away has freed no slot.
+        this.dispatchQueue(service, outcome === "full" || outcome === "unreachable" ? undefined : id);
     }
 
     /** True when the request can't be served however long it waits: no instance is registered where it may go. */
@@ -431,23 +544,118 @@
             && !this.options.evacuations.isEvacuated(dataCentre);
     }
 
-    private refuse(queue: RankQueue<Waiter>, waiter: Waiter): void {
+    /** Returns why a waiting request is refused at its arrival; undefined when it stays in the queue. */
+    private forecastRefusal(waiter: Waiter): AdmissionRefusal | undefined {
+        const { request, rank, latestOnTimeStartAt } = waiter;
+        // A request that was sent before is not refused early, because that attempt would be wasted. The rate at which the slots
+        // of some regions are freed is not known.
+        if (request.excludedInstances.size > 0 || request.allowedRegions !== undefined) {
+            return undefined;
+        }
+        const { queue, fairness, shares, turnover } = this.getQueue(request.service);
+        const now = this.options.timers.now();
+        const { isBrittle, inFlight, slots } = this.observeCapacity(request.service);
+        const getRank = (other: number): number => fairness.computeEffectiveRank(other, now);
+        const effectiveRank = getRank(rank);
+        const isBetter = (other: number): boolean => getRank(other) < effectiveRank;
+        const order = queue.listInDispatchOrder(
+            now,
+            getRank,
+            waiters => computeStartTags(waiters, shares, now),
+        );
+        const ownAhead = order.indexOf(waiter);
+        const others = queue.list().filter(other => other !== waiter);
+        const ofRank = others.filter(other => other.rank === rank);
+        const ownAheadLate = others.filter(other => isBetter(other.rank)).length + ofRank.length;
+        const peers = this.options.peers.listWaiting(request.service);
+        const peersBetter = sumCounts(new Map([...peers].filter(([other]) => isBetter(other))));
+        const peersOfRank = peers.get(rank) ?? 0;
+        const startTag = computeStartTags(order, shares, now).get(waiter) ?? 0;
+        const isBelow = (workspace: number): boolean =>
+            shares.computeUse(rank, workspace, now) * LASTING_EXCESS < startTag;
+        // Late requests of other VMs are as frequent as here, as far as known.
+        const onTimeShare = (ofRank.filter(other => other.latestOnTimeStartAt >= now).length + 1)
+            / (ofRank.length + 1);
+        return forecastAdmission({
+            now,
+            latestOnTimeStartAt,
+            waitUntil: request.waitUntil,
+            aheadOnTime: ownAhead + peersBetter
+                + countPeersAhead(waiter, startTag, peersOfRank, shares, now) * onTimeShare,
+            aheadLate: Math.max(ownAhead, ownAheadLate) + peersBetter + peersOfRank,
+            overtakingOnTime: turnover.computeOvertakingShare(
+                (other, workspace, isOnTime) => other === rank && isOnTime && isBelow(workspace),
+                now,
+            ),
+            overtakingLate: turnover.computeOvertakingShare(
+                (other, unused, isOnTime) => isBetter(other) || (other === rank && isOnTime),
+                now,
+            ),
+            // The slots that brittle instances offer change with each request that they turn away.
+            freedPerS: isBrittle ? undefined : turnover.estimateFreedPerS(inFlight, now),
+            isIdle: inFlight * 2 < slots && others.length === 0 && sumCounts(peers) === 0,
+            isWorseRankWaiting: others.some(other => getRank(other.rank) > effectiveRank)
+                || [...peers].some(([other, count]) => count > 0 && getRank(other) > effectiveRank),
+        });
+    }
+
+    /** Requests in flight and slots of the service's usable instances; their changes make forecasts uncertain. */
+    private observeCapacity(
+        service: string,
+    ): { readonly isBrittle: boolean; readonly inFlight: number; readonly slots: number; } {
+        const usable = this.options.directory.list().filter(({ id, service: other, state }) =>
+            other === service && state === "ready" && this.health.isTrusted(id)
+        );
+        const slots = usable.reduce((sum, instance) => sum + instance.slots, 0);
+        this.getQueue(service).turnover.recordCapacity(usable.length, slots, this.options.timers.now());
+        return {
+            isBrittle: usable.some(instance => this.options.rateLimits.isBrittle(instance)),
+            inFlight: usable.reduce((sum, instance) => sum + this.chooser.countInFlight(instance), 0),
+            slots,
+        };
+    }
+
+    private refuse(queue: RankQueue<Waiter>, waiter: Waiter, refusal?: AdmissionRefusal): void {
         queue.remove(waiter);
         const { service, rank, excludedInstances } = waiter.request;
         const instances = this.listRegistered(waiter.request).filter(({ id }) => !excludedInstances.has(id));
-        const error = this.createRefusal(waiter.request, instances);
+        const error = this.createRefusal(
+            waiter.request,
+            instances,
+            this.computeRefusalRetryMs(waiter, refusal),
+        );
         if (error.name !== "RegionUnavailable") {
             // Slots of other regions don't help such a request, so its rank is not given more of them.
             this.getQueue(service).fairness.recordOutcome(rank, false, this.options.timers.now());
         }
-        this.writeRefusal(queue, waiter.request, instances);
+        this.writeRefusal(queue, waiter, instances, refusal);
         waiter.settle(Err(error));
     }
 
+    /** Delay after which the caller of a request that is refused now should retry, in milliseconds. */
+    private computeRefusalRetryMs(
+        { request, queuedAt }: Waiter,
+        refusal: AdmissionRefusal | undefined,
+    ): number {
+        const remainingMs = request.remainingMs - (this.options.timers.now() - queuedAt);
+        return refusal === undefined
+            ? this.computeRetryAfterMs(remainingMs)
+            : computeForecastRetryDelayMs(
+                this.options.random,
+                remainingMs,
+                refusal.roomInMs,
+                request.earlierAttemptsMs > 0,
+            );
+    }
+
     /** Creates the error of a request that got none of the `instances` to which it may go. */
-    private createRefusal(request: PlacementRequest, instances: readonly Instance[]): SchedulerError {
+    private createRefusal(
+        request: PlacementRequest,
+        instances: readonly Instance[],
+        retryAfterMs = this.computeRetryAfterMs(request.remainingMs),
+    ): SchedulerError {
         const { service, rank, allowedRegions } = request;
-        const retry = { retryAfterMs: this.computeRetryAfterMs(request.remainingMs) };
+        const retry = { retryAfterMs };
         if (allowedRegions !== undefined && !instances.some(instance => this.isUsable(instance))) {
             const regions = [...allowedRegions].toSorted().join(", ");
             return SchedulerError.create("RegionUnavailable", { target: service, regions }, retry);
@@ -459,8 +667,9 @@
 
     private writeRefusal(
         queue: RankQueue<Waiter>,
-        request: PlacementRequest,
+        { request, arrivedAt }: Pick<Waiter, "request" | "arrivedAt">,
         instances: readonly Instance[],
+        refusal?: AdmissionRefusal,
     ): void {
         const { timers, logger } = this.options;
         const usable = instances.filter(instance => this.isUsable(instance));
@@ -469,7 +678,7 @@
             service: request.service,
             rank: request.rank,
             waitedMs: Math.round(timers.now() - request.arrivedAt),
-            ahead: queue.countAhead(request.rank, request.arrivedAt),
+            ahead: queue.countAhead(request.rank, arrivedAt),
             instances: usable.length,
             inFlight: usable.reduce((sum, instance) => sum + this.chooser.countInFlight(instance), 0),
             places: usable.reduce((sum, { slots }) => sum + slots, 0),
@@ -477,6 +686,10 @@
                 !this.options.rateLimits.canSend(instance, this.loads.countInFlight(instance.id))
                 || !this.options.coldInstances.canSend(instance)
             ).length,
+            workspace: request.workspace ?? "",
+            forecastMs: Math.round(refusal?.waitMs ?? -1),
+            freedPerS: Math.round(refusal?.freedPerS ?? -1),
+            sharePercent: this.getQueue(request.service).shares.computeSharePercent(request, timers.now()),
         });
     }
 
@@ -486,6 +699,7 @@
         this.loads.retain(ids);
         this.homes.retain(ids);
         this.options.rateLimits.retain(this.options.directory.list());
+        this.queues.forEach((unused, service) => this.observeCapacity(service));
         this.dispatchAllQueues();
     }
 
@@ -495,6 +709,8 @@
                 queue: RankQueue.create<Waiter>(),
                 reservation: RankReservation.create(),
                 fairness: RankFairness.create(),
+                shares: WorkspaceShares.create(service, this.options.peers),
+                turnover: SlotTurnover.create(),
             };
         this.queues.set(service, serviceQueue);
         return serviceQueue;
@@ -520,3 +736,15 @@
     });
     return [...lengths.values()];
 };
+
+const createRound = (
+    requests: readonly SharedRequest[],
+    freedInstance: string | undefined,
+): DispatchRound => ({
+    waiting: requests.length,
+    freedInstance,
+    waitingByRank: countByRankAndWorkspace(requests),
+});
+
+const sumCounts = (counts: ReadonlyMap<number, number>): number =>
+    [...counts.values()].reduce((sum, count) => sum + count, 0);
--- a/packages/wigeonpulley/test/placement/allowed-regions.test.ts
+++ b/packages/wigeonpulley/test/placement/allowed-regions.test.ts
@@ -67,6 +67,14 @@
     override countWaitingInRegion(service: string, rank: number, region: string): number {
         return rank >= 0 && region === "north" ? this.inNorth : 0;
     }
+
+    override listWaiting(): ReadonlyMap<number, number> {
+        return new Map();
+    }
+
+    override listWorkspaceUses(): ReturnType<PeerLoads["listWorkspaceUses"]> {
+        return new Map();
+    }
 }
 
 const createSystem = (instances: readonly Instance[], peers: PeerLoads = NoPeerLoads.create()) => {
