Fail a service's response that its endpoint reset

Cause: the HTTP client takes ECONNRESET, and an end that Node.js reports for a reset, for the end of a response without a length. The product's own interface read such a response as a whole one: its caller got the part with 200, and it was recorded as the response to the idempotency key. UndiciTransport checks this for routed traffic; HttpEndpointClient did not.

Ruled out: the size of the upload (4 KB fails like 4 MiB), the version of the caller, and completions, whose reader asks for END_OF_STREAM. Refusing every response without a length was rejected, since such a response is valid when it ends in order.

Change: the clients of HttpEndpointClient's agent record how their connection ended, and a response that ends with a reset connection fails as maybe-sent. Its key is completed with OutcomeUnknown, as for any other lost response.

The status 000 gets no caller an answer; that was so before.

--- a/packages/wigeonpulley/src/endpoints/http-endpoint-client.ts
+++ b/packages/wigeonpulley/src/endpoints/http-endpoint-client.ts
@@ -21,6 +21,7 @@
     type ServiceResponse,
     type StartedStream,
 } from "./endpoint-client.js";
+import { createResetCheckingPool } from "./reset-check.js";
 
 const HTTP_OK = 200;
 const HTTP_NOT_FOUND = 404;
@@ -56,6 +57,7 @@
             pipelining: 1,
             headersTimeout: 0,
             bodyTimeout: 0,
+            factory: createResetCheckingPool,
         });
     }
 
