Limit instances to the concurrency that they take without a loss of throughput

Cause: some instances slow down long before their slots are full. Placement filled them up to their slots, and their throughput fell.

Ruled out: fixed weights, latency gradients, additive increase with multiplicative decrease, and queueing delay against an empty server (docs/design/0010-learned-concurrency.md).

Change: each VM keeps the pace of the requests that it sent by the number in flight, shares it in field 26 of LoadReport, and limits an instance above the level from which its throughput hardly rises. Rare probes, sent only for requests that find no free slot, raise the limit again.

Without the setting no decision changes. Placement, forwarder, routed-vm and compatibility tests pass (150 tests).

--- a/packages/wigeonpulley/src/forwarding/attempt.ts
+++ b/packages/wigeonpulley/src/forwarding/attempt.ts
@@ -59,6 +59,8 @@
 const UNRESPONSIVE_TIMEOUT_SHARE = 0.5;
 /** Events after which a stream reports its event gap to the latency model without waiting for its end. */
 const EARLY_EVENT_COUNT = 8;
+/** Time of a write above which the caller reads slowly, in milliseconds: buffered writes end within a turn of the event loop. */
+const SLOW_WRITE_MS = 10;
 const HTTP_OK = 200;
 const HTTP_REDIRECT = 300;
 const HTTP_SERVER_ERROR = 500;
@@ -369,10 +371,15 @@
 
     /** Passes bytes on to the caller, who may be slow. */
     private async write(writing: Promise<void>): Promise<void> {
+        const { timers, placement } = this.options;
+        const startedAt = timers.now();
         this.isWriting = true;
         await writing;
         this.isWriting = false;
-        this.progressAt = this.options.timers.now();
+        this.progressAt = timers.now();
+        if (this.progressAt - startedAt > SLOW_WRITE_MS) {
+            placement.recordCallerWait();
+        }
     }
 
     private createExchangeOutcome({ mayHaveRun, isConnectionLost, reason }: ExchangeFailure): AttemptOutcome {
--- a/packages/wigeonpulley/src/forwarding/peer-selector.ts
+++ b/packages/wigeonpulley/src/forwarding/peer-selector.ts
@@ -160,6 +160,10 @@
         // The same holds for whole responses.
     }
 
+    override recordCallerWait(): void {
+        // The VM that sends the request to the instance notices that its caller, this VM, doesn't read.
+    }
+
     override release(outcome: ReleaseOutcome): void {
         if (!this.isReleased) {
             this.isReleased = true;
--- a/packages/wigeonpulley/src/logging/event-catalogue.ts
+++ b/packages/wigeonpulley/src/logging/event-catalogue.ts
@@ -356,6 +356,12 @@
         "info",
         ({ instance }) => `instance ${instance} is no longer cold`,
     ),
+    ConcurrencyLearned: defineEvent<{ instance: string; from: number; to: number; slots: number; }>(
+        530,
+        "info",
+        ({ instance, from, to, slots }) =>
+            `instance ${instance} gets up to ${to} requests at the same time instead of ${from}; it has ${slots} slots`,
+    ),
     RolloutOrdered: defineEvent<{ service: string; version: string; durationMs: number; }>(
         701,
         "info",
--- a/packages/wigeonpulley/src/placement/cold-instances.ts
+++ b/packages/wigeonpulley/src/placement/cold-instances.ts
@@ -89,6 +89,11 @@
         this.phases.markCold(dataCentre);
     }
 
+    /** True while the instance is cold. */
+    isCold(instance: Instance): boolean {
+        return this.phases.isCold(instance);
+    }
+
     /** True when the instance is warm, or when this VM's part of it allows a request now. */
     canSend(instance: Instance): boolean {
         if (!this.phases.isCold(instance)) {
--- a/packages/wigeonpulley/src/placement/index.ts
+++ b/packages/wigeonpulley/src/placement/index.ts
@@ -11,6 +11,7 @@
 } from "./allowed-regions.js";
 export { ColdInstances, type ColdInstancesOptions, type ColdState } from "./cold-instances.js";
 export { type ColdLimits, computeColdSpacingMs } from "./cold-share.js";
+export { computeNextLimit } from "./concurrency-estimator.js";
 export { DecayingLinearRegression } from "./decaying-linear-regression.js";
 export { InstanceHealth, type RequestOutcome } from "./instance-health.js";
 export { createFirstEventRegression, InstanceLatencyModel } from "./instance-latency-model.js";
@@ -21,6 +22,15 @@
     type LimitReport,
     type NamedLimits,
 } from "./instance-rate-limits.js";
+export {
+    LearnedConcurrency,
+    type LearnedConcurrencyOptions,
+    type LearnedConcurrencySettings,
+    type ReportedPace,
+} from "./learned-concurrency.js";
+export { type ObservedLoad, PaceObservation } from "./pace-observation.js";
+export { decodePace, encodePace } from "./pace-reports.js";
+export { type PaceCell, PaceTable } from "./pace-table.js";
 export { PeerLoadReports } from "./peer-load-reports.js";
 export { NoPeerLoads, PeerLoads } from "./peer-loads.js";
 export { type PlacementRequest, type WaitCancellation } from "./placement-request.js";
--- a/packages/wigeonpulley/src/placement/instance-loads.ts
+++ b/packages/wigeonpulley/src/placement/instance-loads.ts
@@ -13,6 +13,7 @@
 interface Load {
     inFlight: number;
     pendingPromptTokens: number;
+    sentPromptTokens: number;
     fullUntil: number;
     readonly model: InstanceLatencyModel;
 }
@@ -40,6 +41,11 @@
         return this.loads.get(id)?.pendingPromptTokens ?? 0;
     }
 
+    /** Prompt tokens sent to an instance for prefill since the first request. */
+    countSentPromptTokens(id: string): number {
+        return this.loads.get(id)?.sentPromptTokens ?? 0;
+    }
+
     /** Prompt tokens of a request that the instance would have to prefill. */
     countUncachedTokens(id: string, { promptBlocks, promptTokens }: PlacementRequest): number {
         return this.prefixIndex.countUncachedTokens(id, promptBlocks, promptTokens);
@@ -60,6 +66,7 @@
         const load = this.getLoad(instance);
         load.inFlight += 1;
         load.pendingPromptTokens += uncachedTokens;
+        load.sentPromptTokens += uncachedTokens;
         this.prefixIndex.addBlocks(instance.id, promptBlocks);
     }
 
@@ -93,6 +100,7 @@
             ?? {
                 inFlight: 0,
                 pendingPromptTokens: 0,
+                sentPromptTokens: 0,
                 fullUntil: 0,
                 model: InstanceLatencyModel.create(
                     this.getFirstEventRegression(service),
--- a/packages/wigeonpulley/src/placement/peer-load-reports.ts
+++ b/packages/wigeonpulley/src/placement/peer-load-reports.ts
@@ -8,6 +8,8 @@
 } from "../gen/wigeonpulley/peer/v1/peer_pb.js";
 import type { TimerService } from "../time/index.js";
 import { parseQueueName } from "./allowed-regions.js";
+import type { ReportedPace } from "./learned-concurrency.js";
+import { decodePace } from "./pace-reports.js";
 import { PeerLoads } from "./peer-loads.js";
 
 /** Age at which a report expires, in milliseconds; several report intervals. */
@@ -23,6 +25,7 @@
     /** Monotonic time at which the report was made, in milliseconds. */
     readonly madeAt: number;
     readonly loadByInstance: ReadonlyMap<string, InstanceLoad>;
+    readonly paces: readonly ReportedPace[];
 }
 
 interface InstanceLoad {
@@ -32,6 +35,12 @@
     readonly gapMs: number;
 }
 
+interface Totals {
+    readonly validUntil: number;
+    readonly byInstance: ReadonlyMap<string, InstanceLoad>;
+    readonly pacesByInstance: ReadonlyMap<string, readonly ReportedPace[]>;
+}
+
 const NO_LOAD: InstanceLoad = { inFlight: 0, pendingTokens: 0, gapMs: 0 };
 
 /** Holds the newest report of each other VM. */
@@ -39,7 +48,7 @@
     private readonly received = new Map<string, ReceivedReport>();
     /** Sums over all unexpired reports; computed again when a report arrives or expires. */
     private totals:
-        | { readonly validUntil: number; readonly byInstance: ReadonlyMap<string, InstanceLoad>; }
+        | Totals
         | undefined;
 
     private constructor(private readonly ownVm: string, private readonly timers: TimerService) {
@@ -72,6 +81,7 @@
                     gapMs: report.instanceGapMs[index] ?? 0,
                 }]),
             ),
+            paces: report.paces.map(decodePace),
         });
         return report;
     }
@@ -88,16 +98,21 @@
             );
     }
 
+    /** Returns what other VMs report of the pace of an instance. */
+    listPaces(instance: string): readonly ReportedPace[] {
+        return this.getTotals().pacesByInstance.get(instance) ?? [];
+    }
+
     override countInFlight(instance: string): number {
-        return this.getTotals().get(instance)?.inFlight ?? 0;
+        return this.getTotals().byInstance.get(instance)?.inFlight ?? 0;
     }
 
     override countPendingPromptTokens(instance: string): number {
-        return this.getTotals().get(instance)?.pendingTokens ?? 0;
+        return this.getTotals().byInstance.get(instance)?.pendingTokens ?? 0;
     }
 
     override getEventGapMs(instance: string): number | undefined {
-        const gapMs = this.getTotals().get(instance)?.gapMs ?? 0;
+        const gapMs = this.getTotals().byInstance.get(instance)?.gapMs ?? 0;
         return gapMs === 0 ? undefined : gapMs;
     }
 
@@ -125,11 +140,12 @@
         );
     }
 
-    private getTotals(): ReadonlyMap<string, InstanceLoad> {
+    private getTotals(): Totals {
         const now = this.timers.now();
         if (this.totals === undefined || now >= this.totals.validUntil) {
             const byInstance = new Map<string, InstanceLoad>();
-            for (const { loadByInstance } of this.listUnexpired()) {
+            const pacesByInstance = new Map<string, ReportedPace[]>();
+            for (const { loadByInstance, paces } of this.listUnexpired()) {
                 for (const [instance, load] of loadByInstance) {
                     const total = byInstance.get(instance) ?? NO_LOAD;
                     byInstance.set(instance, {
@@ -138,11 +154,16 @@
                         gapMs: Math.max(total.gapMs, load.gapMs),
                     });
                 }
+                for (const pace of paces) {
+                    const known = pacesByInstance.get(pace.instance) ?? [];
+                    known.push(pace);
+                    pacesByInstance.set(pace.instance, known);
+                }
             }
             const oldestMadeAt = Math.min(...[...this.received.values()].map(({ madeAt }) => madeAt));
-            this.totals = { validUntil: oldestMadeAt + MAX_AGE_MS, byInstance };
+            this.totals = { validUntil: oldestMadeAt + MAX_AGE_MS, byInstance, pacesByInstance };
         }
-        return this.totals.byInstance;
+        return this.totals;
     }
 
     private sumReports(count: (received: ReceivedReport) => number): number {
--- a/packages/wigeonpulley/src/placement/placement-service.ts
+++ b/packages/wigeonpulley/src/placement/placement-service.ts
@@ -14,6 +14,8 @@
 import { InstanceHealth } from "./instance-health.js";
 import { InstanceLoads } from "./instance-loads.js";
 import type { InstanceRateLimits } from "./instance-rate-limits.js";
+import type { LearnedConcurrency } from "./learned-concurrency.js";
+import type { PaceObservation } from "./pace-observation.js";
 import type { PeerLoads } from "./peer-loads.js";
 import type { PlacementRequest, WaitCancellation } from "./placement-request.js";
 import { InstancePlacement, Placement, type ReleaseOutcome } from "./placement.js";
@@ -33,6 +35,8 @@
     readonly peers: PeerLoads;
     readonly rateLimits: InstanceRateLimits;
     readonly coldInstances: ColdInstances;
+    /** Concurrency that instances take well; without it, only their slots limit it. */
+    readonly learnedConcurrency?: LearnedConcurrency;
     readonly versions: VersionPolicy;
     readonly dataCentre: string;
     readonly region: string;
@@ -268,7 +272,7 @@
                 ? 0
                 : reservation.computeInFlightLimit(effectiveRank, instance, now);
         for (;;) {
-            const choice = this.chooser.choose(request, computeLimit);
+            const { choice, computeUsedLimit } = this.chooseWithinLearned(request, computeLimit);
             if (typeof choice === "string") {
                 return choice;
             }
@@ -279,7 +283,7 @@
             const region = this.regions.getRegion(choice.instance.dataCentre);
             if (
                 region === undefined
-                || this.isTurnInRegion(request, effectiveRank, region, waiting, computeLimit)
+                || this.isTurnInRegion(request, effectiveRank, region, waiting, computeUsedLimit)
             ) {
                 return this.occupy(request, choice);
             }
@@ -287,6 +291,26 @@
         }
     }
 
+    /** Chooses within the learned limits; if no instance has a free slot, where one request more is to be tried. */
+    private chooseWithinLearned(request: PlacementRequest, computeLimit: (instance: Instance) => number): {
+        readonly choice: InstanceChoice | ChoiceFailure;
+        readonly computeUsedLimit: (instance: Instance) => number;
+    } {
+        const { learnedConcurrency: learned } = this.options;
+        if (learned === undefined) {
+            return { choice: this.chooser.choose(request, computeLimit), computeUsedLimit: computeLimit };
+        }
+        const computeLearned = (instance: Instance): number =>
+            Math.min(computeLimit(instance), learned.getLimit(instance));
+        const choice = this.chooser.choose(request, computeLearned);
+        if (choice !== "no-place" || learned.limitedCount === 0) {
+            return { choice, computeUsedLimit: computeLearned };
+        }
+        const computeProbe = (instance: Instance): number =>
+            Math.min(computeLimit(instance), learned.getProbeLimit(instance));
+        return { choice: this.chooser.choose(request, computeProbe), computeUsedLimit: computeProbe };
+    }
+
     /** Shares the slots of a region with other VMs' requests that can go nowhere else. */
     private isTurnInRegion(
         request: PlacementRequest,
@@ -332,6 +356,7 @@
             pendingPromptTokens + uncachedTokens,
         );
         const occupiedAt = this.options.timers.now();
+        this.options.learnedConcurrency?.recordDispatch(instance, this.chooser.countInFlight(instance));
         this.loads.occupy(instance, request, uncachedTokens);
         this.options.rateLimits.recordDispatch(instance);
         this.options.coldInstances.recordDispatch(instance);
@@ -345,6 +370,7 @@
             uncachedTokens,
             pendingPromptTokens,
             predictedMs,
+            pace: this.startPaceObservation(instance, request),
             onRelease: (outcome, reason, firstEventMs) => {
                 if (outcome === "success") {
                     const slotTimeMs = this.options.timers.now() - occupiedAt;
@@ -362,6 +388,22 @@
         });
     }
 
+    private startPaceObservation(
+        instance: Instance,
+        { isEngine }: PlacementRequest,
+    ): PaceObservation | undefined {
+        const model = this.loads.getLatencyModel(instance);
+        return this.options.learnedConcurrency?.startObservation(instance, {
+            isEngine,
+            countInFlight: () => this.chooser.countInFlight(instance),
+            readPrefill: () => ({
+                sentTokens: this.loads.countSentPromptTokens(instance.id),
+                pendingElsewhere: this.options.peers.countPendingPromptTokens(instance.id),
+            }),
+            estimatePrefillMs: tokens => model.estimatePrefillMs(tokens),
+        });
+    }
+
     private release(instance: Instance, outcome: ReleaseOutcome, reason: string): void {
         const { id, service } = instance;
         this.loads.release(instance, outcome === "full");
@@ -450,6 +492,7 @@
         const ids = new Set(this.options.directory.list().map(instance => instance.id));
         this.health.retain(ids);
         this.loads.retain(ids);
+        this.options.learnedConcurrency?.retain(ids);
         this.options.rateLimits.retain(this.options.directory.list());
         this.dispatchAllQueues();
     }
--- a/packages/wigeonpulley/src/placement/placement.ts
+++ b/packages/wigeonpulley/src/placement/placement.ts
@@ -4,6 +4,7 @@
 import type { RequestOutcome } from "./instance-health.js";
 import type { InstanceLoads } from "./instance-loads.js";
 import type { InstanceRateLimits, NamedLimits } from "./instance-rate-limits.js";
+import type { PaceObservation } from "./pace-observation.js";
 
 /**
  * How a request ended when its slot is released: "full" when the instance refused it as full, undefined when it tells
@@ -34,6 +35,9 @@
     /** Records that the whole response of a plain service has arrived. */
     abstract recordResponse(): void;
 
+    /** Records that the caller didn't read as fast as the response came. */
+    abstract recordCallerWait(): void;
+
     /** Releases the slot; further calls have no effect. */
     abstract release(outcome: ReleaseOutcome, reason: string): void;
 }
@@ -49,6 +53,8 @@
     readonly pendingPromptTokens: number;
     /** Expected time to the first event or response, in milliseconds. */
     readonly predictedMs: number;
+    /** Observes the pace of the instance; undefined when nothing can be learned from the request. */
+    readonly pace: PaceObservation | undefined;
     /** Called once when the slot is released, with the time to the first event or response, if one arrived. */
     readonly onRelease: (outcome: ReleaseOutcome, reason: string, firstEventMs: number | undefined) => void;
 }
@@ -92,6 +98,7 @@
             const { timers, loads, instance, pendingPromptTokens, uncachedTokens } = this.options;
             this.finishPrefill();
             this.firstEventAt = timers.now();
+            this.options.pace?.recordFirstEvent();
             const elapsedMs = this.firstEventAt - this.startedAt;
             loads.getLatencyModel(instance).observeFirstEvent(
                 pendingPromptTokens + uncachedTokens,
@@ -104,18 +111,25 @@
         if (this.firstEventAt !== undefined) {
             const { timers, loads, instance } = this.options;
             loads.getLatencyModel(instance).observeEvents(count - 1, timers.now() - this.firstEventAt);
+            this.options.pace?.recordEvents(count - 1);
         }
     }
 
     override recordResponse(): void {
         const { timers, loads, instance } = this.options;
         loads.getLatencyModel(instance).observeResponse(timers.now() - this.startedAt);
+        this.options.pace?.recordResponse();
+    }
+
+    override recordCallerWait(): void {
+        this.options.pace?.recordCallerWait();
     }
 
     override release(outcome: ReleaseOutcome, reason: string): void {
         if (!this.isReleased) {
             this.isReleased = true;
             this.finishPrefill();
+            this.options.pace?.finish(outcome === "success");
             const firstEventMs = this.firstEventAt === undefined
                 ? undefined
                 : this.firstEventAt - this.startedAt;
--- a/packages/wigeonpulley/src/routed-vm/report-service.ts
+++ b/packages/wigeonpulley/src/routed-vm/report-service.ts
@@ -8,7 +8,13 @@
     LoadReportSchema,
 } from "../gen/wigeonpulley/peer/v1/peer_pb.js";
 import { ReportGossip } from "../membership/index.js";
-import { formatQueueName, type PeerLoadReports, type PlacementService } from "../placement/index.js";
+import {
+    encodePace,
+    formatQueueName,
+    type LearnedConcurrency,
+    type PeerLoadReports,
+    type PlacementService,
+} from "../placement/index.js";
 import type { SharedQuotaLimiter, WorkspaceUsage } from "../quotas/index.js";
 import { type RolloutProgress, type RolloutService, rolloutStateSchema } from "../rollouts/index.js";
 
@@ -20,6 +26,8 @@
     readonly quotaLimiter: SharedQuotaLimiter;
     readonly rollouts: RolloutService;
     readonly reports: PeerLoadReports;
+    /** Source of the pace of instances; without it, none is reported. */
+    readonly learnedConcurrency?: LearnedConcurrency;
 }
 
 /** Creates and applies the reports of one VM. */
@@ -82,6 +90,7 @@
                 good: evidence.map(({ good }) => good),
                 bad: evidence.map(({ bad }) => bad),
             })),
+            paces: (this.options.learnedConcurrency?.listReports() ?? []).map(encodePace),
         });
     }
 }
--- a/packages/wigeonpulley/src/routed-vm/routed-settings.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-settings.ts
@@ -53,6 +53,20 @@
     ),
 });
 
+/** Concurrency that instances take well, learned from their pace. */
+const learnedConcurrencySchema = z.object({
+    enabled: z.boolean().default(false).describe(
+        "Sends an instance no more requests at the same time than it takes without a loss of throughput.",
+    ),
+    floorShare: z.number().positive().max(1).default(0.33).describe(
+        "Share of an instance's slots below which it is not limited; at least one request.",
+    ),
+    probeIntervalMs: millisecondsSchema.default(2_000).describe(
+        "Time between two requests beyond an instance's limit that all VMs together send to learn whether it takes more, in "
+            + "milliseconds.",
+    ),
+});
+
 /** Settings of one VM. */
 export const routedSettingsSchema = z.object({
     name: z.string().min(1).max(63).describe("Name of this VM; unique in the system."),
@@ -81,6 +95,9 @@
         "File descriptors that the process may use.",
     ),
     bounds: boundsSchema.prefault({}).describe("Bounds that the operators of the platform require."),
+    learnedConcurrency: learnedConcurrencySchema.prefault({}).describe(
+        "Concurrency that instances take well, learned from their pace.",
+    ),
     logLevel: z.enum(["error", "warn", "info", "debug"]).default("info").describe(
         "Lowest level that is logged.",
     ),
--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -20,6 +20,7 @@
     computeAllowedRegions,
     DataCentreRegions,
     InstanceRateLimits,
+    LearnedConcurrency,
     PeerLoadReports,
     PlacementService,
 } from "../placement/index.js";
@@ -110,6 +111,7 @@
     private readonly rateLimits: InstanceRateLimits;
     private readonly regions: DataCentreRegions;
     readonly coldInstances: ColdInstances;
+    readonly learnedConcurrency: LearnedConcurrency;
     private readonly reports: PeerLoadReports;
     private readonly subscriptions: StoreSubscriptions;
     private readonly recordExchange: OperatorRecordExchange;
@@ -152,6 +154,7 @@
                 this.coldInstances.markCold(dataCentre);
             }
         });
+        this.learnedConcurrency = this.createLearnedConcurrency();
         this.placement = this.createPlacement();
         this.quotaLimiter = this.createQuotaLimiter();
         this.subscriptions = StoreSubscriptions.create({
@@ -333,6 +336,7 @@
         this.membership.stop();
         this.cancelContendedGossip();
         this.rollouts.stop();
+        this.learnedConcurrency.stop();
     }
 
     override handleDigest(digest: MemberDigest): MemberDigest {
@@ -451,6 +455,7 @@
             inFlight: this.placement.countInFlight(instance.id),
             inFlightElsewhere: this.reports.countInFlight(instance.id),
             cold: this.coldInstances.describe(instance),
+            learnedConcurrency: this.learnedConcurrency.describe(instance),
         };
     }
 
@@ -469,6 +474,7 @@
             peers: this.reports,
             rateLimits: this.rateLimits,
             coldInstances: this.coldInstances,
+            learnedConcurrency: this.learnedConcurrency,
             versions: this.rollouts,
         });
     }
@@ -496,6 +502,24 @@
         return coldInstances;
     }
 
+    private createLearnedConcurrency(): LearnedConcurrency {
+        const { settings, timers, random, logger, metrics } = this.options;
+        const learnedConcurrency = LearnedConcurrency.create({
+            timers,
+            random,
+            logger,
+            settings: settings.learnedConcurrency,
+            listPeerPaces: instance => this.reports.listPaces(instance),
+            isCold: instance => this.coldInstances.isCold(instance),
+        });
+        metrics.registerGauge(
+            "wigeonpulley_limited_instances",
+            "Instances that get fewer requests at the same time than they have slots, by what was learned from their pace.",
+            () => learnedConcurrency.limitedCount,
+        );
+        return learnedConcurrency;
+    }
+
     private createQuotaLimiter(): SharedQuotaLimiter {
         return SharedQuotaLimiter.create({
             timers: this.options.timers,
@@ -555,6 +579,7 @@
                 quotaLimiter: this.quotaLimiter,
                 rollouts: this.rollouts,
                 reports: this.reports,
+                learnedConcurrency: this.learnedConcurrency,
             }),
             freshness: GossipedFreshness.create({
                 activeConfiguration: this.activeConfiguration,
--- a/packages/wigeonpulley/test/compatibility/recorded-examples.test.ts
+++ b/packages/wigeonpulley/test/compatibility/recorded-examples.test.ts
@@ -92,6 +92,15 @@
         sender: "vm-1",
         liveInstances: [{ instance: 3_704_110_265, ageMs: 900 }],
     }],
+    paceReport: [LoadReportSchema, {
+        vm: "vm-1",
+        paces: [{
+            instance: "i-1",
+            limit: 3,
+            recent: { levels: [3, 4], weights: [205, 12], means: [3_219, 3_611], squares: [100, 0] },
+            longTerm: { levels: [3], weights: [500], means: [-12], squares: [101] },
+        }],
+    }],
     ticket: [GatewayMessageSchema, {
         ticket: {
             id: "r-1",
