--- a/packages/wigeonpulley/src/logging/event-catalogue.ts
+++ b/packages/wigeonpulley/src/logging/event-catalogue.ts
@@ -429,6 +429,12 @@
             + `${candidates} possible instances are homes of ${depth} blocks, with share ${share} of the service's requests `
             + `and likelihood ${likelihood}; ${uncachedTokens} of ${promptTokens} prompt tokens are expected to be read`,
     ),
+    ConcurrencyLearned: defineEvent<{ instance: string; from: number; to: number; slots: number; }>(
+        530,
+        "info",
+        ({ instance, from, to, slots }) =>
+            `instance ${instance} gets up to ${to} requests at the same time instead of ${from}; it has ${slots} slots`,
+    ),
     RolloutOrdered: defineEvent<{ service: string; version: string; durationMs: number; }>(
         701,
         "info",
--- a/packages/wigeonpulley/src/placement/peer-load-reports.ts
+++ b/packages/wigeonpulley/src/placement/peer-load-reports.ts
@@ -8,6 +8,8 @@
 } from "../gen/wigeonpulley/peer/v1/peer_pb.js";
 import type { TimerService } from "../time/index.js";
 import { parseQueueName } from "./allowed-regions.js";
+import type { ReportedPace } from "./learned-concurrency.js";
+import { decodePace } from "./pace-reports.js";
 import { PeerLoads } from "./peer-loads.js";
 import { decodeUse, type WorkspaceUse } from "./workspace-use.js";
 
@@ -24,6 +26,7 @@
     /** Monotonic time at which the report was made, in milliseconds. */
     readonly madeAt: number;
     readonly loadByInstance: ReadonlyMap<string, InstanceLoad>;
+    readonly paces: readonly ReportedPace[];
 }
 
 interface InstanceLoad {
@@ -43,6 +46,7 @@
     /** Monotonic time at which the first of the reports expires, in milliseconds. */
     readonly validUntil: number;
     readonly byInstance: ReadonlyMap<string, InstanceLoad>;
+    readonly pacesByInstance: ReadonlyMap<string, readonly ReportedPace[]>;
     /** Number of waiting requests by service, then by rank. */
     readonly waiting: ReadonlyMap<string, ReadonlyMap<number, number>>;
     /** Uses by service, by rank, then by the hash of the workspace's name. */
@@ -85,6 +89,7 @@
                     gapMs: report.instanceGapMs[index] ?? 0,
                 }]),
             ),
+            paces: report.paces.map(decodePace),
         });
         return report;
     }
@@ -101,6 +106,11 @@
             );
     }
 
+    /** Returns what other VMs report of the pace of an instance. */
+    listPaces(instance: string): readonly ReportedPace[] {
+        return this.getTotals().pacesByInstance.get(instance) ?? [];
+    }
+
     override countInFlight(instance: string): number {
         return this.getTotals().byInstance.get(instance)?.inFlight ?? 0;
     }
@@ -150,6 +160,7 @@
             this.totals = {
                 validUntil: oldestMadeAt + MAX_AGE_MS,
                 byInstance: sumInstanceLoads(reports),
+                pacesByInstance: groupPaces(reports),
                 waiting: sumWaiting(reports),
                 workspaceUses: sumWorkspaceUses(reports),
             };
@@ -183,6 +194,16 @@
     return byInstance;
 };
 
+const groupPaces = (reports: readonly ReceivedReport[]): ReportTotals["pacesByInstance"] => {
+    const byInstance = new Map<string, ReportedPace[]>();
+    for (const pace of reports.flatMap(({ paces }) => paces)) {
+        const known = byInstance.get(pace.instance) ?? [];
+        known.push(pace);
+        byInstance.set(pace.instance, known);
+    }
+    return byInstance;
+};
+
 const sumWaiting = (reports: readonly ReceivedReport[]): ReportTotals["waiting"] => {
     const byService = new Map<string, Map<number, number>>();
     for (const { report } of reports) {
--- a/packages/wigeonpulley/src/placement/placement-service.ts
+++ b/packages/wigeonpulley/src/placement/placement-service.ts
@@ -16,6 +16,8 @@
 import { InstanceHealth } from "./instance-health.js";
 import { InstanceLoads } from "./instance-loads.js";
 import type { InstanceRateLimits } from "./instance-rate-limits.js";
+import type { LearnedConcurrency } from "./learned-concurrency.js";
+import type { PaceObservation } from "./pace-observation.js";
 import type { PeerLoads } from "./peer-loads.js";
 import type { PlacementRequest, WaitCancellation } from "./placement-request.js";
 import { InstancePlacement, Placement, type ReleaseOutcome } from "./placement.js";
@@ -50,6 +52,8 @@
     readonly peers: PeerLoads;
     readonly rateLimits: InstanceRateLimits;
     readonly coldInstances: ColdInstances;
+    /** Concurrency that instances take well; without it, only their slots limit it. */
+    readonly learnedConcurrency?: LearnedConcurrency;
     readonly versions: VersionPolicy;
     /** Homes of prompt blocks; none by default. */
     readonly homes?: HomePolicy;
@@ -360,7 +364,7 @@
                 ? 0
                 : reservation.computeInFlightLimit(effectiveRank, instance, now);
         for (;;) {
-            const choice = this.chooser.choose(request, computeLimit);
+            const { choice, computeUsedLimit } = this.chooseWithinLearned(request, computeLimit);
             if (typeof choice === "string") {
                 return choice;
             }
@@ -370,7 +374,7 @@
             const region = this.regions.getRegion(choice.instance.dataCentre);
             if (
                 region === undefined
-                || this.isTurnInRegion(request, effectiveRank, region, round.waiting, computeLimit)
+                || this.isTurnInRegion(request, effectiveRank, region, round.waiting, computeUsedLimit)
             ) {
                 return this.occupy(request, choice);
             }
@@ -378,6 +382,26 @@
         }
     }
 
+    /** Chooses within the learned limits; if no instance has a free slot, where one request more is to be tried. */
+    private chooseWithinLearned(request: PlacementRequest, computeLimit: (instance: Instance) => number): {
+        readonly choice: InstanceChoice | ChoiceFailure;
+        readonly computeUsedLimit: (instance: Instance) => number;
+    } {
+        const { learnedConcurrency: learned } = this.options;
+        if (learned === undefined) {
+            return { choice: this.chooser.choose(request, computeLimit), computeUsedLimit: computeLimit };
+        }
+        const computeLearned = (instance: Instance): number =>
+            Math.min(computeLimit(instance), learned.getLimit(instance));
+        const choice = this.chooser.choose(request, computeLearned);
+        if (choice !== "no-place" || learned.limitedCount === 0) {
+            return { choice, computeUsedLimit: computeLearned };
+        }
+        const computeProbe = (instance: Instance): number =>
+            Math.min(computeLimit(instance), learned.getProbeLimit(instance));
+        return { choice: this.chooser.choose(request, computeProbe), computeUsedLimit: computeProbe };
+    }
+
     /** Shares the slots of a region with other VMs' requests that can go nowhere else. */
     private isTurnInRegion(
         request: PlacementRequest,
@@ -442,6 +466,7 @@
             pendingPromptTokens + uncachedTokens,
         );
         const occupiedAt = this.options.timers.now();
+        this.options.learnedConcurrency?.recordDispatch(instance, this.chooser.countInFlight(instance));
         this.loads.occupy(instance, request, uncachedTokens);
         this.homes.recordPrompt(request);
         this.options.rateLimits.recordDispatch(instance);
@@ -461,6 +486,7 @@
             uncachedTokens,
             pendingPromptTokens,
             predictedMs,
+            pace: this.startPaceObservation(instance, request),
             onRelease: (outcome, reason, firstEventMs) => {
                 if (outcome === "full" || outcome === "unreachable") {
                     shares.removeDispatch(request, occupiedAt, this.options.timers.now());
@@ -508,6 +534,22 @@
         });
     }
 
+    private startPaceObservation(
+        instance: Instance,
+        { isEngine }: PlacementRequest,
+    ): PaceObservation | undefined {
+        const model = this.loads.getLatencyModel(instance);
+        return this.options.learnedConcurrency?.startObservation(instance, {
+            isEngine,
+            countInFlight: () => this.chooser.countInFlight(instance),
+            readPrefill: () => ({
+                sentTokens: this.loads.countSentPromptTokens(instance.id),
+                pendingElsewhere: this.options.peers.countPendingPromptTokens(instance.id),
+            }),
+            estimatePrefillMs: tokens => model.estimatePrefillMs(tokens),
+        });
+    }
+
     private release(instance: Instance, outcome: ReleaseOutcome, reason: string): void {
         const { id, service } = instance;
         this.loads.release(instance, outcome === "full");
@@ -698,6 +740,7 @@
         this.health.retain(ids);
         this.loads.retain(ids);
         this.homes.retain(ids);
+        this.options.learnedConcurrency?.retain(ids);
         this.options.rateLimits.retain(this.options.directory.list());
         this.queues.forEach((unused, service) => this.observeCapacity(service));
         this.dispatchAllQueues();
--- a/packages/wigeonpulley/src/routed-vm/report-service.ts
+++ b/packages/wigeonpulley/src/routed-vm/report-service.ts
@@ -9,8 +9,10 @@
 } from "../gen/wigeonpulley/peer/v1/peer_pb.js";
 import { ReportGossip } from "../membership/index.js";
 import {
+    encodePace,
     encodeUse,
     formatQueueName,
+    type LearnedConcurrency,
     type PeerLoadReports,
     type PlacementService,
 } from "../placement/index.js";
@@ -25,6 +27,8 @@
     readonly quotaLimiter: SharedQuotaLimiter;
     readonly rollouts: RolloutService;
     readonly reports: PeerLoadReports;
+    /** Source of the pace of instances; without it, none is reported. */
+    readonly learnedConcurrency?: LearnedConcurrency;
 }
 
 /** Creates and applies the reports of one VM. */
@@ -94,6 +98,7 @@
                 dispatched: [...uses.values()].map(({ perWeight }) => encodeUse(perWeight)),
                 waiting: [...uses.values()].map(({ waiting }) => waiting),
             })),
+            paces: (this.options.learnedConcurrency?.listReports() ?? []).map(encodePace),
         });
     }
 }
--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -21,6 +21,7 @@
     computeAllowedRegions,
     DataCentreRegions,
     InstanceRateLimits,
+    LearnedConcurrency,
     PeerLoadReports,
     PlacementService,
     RendezvousHomes,
@@ -120,6 +121,7 @@
     private readonly rateLimits: InstanceRateLimits;
     private readonly regions: DataCentreRegions;
     readonly coldInstances: ColdInstances;
+    readonly learnedConcurrency: LearnedConcurrency;
     private readonly reports: PeerLoadReports;
     private readonly subscriptions: StoreSubscriptions;
     private readonly recordExchange: OperatorRecordExchange;
@@ -163,6 +165,7 @@
                 this.coldInstances.markCold(dataCentre);
             }
         });
+        this.learnedConcurrency = this.createLearnedConcurrency();
         this.placement = this.createPlacement();
         this.quotaLimiter = this.createQuotaLimiter();
         this.subscriptions = StoreSubscriptions.create({
@@ -344,6 +347,7 @@
         this.membership.stop();
         this.cancelContendedGossip();
         this.rollouts.stop();
+        this.learnedConcurrency.stop();
     }
 
     override handleDigest(digest: MemberDigest): MemberDigest {
@@ -462,6 +466,7 @@
             inFlight: this.placement.countInFlight(instance.id),
             inFlightElsewhere: this.reports.countInFlight(instance.id),
             cold: this.coldInstances.describe(instance),
+            learnedConcurrency: this.learnedConcurrency.describe(instance),
         };
     }
 
@@ -480,6 +485,7 @@
             peers: this.reports,
             rateLimits: this.rateLimits,
             coldInstances: this.coldInstances,
+            learnedConcurrency: this.learnedConcurrency,
             versions: this.rollouts,
             homes: this.createHomes(),
         });
@@ -508,6 +514,24 @@
         return coldInstances;
     }
 
+    private createLearnedConcurrency(): LearnedConcurrency {
+        const { settings, timers, random, logger, metrics } = this.options;
+        const learnedConcurrency = LearnedConcurrency.create({
+            timers,
+            random,
+            logger,
+            settings: settings.learnedConcurrency,
+            listPeerPaces: instance => this.reports.listPaces(instance),
+            isCold: instance => this.coldInstances.isCold(instance),
+        });
+        metrics.registerGauge(
+            "wigeonpulley_limited_instances",
+            "Instances that get fewer requests at the same time than they have slots, by what was learned from their pace.",
+            () => learnedConcurrency.limitedCount,
+        );
+        return learnedConcurrency;
+    }
+
     private createQuotaLimiter(): SharedQuotaLimiter {
         return SharedQuotaLimiter.create({
             timers: this.options.timers,
@@ -578,6 +602,7 @@
                 quotaLimiter: this.quotaLimiter,
                 rollouts: this.rollouts,
                 reports: this.reports,
+                learnedConcurrency: this.learnedConcurrency,
             }),
             freshness: GossipedFreshness.create({
                 activeConfiguration: this.activeConfiguration,
--- a/packages/wigeonpulley/test/gateway/early-responses.test.ts
+++ b/packages/wigeonpulley/test/gateway/early-responses.test.ts
@@ -11,6 +11,7 @@
 import { monitorEventLoopDelay } from "node:perf_hooks";
 import { expect, onTestFinished, test } from "vitest";
 import {
+    ClientResources,
     createPublishRecord,
     EntryVm,
     EventLogger,
@@ -137,6 +138,15 @@
         settings,
         gateway: vm.gateway,
         metrics,
+        clients: ClientResources.create({
+            timers,
+            logger: EventLogger.create(MemorySink.create()),
+            metrics,
+            settings: settings.clients,
+            memoryMb: settings.memoryMb,
+            maxConnections: 100,
+            maxOperatorConnections: 0,
+        }),
         getCallers: () => vm.getCallers(),
         isReady: () => vm.isReady(),
         operators: { getStatus: () => ({}), drain: () => undefined },
