Switch the shares between workspaces and the forecast of admission on by settings, off by default

Change: settings workspaceShares.enabled and admissionForecast.enabled; without them the order, the turn between VMs and Retry-After are those of before.

--- a/packages/wigeonpulley/src/placement/placement-service.ts
+++ b/packages/wigeonpulley/src/placement/placement-service.ts
@@ -62,6 +62,10 @@
     /** Region by data centre. */
     readonly regions: Readonly<Record<string, string>>;
     readonly metrics?: DispatchMetrics;
+    /** Whether room within a rank is shared by workspace; true when absent. */
+    readonly workspaceShares?: { readonly enabled: boolean; };
+    /** Whether requests are refused at arrival by a forecast; true when absent. */
+    readonly admissionForecast?: { readonly enabled: boolean; };
 }
 
 /** Share of the target latency within which a request has to start to be on time; the rest is for its first event. */
@@ -174,7 +178,7 @@
                 workspaceWeight: request.workspaceWeight,
                 workTokens: request.workTokens,
                 // A request that came back goes ahead of new ones of its rank and workspace.
-                arrivedAt: request.arrivedAt - request.earlierAttemptsMs,
+                arrivedAt: request.arrivedAt - (this.isForecasting ? request.earlierAttemptsMs : 0),
                 latestOnTimeStartAt: request.arrivedAt - request.earlierAttemptsMs
                     + request.targetLatencyMs * START_SHARE,
                 settle: result => {
@@ -185,7 +189,9 @@
             };
             queue.add(waiter);
             this.dispatchQueue(request.service);
-            const refusal = queue.has(waiter) ? this.forecastRefusal(waiter) : undefined;
+            const refusal = this.isForecasting && queue.has(waiter)
+                ? this.forecastRefusal(waiter)
+                : undefined;
             if (refusal !== undefined) {
                 this.refuse(queue, waiter, refusal);
             }
@@ -276,6 +282,9 @@
      * the order matters only there.
      */
     listWorkspaceUses(): readonly RankUses[] {
+        if (!this.isSharing) {
+            return [];
+        }
         const now = this.options.timers.now();
         return selectReportedUses(
             [...this.queues]
@@ -292,6 +301,22 @@
         return computeRetryDelayMs(this.options.random, remainingMs);
     }
 
+    private get isSharing(): boolean {
+        return this.options.workspaceShares?.enabled ?? true;
+    }
+
+    private get isForecasting(): boolean {
+        return this.options.admissionForecast?.enabled ?? true;
+    }
+
+    /** Returns the order of workspaces within a rank; undefined where it doesn't matter. */
+    private getShareOrder(
+        shares: WorkspaceShares,
+        now: number,
+    ): ((waiters: readonly Waiter[]) => ReadonlyMap<Waiter, number>) | undefined {
+        return this.isSharing ? waiters => computeStartTags(waiters, shares, now) : undefined;
+    }
+
     private dispatchQueue(service: string, freedInstance?: string): void {
         const { queue, fairness, shares, turnover } = this.getQueue(service);
         const now = this.options.timers.now();
@@ -301,7 +326,7 @@
         const order = queue.listInDispatchOrder(
             now,
             rank => fairness.computeEffectiveRank(rank, now),
-            waiters => computeStartTags(waiters, shares, now),
+            this.getShareOrder(shares, now),
         );
         for (const waiter of order) {
             if (isClosed(waiter.request, closedRegions)) {
@@ -444,6 +469,9 @@
         if (others === 0 || free > others) {
             return true;
         }
+        if (!this.isSharing) {
+            return random.pickFraction() * (round.waiting + others) < round.waiting;
+        }
         const waitingOfRank = round.waitingByRank.get(rank) ?? new Map<number, number>();
         const { shares } = this.getQueue(service);
         const weights = computeTurnWeights(waitingOfRank, rank, others, shares, timers.now());
@@ -603,7 +631,7 @@
         const order = queue.listInDispatchOrder(
             now,
             getRank,
-            waiters => computeStartTags(waiters, shares, now),
+            this.getShareOrder(shares, now),
         );
         const ownAhead = order.indexOf(waiter);
         const others = queue.list().filter(other => other !== waiter);
@@ -612,7 +640,7 @@
         const peers = this.options.peers.listWaiting(request.service);
         const peersBetter = sumCounts(new Map([...peers].filter(([other]) => isBetter(other))));
         const peersOfRank = peers.get(rank) ?? 0;
-        const startTag = computeStartTags(order, shares, now).get(waiter) ?? 0;
+        const startTag = this.getShareOrder(shares, now)?.(order).get(waiter) ?? 0;
         const isBelow = (workspace: number): boolean =>
             shares.computeUse(rank, workspace, now) * LASTING_EXCESS < startTag;
         // Late requests of other VMs are as frequent as here, as far as known.
--- a/packages/wigeonpulley/src/routed-vm/routed-settings.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-settings.ts
@@ -68,6 +68,20 @@
     ),
 });
 
+/** Shares of workspaces in a service whose slots are scarce. */
+const workspaceSharesSchema = z.object({
+    enabled: z.boolean().default(false).describe(
+        "Shares room within a rank between workspaces in proportion to their quotas, in tokens of work.",
+    ),
+});
+
+/** Refusal of requests at their arrival. */
+const admissionForecastSchema = z.object({
+    enabled: z.boolean().default(false).describe(
+        "Refuses a request at its arrival when it can't be expected to start in time.",
+    ),
+});
+
 /** Settings of one VM. */
 export const routedSettingsSchema = z.object({
     name: z.string().min(1).max(63).describe("Name of this VM; unique in the system."),
@@ -100,6 +114,8 @@
     learnedConcurrency: learnedConcurrencySchema.prefault({}).describe(
         "Concurrency that instances take well, learned from their pace.",
     ),
+    workspaceShares: workspaceSharesSchema.prefault({}).describe("Shares of workspaces in scarce slots."),
+    admissionForecast: admissionForecastSchema.prefault({}).describe("Refusal of requests at their arrival."),
     logLevel: z.enum(["error", "warn", "info", "debug"]).default("info").describe(
         "Lowest level that is logged.",
     ),
