Compute nothing for placements that find no free slot, and nothing for parts that are off

Under load most choices find no free slot, and each of them still compared all instances with the gap target; queues without requests were ordered and counted for parts that are off. Change: the choice ends when no slot is free; empty queues and switched-off parts cost nothing; queues bound to regions are looked for once a report.

--- a/packages/wigeonpulley/src/placement/instance-chooser.ts
+++ b/packages/wigeonpulley/src/placement/instance-chooser.ts
@@ -100,15 +100,17 @@
         isSuitable: (instance: Instance) => boolean,
     ): InstanceChoice | ChoiceFailure {
         const { directory, loads, homes } = this.options;
-        const isDelayAvoidable = this.hasInstanceWithoutDelay(request);
         const usable = directory.list().filter(instance =>
             isSuitable(instance) && this.isCandidate(instance, request)
         );
         const free = usable.map(instance => computeLimit(instance) - this.countInFlight(instance));
         const freeSlots = free.reduce((sum, count) => sum + Math.max(0, count), 0);
-        const promptHomes = freeSlots > 0
-            ? homes.findHomes(request, this.listLoaded(usable, free))
-            : undefined;
+        if (freeSlots === 0) {
+            // Under load most choices end here: waiting requests are tried again and again.
+            return "no-place";
+        }
+        const isDelayAvoidable = this.hasInstanceWithoutDelay(request);
+        const promptHomes = homes.findHomes(request, this.listLoaded(usable, free));
         let best: Omit<InstanceChoice, "freeSlots" | "homes"> | undefined;
         let lowestCostMs = Number.POSITIVE_INFINITY;
         for (const [index, instance] of usable.entries()) {
@@ -142,10 +144,7 @@
                 lowestCostMs = costMs;
             }
         }
-        if (best === undefined) {
-            return freeSlots > 0 ? "unsuitable" : "no-place";
-        }
-        return { ...best, freeSlots, homes: promptHomes };
+        return best === undefined ? "unsuitable" : { ...best, freeSlots, homes: promptHomes };
     }
 
     private listLoaded(usable: readonly Instance[], free: readonly number[]): readonly LoadedInstance[] {
--- a/packages/wigeonpulley/src/placement/peer-load-reports.ts
+++ b/packages/wigeonpulley/src/placement/peer-load-reports.ts
@@ -49,6 +49,8 @@
     readonly pacesByInstance: ReadonlyMap<string, readonly ReportedPace[]>;
     /** Number of waiting requests by service, then by rank. */
     readonly waiting: ReadonlyMap<string, ReadonlyMap<number, number>>;
+    /** True when some of the queues are bound to regions. */
+    readonly hasBoundQueues: boolean;
     /** Uses by service, by rank, then by the hash of the workspace's name. */
     readonly workspaceUses: ReadonlyMap<string, ReadonlyMap<number, ReadonlyMap<number, WorkspaceUse>>>;
 }
@@ -134,7 +136,11 @@
 
     override countWaitingInRegion(service: string, rank: number, region: string): number {
         let count = 0;
-        for (const [name, byRank] of this.getTotals().waiting) {
+        const { waiting: waitingByQueue, hasBoundQueues } = this.getTotals();
+        if (!hasBoundQueues) {
+            return 0;
+        }
+        for (const [name, byRank] of waitingByQueue) {
             const queue = parseQueueName(name);
             if (queue.service === service && queue.allowedRegions.includes(region)) {
                 byRank.forEach((waiting, other) => {
@@ -156,12 +162,16 @@
     private getTotals(): ReportTotals {
         if (this.totals === undefined || this.timers.now() >= this.totals.validUntil) {
             const reports = this.listUnexpired();
+            const waiting = sumWaiting(reports);
             const oldestMadeAt = Math.min(...reports.map(({ madeAt }) => madeAt));
             this.totals = {
                 validUntil: oldestMadeAt + MAX_AGE_MS,
                 byInstance: sumInstanceLoads(reports),
                 pacesByInstance: groupPaces(reports),
-                waiting: sumWaiting(reports),
+                waiting,
+                hasBoundQueues: [...waiting.keys()].some(name =>
+                    parseQueueName(name).allowedRegions.length > 0
+                ),
                 workspaceUses: sumWorkspaceUses(reports),
             };
         }
--- a/packages/wigeonpulley/src/placement/placement-service.ts
+++ b/packages/wigeonpulley/src/placement/placement-service.ts
@@ -320,8 +320,11 @@
     private dispatchQueue(service: string, freedInstance?: string): void {
         const { queue, fairness, shares, turnover } = this.getQueue(service);
         const now = this.options.timers.now();
+        if (queue.length === 0 && !this.isForecasting) {
+            return;
+        }
         const closedRegions = new Set<string>();
-        const round = createRound(queue.list(), freedInstance);
+        const round = createRound(this.isSharing ? queue.list() : [], freedInstance);
         let unusedFreedInstance = freedInstance;
         const order = queue.listInDispatchOrder(
             now,
@@ -359,9 +362,11 @@
                 allowedRegions.forEach(region => closedRegions.add(region));
             }
         }
-        const isAnyWaiting = queue.length > 0
-            || this.options.peers.countWaiting(service, Number.POSITIVE_INFINITY) > 0;
-        turnover.recordWaiting(isAnyWaiting, now);
+        if (this.isForecasting) {
+            const isAnyWaiting = queue.length > 0
+                || this.options.peers.countWaiting(service, Number.POSITIVE_INFINITY) > 0;
+            turnover.recordWaiting(isAnyWaiting, now);
+        }
         this.scheduleRecheck(queue);
     }
 
@@ -502,7 +507,9 @@
         this.health.recordDispatch(instance.id);
         this.options.versions.recordDispatch(instance);
         const { shares } = this.getQueue(request.service);
-        shares.recordDispatch(request, occupiedAt);
+        if (this.isSharing) {
+            shares.recordDispatch(request, occupiedAt);
+        }
         if (request.workspace !== undefined) {
             this.options.metrics?.recordDispatchedTokens(request.workspace, request.workTokens);
         }
