--- a/packages/wigeonpulley/src/routed-vm/routed-settings.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-settings.ts
@@ -82,6 +82,13 @@
     ),
 });
 
+/** Homes of prompt blocks. */
+const promptHomesSchema = z.object({
+    enabled: z.boolean().default(false).describe(
+        "Prefers the instances on which all VMs agree by hashing for a request's shared prompt blocks.",
+    ),
+});
+
 /** Settings of one VM. */
 export const routedSettingsSchema = z.object({
     name: z.string().min(1).max(63).describe("Name of this VM; unique in the system."),
@@ -114,6 +121,7 @@
     learnedConcurrency: learnedConcurrencySchema.prefault({}).describe(
         "Concurrency that instances take well, learned from their pace.",
     ),
+    promptHomes: promptHomesSchema.prefault({}).describe("Instances that are homes of prompt blocks."),
     workspaceShares: workspaceSharesSchema.prefault({}).describe("Shares of workspaces in scarce slots."),
     admissionForecast: admissionForecastSchema.prefault({}).describe("Refusal of requests at their arrival."),
     logLevel: z.enum(["error", "warn", "info", "debug"]).default("info").describe(
--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -20,8 +20,10 @@
     ColdInstances,
     computeAllowedRegions,
     DataCentreRegions,
+    type HomePolicy,
     InstanceRateLimits,
     LearnedConcurrency,
+    NoHomes,
     PeerLoadReports,
     PlacementService,
     RendezvousHomes,
@@ -563,8 +565,11 @@
         });
     }
 
-    private createHomes(): RendezvousHomes {
-        const { settings: { dataCentre, region, regions }, timers } = this.options;
+    private createHomes(): HomePolicy {
+        const { settings: { dataCentre, region, regions, promptHomes }, timers } = this.options;
+        if (!promptHomes.enabled) {
+            return NoHomes.create();
+        }
         return RendezvousHomes.create({
             timers,
             dataCentre,
