--- a/packages/wigeonpulley/src/discovery/evacuations.ts
+++ b/packages/wigeonpulley/src/discovery/evacuations.ts
@@ -19,7 +19,7 @@
         private readonly isKnown: (dataCentre: string) => boolean,
     ) {}
 
-    /** Creates a state without evacuations. `isKnown` tells whether a data centre is known to this VM. */
+    /** Creates a state without evacuations. `isKnown` returns whether a data centre is known to this VM. */
     static create(
         logger: EventLogger,
         isKnown: (dataCentre: string) => boolean = () => true,
--- a/packages/wigeonpulley/src/forwarding/forwarder.ts
+++ b/packages/wigeonpulley/src/forwarding/forwarder.ts
@@ -323,7 +323,7 @@
             workspace: workspace?.name,
             workspaceWeight: workspace?.quota?.ratePerS ?? DEFAULT_WORKSPACE_WEIGHT,
             workTokens: estimateWorkTokens(request),
-            // Read anew at each use, since the configuration may change while the request waits.
+            // Read at each use, since the configuration may change while the request waits.
             get allowedRegions() {
                 return regions.getAllowed(request);
             },
--- a/packages/wigeonpulley/src/membership/store-readers.ts
+++ b/packages/wigeonpulley/src/membership/store-readers.ts
@@ -1,7 +1,7 @@
 /**
  * Chooses the VMs that read the store for others. Each read is a call to the store, so in a region of many VMs a few read often
  * and the others ask them in their regular gossip. Every VM computes this for itself; when views differ or a reader fails, a VM
- * that hears nothing in time reads for itself.
+ * that learns of nothing in time reads for itself.
  */
 import { chooseByRendezvous, hashText } from "../hashing/index.js";
 import type { VmListEntry } from "../platform/index.js";
--- a/packages/wigeonpulley/src/placement/cold-phases.ts
+++ b/packages/wigeonpulley/src/placement/cold-phases.ts
@@ -34,7 +34,7 @@
  * snapshot, in milliseconds.
  */
 const MAX_CLOCK_DIFFERENCE_MS = 10_000;
-/** Removed instances of a service that are remembered: one that comes back is not cold by that. */
+/** Removed instances of a service that are remembered: one that registers again is not cold because of that. */
 const MAX_REMOVED_INSTANCES = 1_024;
 
 /** The phases that one VM knows. */
--- a/packages/wigeonpulley/src/placement/concurrency-estimator.ts
+++ b/packages/wigeonpulley/src/placement/concurrency-estimator.ts
@@ -98,7 +98,7 @@
 
 /**
  * True when one request less is to be tried. A busy instance is always at its limit, so that nothing recent is known of lower
- * levels; older observations stand in for them. If they no longer hold, because the instance is slower altogether, the
+ * levels; older observations are used instead. If they no longer hold, because the instance is slower altogether, the
  * new ones at the lower level raise the limit again.
  */
 const isStepDue = (
--- a/packages/wigeonpulley/src/placement/slot-turnover.ts
+++ b/packages/wigeonpulley/src/placement/slot-turnover.ts
@@ -110,7 +110,7 @@
 
     /**
      * Share of the freed slots that goes to requests that arrive later and are dispatched earlier, by what started lately.
-     * `isOvertaking` tells whether the requests of a rank and a workspace do so, given whether they can be on time. 0 until
+     * `isOvertaking` returns whether the requests of a rank and a workspace do so, given whether they can be on time. 0 until
      * requests have waited for a while: before that, slots may be free for all.
      */
     computeOvertakingShare(
--- a/packages/wigeonpulley/src/placement/workspace-use.ts
+++ b/packages/wigeonpulley/src/placement/workspace-use.ts
@@ -20,7 +20,7 @@
 /** Steps of the encoding for each doubling; values are exact to about 1%. */
 const STEPS_PER_DOUBLING = 64;
 /**
- * Reciprocal of the smallest use that is told apart from none. One token of a workspace with a weight of a million is about
+ * Reciprocal of the smallest use that is distinguished from none. One token of a workspace with a weight of a million is about
  * that much; a linear scale would round either this one to nothing or need more bytes for a workspace with a weight of 1.
  */
 const RESOLUTION = 2 ** 20;
--- a/packages/wigeonpulley/src/routed-vm/operator-record-exchange.ts
+++ b/packages/wigeonpulley/src/routed-vm/operator-record-exchange.ts
@@ -1,7 +1,7 @@
 /**
  * Passes the operators' records from VM to VM. A long record that all VMs read over one link between regions would fill the
  * link, so a VM that others are ahead of asks one of its own region. Only the store confirms that nothing is newer. A VM that
- * nobody helps in time reads the store.
+ * gets them from no other VM in time reads the store.
  */
 import { RecentMap } from "../collections/index.js";
 import type { EventLogger } from "../logging/index.js";
