--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -131,6 +131,8 @@
     private cancelContendedGossip: CancelTimer = () => undefined;
     private isReading = false;
     private isStopping = false;
+    /** True once the background tasks have been stopped. */
+    private hasStopped = false;
     private bounds: Bounds;
 
     private constructor(private readonly options: RoutedVmOptions) {
@@ -220,7 +222,8 @@
                 timers.sleep(START_FROM_PEERS_MS * (1 + random.pickFraction())),
             ]);
         }
-        if (!this.isStopping) {
+        // A VM that begins to stop while it starts still serves the requests that wait for its configuration.
+        if (!this.hasStopped) {
             this.subscriptions.startReadingOperators();
             this.quarantineStore.start();
         }
@@ -343,6 +346,7 @@
 
     /** Stops all background tasks at once, without waiting for open requests. */
     stopTasks(): void {
+        this.hasStopped = true;
         this.subscriptions.stop();
         this.recordExchange.stop();
         this.quarantineStore.stop();
