Name the file and the line of a settings file that is not JSON

Operators saw "InternalError: Unexpected failure: Expected double-quoted property name in JSON at position 953" and a process that ended with code 1; neither the file nor the line was named. Cause: the daemon parsed the settings with JSON.parse and the schema's parse, whose errors are wrapped as unexpected failures. Some messages of JSON.parse have no position at all. Change: decodeSettings returns InvalidSettings of the catalogue with the file, and the line and column that jsonc-parser finds, or all fields that the schema refuses.

--- a/packages/wigeonpulley/src/config/index.ts
+++ b/packages/wigeonpulley/src/config/index.ts
@@ -40,5 +40,6 @@
 export { findCaller, hashKey } from "./queries/find-caller.js";
 export { isUnderMaintenance } from "./queries/maintenance.js";
 export { matchSelector, type SelectorMatch } from "./queries/match.js";
+export { parseJson } from "./queries/parse-json.js";
 export { readCurrentVersion } from "./queries/read-current.js";
 export { type ListenAddress, type Settings, type SettingsInput, settingsSchema } from "./settings.js";
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -36,7 +36,11 @@
     ...options,
     entryPoints: ["platform/src/main.ts"],
     outfile: "target/daemon.cjs",
-    alias: { wigeonpulley: "./packages/wigeonpulley/src/index.ts" },
+    alias: {
+        wigeonpulley: "./packages/wigeonpulley/src/index.ts",
+        // The other build of this library loads its modules by names that esbuild doesn't see.
+        "jsonc-parser": "./node_modules/jsonc-parser/lib/esm/main.js",
+    },
     plugins: [slimPlugin],
     define: { "import.meta.url": "undefined" },
     banner: { js: "(function(exports,require,module,__filename,__dirname){" },
