Bound the work of parsing client input in one turn of the event loop

Callers got no response for as long as 120 others sent bodies in chunks of one byte, each within the limits of a single request. Cause: Node.js parses all that it reads of a connection in one turn of the event loop, up to 64 KiB, and calls back for each chunk, some 10,000 times a read. Each readable connection gets one read a turn, so a turn took seconds. Change: InputScheduler bounds the callbacks of one turn over all connections (clients.parserCallbacksPerTurn). Connections are read in short parts, at first those that have cost least since they were last idle, the others in turns; what waits is not read from the kernel, which holds back the sender. ConnectionInput reads a connection by read() instead of letting the server consume its handle, and counts requests, header lines and body parts; input without a callback counts by its lines. Held input is charged to the budget, and a body whose input waits is not called slow. Metric `input` and `heldBackTurns` in ClientsLimited. Ruled out: a bound on bytes, since a body of large chunks costs a ten-thousandth of one of the smallest; a limit on the chunks of a body, since one such body alone must be served.

--- a/packages/wigeonpulley/src/clients/client-resources.ts
+++ b/packages/wigeonpulley/src/clients/client-resources.ts
@@ -6,6 +6,7 @@
 import type { ClientSettings } from "./client-settings.js";
 import { SegmentPool } from "./compact-bytes.js";
 import { type ConnectionGroup, ConnectionMonitor } from "./connection-monitor.js";
+import { InputScheduler } from "./input-scheduler.js";
 import { LimitRecorder } from "./limit-recorder.js";
 import { UploadReader } from "./upload-reader.js";
 
@@ -47,6 +48,10 @@
         this.connections = ConnectionMonitor.create({
             timers,
             settings,
+            inputs: InputScheduler.create({
+                maxWorkPerTurn: settings.parserCallbacksPerTurn,
+                onHeldBack: () => this.recorder.record("input"),
+            }),
             budget: this.budget,
             recorder: this.recorder,
         });
--- a/packages/wigeonpulley/src/clients/client-settings.ts
+++ b/packages/wigeonpulley/src/clients/client-settings.ts
@@ -17,6 +17,9 @@
     unreadMs: millisecondsSchema.default(10_000).describe(
         "Time for which a client may read nothing of a response that waits for it before its connection is closed, in milliseconds.",
     ),
+    parserCallbacksPerTurn: z.number().int().min(100).default(2_000).describe(
+        "Callbacks of the HTTP parser in one turn of the event loop, over all connections; further input waits, that of the connections with the most callbacks for longest.",
+    ),
     maxConnections: z.number().int().positive().optional().describe(
         "Connections of callers and of other VMs with requests; by default half of `mostDescriptors`, or twice `limits.openRequests`.",
     ),
--- a/packages/wigeonpulley/src/clients/connection-monitor.ts
+++ b/packages/wigeonpulley/src/clients/connection-monitor.ts
@@ -8,6 +8,8 @@
 import type { TimerService } from "../time/index.js";
 import type { ByteAccount, ByteBudget } from "./byte-budget.js";
 import type { ClientSettings } from "./client-settings.js";
+import { ConnectionInput } from "./connection-input.js";
+import type { InputScheduler } from "./input-scheduler.js";
 import type { LimitRecorder } from "./limit-recorder.js";
 import { findSendQueue, readSendQueues } from "./send-queues.js";
 
@@ -25,6 +27,7 @@
     readonly settings: ClientSettings;
     readonly budget: ByteBudget;
     readonly recorder: LimitRecorder;
+    readonly inputs: InputScheduler;
 }
 
 /** Servers that share one limit on connections. */
@@ -67,6 +70,7 @@
 
     /** Watches the connections of a server, which count towards the limit of a group. */
     watch(server: Server, group: ConnectionGroup): void {
+        ConnectionInput.watch(server, this.options.inputs);
         server.on("connection", socket => this.add(socket, group));
     }
 
@@ -172,12 +176,15 @@
 
     private async check(): Promise<void> {
         let unreadBytes = 0;
+        let inputBytes = 0;
         this.connections.forEach((connection, socket) => {
             unreadBytes += socket.writableLength;
+            inputBytes += socket.readableLength;
             this.updateInput(socket, connection);
             this.updateUnread(socket, connection);
         });
         this.responses.set(unreadBytes);
+        this.account.set(this.connections.size * CONNECTION_BYTES + inputBytes);
         await this.closeUnread();
         this.relieveBudget();
         this.isScheduled = false;
--- a/packages/wigeonpulley/src/clients/index.ts
+++ b/packages/wigeonpulley/src/clients/index.ts
@@ -7,5 +7,6 @@
 export { type ClientSettings, clientSettingsSchema } from "./client-settings.js";
 export { CompactBytes, SegmentPool } from "./compact-bytes.js";
 export { type ConnectionGroup, ConnectionMonitor } from "./connection-monitor.js";
+export { InputScheduler, type InputSchedulerOptions, InputSource } from "./input-scheduler.js";
 export { LimitRecorder } from "./limit-recorder.js";
 export { createMemoryError, UploadReader } from "./upload-reader.js";
--- a/packages/wigeonpulley/src/clients/limit-recorder.ts
+++ b/packages/wigeonpulley/src/clients/limit-recorder.ts
@@ -44,6 +44,7 @@
             unread: counts.get("unread") ?? 0,
             connections: counts.get("connections") ?? 0,
             pipelined: counts.get("pipelined") ?? 0,
+            heldBackTurns: counts.get("input") ?? 0,
             heldBytes: budget.totalBytes,
             budgetBytes: budget.limitBytes,
         });
--- a/packages/wigeonpulley/src/clients/upload-reader.ts
+++ b/packages/wigeonpulley/src/clients/upload-reader.ts
@@ -173,7 +173,8 @@
         if (this.isEnded) {
             return;
         }
-        if (this.bytesInWindow >= minBytes) {
+        // Input that has arrived may wait to be parsed.
+        if (this.bytesInWindow >= minBytes || this.options.request.socket.readableLength > 0) {
             this.bytesInWindow = 0;
             this.scheduleRateCheck();
             return;
--- a/packages/wigeonpulley/src/logging/event-catalogue.ts
+++ b/packages/wigeonpulley/src/logging/event-catalogue.ts
@@ -296,16 +296,17 @@
             unread: number;
             connections: number;
             pipelined: number;
+            heldBackTurns: number;
             heldBytes: number;
             budgetBytes: number;
         }
     >(
         412,
         "warn",
-        ({ memory, slowUploads, unread, connections, pipelined, heldBytes, budgetBytes }) =>
+        ({ memory, slowUploads, unread, connections, pipelined, heldBackTurns, heldBytes, budgetBytes }) =>
             `limits on clients ended ${memory} requests for lack of memory and ${slowUploads} slow bodies, and closed `
             + `${unread} connections with unread responses, ${connections} excess ones and ${pipelined} with too many `
-            + `unanswered requests; ${heldBytes} of ${budgetBytes} bytes are held`,
+            + `unanswered requests; costly input waited in ${heldBackTurns} turns; ${heldBytes} of ${budgetBytes} bytes are held`,
     ),
     InstanceBrittle: defineEvent<{ instance: string; rejectionsPerS: number; before: number; }>(
         512,
--- a/packages/wigeonpulley/src/metrics/metrics-registry.ts
+++ b/packages/wigeonpulley/src/metrics/metrics-registry.ts
@@ -5,8 +5,8 @@
 /** Phases of a request whose durations are recorded. */
 export type RequestPhase = "event-loop" | "queue" | "first-token" | "inter-token" | "total";
 
-/** Limit on clients that refused or ended something. */
-export type ClientLimit = "memory" | "slow-upload" | "unread" | "connections" | "pipelined";
+/** Limit on clients that refused, ended or held back something. */
+export type ClientLimit = "memory" | "slow-upload" | "unread" | "connections" | "pipelined" | "input";
 
 const PERCENTILES = [50, 95, 99] as const;
 const PERCENT = 100;
@@ -47,7 +47,8 @@
         });
         this.clientLimits = new Counter({
             name: "wigeonpulley_client_limits_total",
-            help: "Requests and connections of clients that a limit refused or ended.",
+            help:
+                "Requests and connections of clients that a limit refused or ended, and turns in which costly input waited.",
             labelNames: ["limit"],
             registers: [this.registry],
         });
