Compare what a slow reader acknowledges over the whole limit on unread responses

A caller that went on reading a long response slowly had its connection reset ("a response whose caller reads on slowly arrives complete", 733,353 of 16,777,216 bytes). Cause: Node.js reports a response that it was given at once as unsent until the kernel has taken all of it, so only the kernel's send queue shows that the caller reads. The queue was first looked at after half of `unreadMs`, and compared from the second look on; the verdict came at `unreadMs` all the same. Reads before the first look were not seen, so a gap of half of the limit, or of one check interval when the event loop was late, closed the connection. On this kernel the queue of the test's reader changes 20 times in 7.5 s, with gaps of up to 526 ms in calm. While memory is short, the queues are looked at in each check, so that clients that read nothing are closed before one that reads slowly. The queues are read through SendQueueReader. Ruled out: a reader that is cut though its queue changes between the looks (the property test draws such readers).

--- a/packages/wigeonpulley/src/clients/client-resources.ts
+++ b/packages/wigeonpulley/src/clients/client-resources.ts
@@ -8,6 +8,7 @@
 import { type ConnectionGroup, ConnectionMonitor } from "./connection-monitor.js";
 import { InputScheduler } from "./input-scheduler.js";
 import { LimitRecorder } from "./limit-recorder.js";
+import { KernelSendQueueReader } from "./send-queues.js";
 import { UploadReader } from "./upload-reader.js";
 
 const BYTES_PER_MB = 1_048_576;
@@ -52,6 +53,7 @@
                 maxWorkPerTurn: settings.parserCallbacksPerTurn,
                 onHeldBack: () => this.recorder.record("input"),
             }),
+            sendQueues: KernelSendQueueReader.create(),
             budget: this.budget,
             recorder: this.recorder,
         });
--- a/packages/wigeonpulley/src/clients/connection-monitor.ts
+++ b/packages/wigeonpulley/src/clients/connection-monitor.ts
@@ -11,7 +11,7 @@
 import { ConnectionInput } from "./connection-input.js";
 import type { InputScheduler } from "./input-scheduler.js";
 import type { LimitRecorder } from "./limit-recorder.js";
-import { findSendQueue, readSendQueues } from "./send-queues.js";
+import type { SendQueueReader } from "./send-queues.js";
 
 /** Interval between two looks at all connections, in milliseconds; lower for short limits. */
 const MAX_CHECK_INTERVAL_MS = 500;
@@ -28,6 +28,7 @@
     readonly budget: ByteBudget;
     readonly recorder: LimitRecorder;
     readonly inputs: InputScheduler;
+    readonly sendQueues: SendQueueReader;
 }
 
 /** Servers that share one limit on connections. */
@@ -222,26 +223,30 @@
     }
 
     /**
-     * Closes connections whose clients have read nothing for too long. From half of that time on, it looks at the kernel's send
-     * queues, which are long on a machine with many connections.
+     * Closes connections whose clients have read nothing for too long. After a part of that time, or at once while memory is
+     * short, it looks at the kernel's send queues, which are long on a machine with many connections. The time starts again with
+     * the first look, since nothing before it has shown what the client reads.
      */
     private async closeUnread(): Promise<void> {
-        const { timers, settings } = this.options;
+        const { timers, settings, sendQueues, budget } = this.options;
         const findDoubtful = (durationMs: number): readonly (readonly [Socket, Connection])[] =>
             [...this.connections].filter(([, { unreadSince }]) =>
                 unreadSince !== undefined && timers.now() - unreadSince >= durationMs
             );
-        const doubtful = findDoubtful(settings.unreadMs / 2);
+        const doubtful = findDoubtful(
+            budget.totalBytes > budget.limitBytes ? 0 : settings.unreadMs / CHECKS_PER_LIMIT,
+        );
         if (doubtful.length === 0) {
             return;
         }
-        const queues = await readSendQueues();
+        const lookedAt = timers.now();
+        const queues = await sendQueues.read(doubtful.map(([socket]) => socket));
         doubtful.forEach(([socket, connection]) => {
-            const sendQueue = findSendQueue(queues, socket);
-            if (connection.sendQueue !== undefined && sendQueue !== connection.sendQueue) {
-                connection.unreadSince = timers.now();
+            const sendQueue = queues.get(socket);
+            if (sendQueue !== undefined && sendQueue !== connection.sendQueue) {
+                connection.sendQueue = sendQueue;
+                connection.unreadSince = lookedAt;
             }
-            connection.sendQueue = sendQueue;
         });
         findDoubtful(settings.unreadMs).forEach(([socket]) => this.close(socket, "unread"));
     }
--- a/packages/wigeonpulley/src/clients/index.ts
+++ b/packages/wigeonpulley/src/clients/index.ts
@@ -9,4 +9,5 @@
 export { type ConnectionGroup, ConnectionMonitor } from "./connection-monitor.js";
 export { InputScheduler, type InputSchedulerOptions, InputSource } from "./input-scheduler.js";
 export { LimitRecorder } from "./limit-recorder.js";
+export { KernelSendQueueReader, SendQueueReader } from "./send-queues.js";
 export { createMemoryError, UploadReader } from "./upload-reader.js";
