Copy an incomplete event a few times, whatever its chunks

An event of up to 1 MiB without its end, in chunks of one byte, was copied with each of them: 50,000 bytes took 50,000 copies of 25 KB on average, and the square of it for longer ones, in the event loop of all callers. Cause: EventSplitter joined the incomplete event and each chunk into a new buffer. Change: the event is held in a buffer whose room doubles. Its bytes are not written again once an event of it was handed out. Not measured with a process.

--- a/packages/wigeonpulley/src/forwarding/event-splitter.ts
+++ b/packages/wigeonpulley/src/forwarding/event-splitter.ts
@@ -3,6 +3,9 @@
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const ID_FIELD = "id:";
+/** Smallest room for an incomplete event, in bytes, and how it grows. */
+const MIN_STORE_BYTES = 1_024;
+const GROWTH_FACTOR = 2;
 
 /** One event with its bytes as received. */
 export interface StreamEvent {
@@ -24,6 +27,8 @@
 /** Splitter of one stream. */
 export class EventSplitter {
     private incomplete: Buffer = Buffer.alloc(0);
+    /** Holds `incomplete` at its start, with room behind it; undefined while the bytes are part of a received chunk or event. */
+    private store: Buffer | undefined;
     /** Start of the first line of `incomplete` that may have no end yet; the lines before it are not read again. */
     private lineStart = 0;
 
@@ -36,7 +41,7 @@
 
     /** Adds bytes and returns the events that they complete. */
     push(chunk: Buffer): readonly StreamEvent[] {
-        const bytes = this.incomplete.length === 0 ? chunk : Buffer.concat([this.incomplete, chunk]);
+        const bytes = this.append(chunk);
         const events: StreamEvent[] = [];
         let { lineStart } = this;
         let start = 0;
@@ -52,11 +57,35 @@
             }
             lineStart = lineEnd + 1;
         }
+        if (start > 0) {
+            this.store = undefined;
+        }
         this.incomplete = bytes.subarray(start);
         this.lineStart = lineStart - start;
         return events;
     }
 
+    /** Memory that is held for an incomplete event, in bytes. */
+    get heldBytes(): number {
+        return this.store?.length ?? this.incomplete.length;
+    }
+
+    /** Adds bytes to the incomplete event. The room doubles, so that an event in short chunks is not copied with each of them. */
+    private append(chunk: Buffer): Buffer {
+        const { length } = this.incomplete;
+        if (length === 0) {
+            this.store = undefined;
+            return chunk;
+        }
+        const bytes = length + chunk.length;
+        if (this.store === undefined || this.store.length < bytes) {
+            this.store = Buffer.allocUnsafe(Math.max(MIN_STORE_BYTES, GROWTH_FACTOR * bytes));
+            this.incomplete.copy(this.store);
+        }
+        chunk.copy(this.store, length);
+        return this.store.subarray(0, bytes);
+    }
+
     /** Bytes after the last complete event. */
     get remainder(): Buffer {
         return this.incomplete;
