Charge incomplete events of streams to the memory for clients

Streams whose endpoints send an event without its end held up to 1 MiB each that the budget did not know of. Cause: the relay keeps an event until it is complete, outside of any account. Change: an attempt charges that memory to the account of its request. Above 64 KiB, an event that has no room breaks its stream off, as one that is too long does; shorter ones are always held, since no stream goes on without them.

--- a/packages/wigeonpulley/src/forwarding/attempt.ts
+++ b/packages/wigeonpulley/src/forwarding/attempt.ts
@@ -62,6 +62,8 @@
 const UNRESPONSIVE_TIMEOUT_SHARE = 0.5;
 /** Events after which a stream reports its event gap to the latency model without waiting for its end. */
 const EARLY_EVENT_COUNT = 8;
+/** Memory up to which an incomplete event is always held: without it, no stream could go on. */
+const SHORT_EVENT_BYTES = 65_536;
 /** Time of a write above which the caller reads slowly, in milliseconds: buffered writes end within a turn of the event loop. */
 const SLOW_WRITE_MS = 10;
 const HTTP_OK = 200;
@@ -81,6 +83,7 @@
     private progressAt: number;
     private isFinished = false;
     private isWriting = false;
+    private heldEventBytes = 0;
     /** Aborts when the instance is silent no more; undefined while nothing waits for that. */
     private silence: AbortController | undefined;
 
@@ -207,6 +210,32 @@
     }
 
     private async relayStream(head: ResponseHead): Promise<AttemptOutcome> {
+        try {
+            return await this.relayEvents(head);
+        }
+        finally {
+            this.tryAddEventBytes(0);
+        }
+    }
+
+    /** Charges what is held of an incomplete event; false when a long one has no room. */
+    private tryAddEventBytes(bytes: number): boolean {
+        const { account } = this.options.request;
+        const growth = bytes - this.heldEventBytes;
+        if (account === undefined || growth === 0) {
+            return true;
+        }
+        if (growth < 0 || bytes <= SHORT_EVENT_BYTES) {
+            account.set(account.bytes + growth);
+        }
+        else if (!account.tryAdd(growth)) {
+            return false;
+        }
+        this.heldEventBytes = bytes;
+        return true;
+    }
+
+    private async relayEvents(head: ResponseHead): Promise<AttemptOutcome> {
         const { relay, writer, placement } = this.options;
         let hasStarted = false;
         let isEventGapRecorded = false;
@@ -229,6 +258,10 @@
                 this.exchange.abort("an event is too long");
                 return createFailedOutcome("an event is too long");
             }
+            if (!this.tryAddEventBytes(relay.incompleteBytes)) {
+                this.exchange.abort("an event has no room in memory");
+                return createFailedOutcome("an event has no room in memory");
+            }
             this.evidence.recordEvents(this.relayedEvents);
             if (!isEventGapRecorded && this.relayedEvents >= EARLY_EVENT_COUNT) {
                 isEventGapRecorded = true;
--- a/packages/wigeonpulley/src/forwarding/stream-relay.ts
+++ b/packages/wigeonpulley/src/forwarding/stream-relay.ts
@@ -76,6 +76,11 @@
         );
     }
 
+    /** Bytes that are held of an event without its end. */
+    get incompleteBytes(): number {
+        return this.splitter.heldBytes;
+    }
+
     /** True when an event is so long that no end of it is to be expected. */
     get isEventTooLong(): boolean {
         return this.splitter.remainder.length > MAX_EVENT_BYTES;
