Displace the uploads that have stood still for longest first

Without room, an upload that had paused for a little more than 500 ms was refused before a crowd that had stood still for far longer, if it had begun earlier; and uploads that held nothing were refused for no gain. Cause: the budget went through its accounts in the order in which they were opened. Change: it displaces by the time of the last byte, and only accounts that hold bytes. An account that is closed takes no more bytes, which were never released.

--- a/packages/wigeonpulley/src/clients/byte-budget.ts
+++ b/packages/wigeonpulley/src/clients/byte-budget.ts
@@ -1,6 +1,6 @@
 /**
  * Bytes that one process holds for its clients, bounded by one budget. Every holder has an account; an upload that would exceed
- * the budget first displaces the oldest unfinished uploads that make no progress.
+ * the budget first displaces the unfinished uploads that have made no progress for longest.
  */
 import type { TimerService } from "../time/index.js";
 
@@ -69,13 +69,13 @@
             return true;
         }
         const stalledSince = this.options.timers.now() - STALLED_MS;
-        // The set is in the order in which the accounts were opened.
-        for (const other of this.accounts) {
-            if (other !== account && other.isDisplaceable && other.progressAt <= stalledSince) {
-                other.displace();
-                if (this.total + bytes <= this.limitBytes) {
-                    return true;
-                }
+        const stalled = [...this.accounts].filter(other =>
+            other !== account && other.isDisplaceable && other.bytes > 0 && other.progressAt <= stalledSince
+        ).toSorted((left, right) => left.progressAt - right.progressAt);
+        for (const other of stalled) {
+            other.displace();
+            if (this.total + bytes <= this.limitBytes) {
+                return true;
             }
         }
         return false;
@@ -94,6 +94,7 @@
     private heldBytes = 0;
     private lastProgressAt: number;
     private onDisplace: (() => void) | undefined;
+    private isClosed = false;
 
     private constructor(
         private kind: ByteKind,
@@ -123,17 +124,20 @@
         return this.onDisplace !== undefined;
     }
 
-    /** Adds bytes if the budget has room for them. */
+    /** Adds bytes if the budget has room for them; false also when the account is closed. */
     tryAdd(bytes: number): boolean {
-        const isAdded = this.budget.tryReserve(bytes);
+        const isAdded = !this.isClosed && this.budget.tryReserve(bytes);
         if (isAdded) {
             this.set(this.heldBytes + bytes);
         }
         return isAdded;
     }
 
-    /** Sets the bytes held to what is there already, also when that exceeds the budget. */
+    /** Sets the bytes held to what is there already, also when that exceeds the budget. Without effect once it is closed. */
     set(bytes: number): void {
+        if (this.isClosed) {
+            return;
+        }
         this.budget.update(this.kind, bytes - this.heldBytes);
         this.heldBytes = bytes;
     }
@@ -164,6 +168,7 @@
     /** Releases all bytes. */
     close(): void {
         this.set(0);
+        this.isClosed = true;
         this.onDisplace = undefined;
         this.budget.remove();
     }
--- a/packages/wigeonpulley/test/clients/byte-budget.test.ts
+++ b/packages/wigeonpulley/test/clients/byte-budget.test.ts
@@ -1,3 +1,4 @@
+import { fc, test as property } from "@fast-check/vitest";
 import { expect, test } from "vitest";
 import { ByteBudget, VirtualTimerService } from "wigeonpulley";
 
@@ -68,3 +69,58 @@
     expect(budget.open("requests").tryAdd(300)).toBe(false);
     expect(displaced).toEqual([]);
 });
+
+// Guards against REFUSED: bytes that were charged after the end of a request were never released.
+test("an account that is closed takes no more bytes", () => {
+    const { budget } = createBudget();
+    const account = budget.open("requests");
+    account.close();
+    expect(account.tryAdd(100)).toBe(false);
+    account.set(50);
+    expect(budget.totalBytes).toBe(0);
+});
+
+/** Steps of a mix of uploads: a client sends bytes, and time passes. */
+const stepArbitrary = fc.record({
+    client: fc.integer({ min: 0, max: 11 }),
+    bytes: fc.integer({ min: 1, max: 300 }),
+    waitMs: fc.integer({ min: 0, max: 400 }),
+});
+
+// Guards against REFUSED: an ordinary upload that had paused was displaced before a crowd that stood still for far longer.
+property.prop([fc.array(stepArbitrary, { minLength: 1, maxLength: 80 })], { numRuns: 200, seed: 55 })(
+    "no upload is refused while there is room, and without room those that stand still for longest go first",
+    async steps => {
+        const { timers, budget } = createBudget();
+        const uploads = new Map<number, ReturnType<typeof budget.open>>();
+        const openClient = (client: number) => {
+            const account = budget.open("requests");
+            account.startUpload(() => {
+                expect(budget.totalBytes).toBeGreaterThan(0);
+                const others = [...uploads.values()].filter(other => other !== account && other.bytes > 0);
+                // The one that asks for room has just made progress.
+                expect(account.progressAt).toBeLessThanOrEqual(
+                    Math.min(...others.map(({ progressAt }) => progressAt)),
+                );
+                uploads.delete(client);
+                account.finishUpload();
+                account.close();
+            });
+            uploads.set(client, account);
+            return account;
+        };
+        for (const { client, bytes, waitMs } of steps) {
+            const account = uploads.get(client) ?? openClient(client);
+            const hasRoom = budget.totalBytes + bytes <= budget.limitBytes;
+            const openBefore = uploads.size;
+            account.recordProgress();
+            const isAdded = account.tryAdd(bytes);
+            expect(budget.totalBytes).toBeLessThanOrEqual(budget.limitBytes);
+            if (hasRoom) {
+                expect(isAdded).toBe(true);
+                expect(uploads.size).toBe(openBefore);
+            }
+            await timers.advance(waitMs);
+        }
+    },
+);
