Bound what clients without the VMs' key hold of the port for gossip

300 connections without a call took 330 of 160 descriptors, and calls without the key, 100 on each of 40 connections, beside 200 heads without an end left ordinary callers without a response. Cause: the port counted neither connections nor calls, and a call's message was read into memory before its key was checked. Change: UnverifiedSessions closes a session that shows no key within 5 s, and the oldest one when there are more than clients.maxUnverifiedPeers; a call without the key is refused by its head, with the status that gRPC clients know.

--- a/bench/src/capacity/links.ts
+++ b/bench/src/capacity/links.ts
@@ -18,6 +18,7 @@
     SchedulerMessageSchema,
     SystemTimerService,
     TicketSchema,
+    UnverifiedSessions,
 } from "wigeonpulley";
 import { roundTo, type Row, type Table } from "../table.js";
 
@@ -89,12 +90,14 @@
     });
 
 const measureTickets = async (tickets: number, concurrency: number): Promise<Row> => {
-    const server = PeerServer.create(new GrantingHandler(), PEER_KEY);
+    const timers = SystemTimerService.create();
+    const unverified = UnverifiedSessions.create({ timers, maxSessions: 64, onClose: () => undefined });
+    const server = PeerServer.create(new GrantingHandler(), PEER_KEY, unverified);
     const port = await server.listen({ host: "127.0.0.1", port: 0 });
     const transport = ConnectPeerTransport.create("vm-1", PEER_KEY, {
         isCountingGossip: true,
         add: () => undefined,
-    }, SystemTimerService.create());
+    }, timers);
     const outgoing = MessageQueue.create<GatewayMessage>();
     const abort = new AbortController();
     const peer = {
--- a/packages/wigeonpulley/src/clients/client-resources.ts
+++ b/packages/wigeonpulley/src/clients/client-resources.ts
@@ -36,9 +36,12 @@
     readonly requestConnections: ConnectionGroup;
     /** Limit on the connections to each of the ports for operators. */
     readonly maxOperatorConnections: number;
+    /** Limit on the connections to the port for other VMs whose clients have not shown their key. */
+    readonly maxUnverifiedPeers: number;
 
     private constructor(options: ClientResourcesOptions) {
         const { timers, settings, metrics, memoryMb } = options;
+        this.maxUnverifiedPeers = settings.maxUnverifiedPeers;
         this.budget = ByteBudget.create({
             timers,
             limitBytes: Math.floor(memoryMb * settings.memoryShare * BYTES_PER_MB),
--- a/packages/wigeonpulley/src/clients/client-settings.ts
+++ b/packages/wigeonpulley/src/clients/client-settings.ts
@@ -26,6 +26,9 @@
     maxOperatorConnections: z.number().int().positive().optional().describe(
         "Connections to each of the operators', readiness and metrics ports; by default a 32nd of `mostDescriptors`, from 4 to 32.",
     ),
+    maxUnverifiedPeers: z.number().int().positive().default(64).describe(
+        "Connections to the port for other VMs whose clients have not shown the VMs' key; the oldest one is closed for a new one.",
+    ),
 });
 
 /** Section `clients` with defaults filled in. */
--- a/packages/wigeonpulley/src/peers/connect-peer-transport.ts
+++ b/packages/wigeonpulley/src/peers/connect-peer-transport.ts
@@ -3,14 +3,13 @@
 import {
     type Client,
     Code,
-    ConnectError,
     type ConnectRouter,
     createClient,
     type Interceptor,
     type ServiceImpl,
 } from "@connectrpc/connect";
 import { connectNodeAdapter, createGrpcTransport, Http2SessionManager } from "@connectrpc/connect-node";
-import { createServer, type Http2Server, type ServerHttp2Session } from "node:http2";
+import { createServer, type Http2Server, type ServerHttp2Session, type ServerHttp2Stream } from "node:http2";
 import type { AddressInfo, Socket } from "node:net";
 import { Err, Ok, type Result } from "ts-results-es";
 import {
@@ -39,7 +38,9 @@
 import { isPeerKey, PEER_KEY_HEADER, VM_HEADER } from "./peer-identity.js";
 import { type GossipHandler, PeerHandler, PeerTransport } from "./peer-transport.js";
 import { decodePosition, decodeRecords, encodePosition, encodeRecords } from "./record-codec.js";
+import type { UnverifiedSessions } from "./unverified-sessions.js";
 
+const HTTP_OK = 200;
 const CALL_TIMEOUT_MS = 2_000;
 /** Records may be long, and the link of the peer slow. */
 const RECORDS_TIMEOUT_MS = 5_000;
@@ -248,11 +249,22 @@
         });
     }
 
-    /** Creates a server for a handler; calls without the shared key are rejected. */
-    static create(handler: GossipHandler, key: string): PeerServer {
-        return new PeerServer(
-            createServer(connectNodeAdapter({ routes: createRoutes(handler, key), acceptCompression: [] })),
-        );
+    /** Creates a server for a handler; calls without the shared key are refused before their messages are read. */
+    static create(handler: GossipHandler, key: string, unverified: UnverifiedSessions): PeerServer {
+        const handleCall = connectNodeAdapter({ routes: createRoutes(handler), acceptCompression: [] });
+        const server = createServer((request, response) => {
+            const { session } = request.stream;
+            if (!isPeerKey(String(request.headers[PEER_KEY_HEADER] ?? ""), key)) {
+                refuseCall(request.stream);
+                return;
+            }
+            if (session !== undefined) {
+                unverified.remove(session as ServerHttp2Session);
+            }
+            handleCall(request, response);
+        });
+        server.on("session", session => unverified.add(session));
+        return new PeerServer(server);
     }
 
     /** Starts to listen and returns the port in use. Rejects if the address can't be used. */
@@ -278,49 +290,45 @@
     }
 }
 
-/** Returns the name of the calling VM. Throws Unauthenticated if the shared key is wrong. */
-const verifyIdentity = (headers: Headers, key: string): string => {
-    if (!isPeerKey(headers.get(PEER_KEY_HEADER) ?? "", key)) {
-        throw new ConnectError("the peer key is wrong", Code.Unauthenticated);
-    }
-    return headers.get(VM_HEADER) ?? "";
+/** Refuses a call without the shared key, as gRPC does it. */
+const refuseCall = (stream: ServerHttp2Stream): void => {
+    stream.on("error", () => undefined);
+    stream.respond({
+        ":status": HTTP_OK,
+        "content-type": "application/grpc",
+        "grpc-status": String(Code.Unauthenticated),
+        "grpc-message": "the peer key is wrong",
+    }, { endStream: true });
+    stream.close();
 };
 
 /** A VM without schedulers leaves out their routes, so calls to them fail as unimplemented. */
-const createRoutes = (handler: GossipHandler, key: string) => (router: ConnectRouter): void => {
+const createRoutes = (handler: GossipHandler) => (router: ConnectRouter): void => {
     router.service(PeerService, {
-        gossip: async function*(digests, context) {
-            verifyIdentity(context.requestHeader, key);
+        gossip: async function*(digests) {
             for await (const digest of digests) {
                 yield handler.handleDigest(digest);
             }
         },
-        fetchOperatorRecords: ({ position }, context) => {
-            verifyIdentity(context.requestHeader, key);
-            return encodeRecordBatch(handler.handleFetchOperatorRecords(
+        fetchOperatorRecords: ({ position }) =>
+            encodeRecordBatch(handler.handleFetchOperatorRecords(
                 position === undefined
                     ? undefined
                     : { era: position.era, offset: Number(position.offset) },
-            ));
-        },
-        ...(handler instanceof PeerHandler ? createSchedulerRoutes(handler, key) : {}),
+            )),
+        ...(handler instanceof PeerHandler ? createSchedulerRoutes(handler) : {}),
     });
 };
 
 const createSchedulerRoutes = (
     handler: PeerHandler,
-    key: string,
 ): Partial<ServiceImpl<typeof PeerService>> => ({
     schedule: (incoming, context) =>
-        handler.handleSchedule(verifyIdentity(context.requestHeader, key), incoming),
-    fetchConfiguration: ({ known }, context) => {
-        verifyIdentity(context.requestHeader, key);
+        handler.handleSchedule(context.requestHeader.get(VM_HEADER) ?? "", incoming),
+    fetchConfiguration: ({ known }) => {
         const version = handler.handleFetchConfiguration(known - 1);
         const versionJson = version === undefined ? "" : JSON.stringify(version);
         return create(FetchConfigurationResponseSchema, { versionJson });
     },
-    claim: (request, context) => {
-        verifyIdentity(context.requestHeader, key);
-        return handler.handleClaim(request);
-    },
+    claim: request => handler.handleClaim(request),
 });
--- a/packages/wigeonpulley/src/routed-vm/daemon.ts
+++ b/packages/wigeonpulley/src/routed-vm/daemon.ts
@@ -4,7 +4,7 @@
 import { UndiciTransport } from "../forwarding/index.js";
 import { ConsolaSink, EventLogger } from "../logging/index.js";
 import { MetricsRegistry } from "../metrics/index.js";
-import { ConnectPeerTransport, PeerServer } from "../peers/index.js";
+import { ConnectPeerTransport, PeerServer, UnverifiedSessions } from "../peers/index.js";
 import { SystemRandom } from "../random/index.js";
 import { SystemTimerService, type TimerService } from "../time/index.js";
 import { OperatorServer } from "./operator-server.js";
@@ -52,7 +52,15 @@
         metrics: MetricsRegistry,
     ) {
         const { settings, peerKey } = options;
-        this.peerServer = PeerServer.create(vm, peerKey);
+        this.peerServer = PeerServer.create(
+            vm,
+            peerKey,
+            UnverifiedSessions.create({
+                timers,
+                maxSessions: vm.clients.maxUnverifiedPeers,
+                onClose: () => vm.clients.recorder.record("connections"),
+            }),
+        );
         this.operatorServer = OperatorServer.create({
             isReady: () => vm.isReady(),
             getStatus: () => vm.getStatus(),
--- a/packages/wigeonpulley/src/vm/daemon.ts
+++ b/packages/wigeonpulley/src/vm/daemon.ts
@@ -5,7 +5,7 @@
 import { HttpServer } from "../gateway/index.js";
 import { ConsolaSink, EventLogger } from "../logging/index.js";
 import { MetricsRegistry } from "../metrics/index.js";
-import { ConnectPeerTransport, PeerServer } from "../peers/index.js";
+import { ConnectPeerTransport, PeerServer, UnverifiedSessions } from "../peers/index.js";
 import { HttpPlatformLog, HttpVmList } from "../platform/index.js";
 import { SystemRandom } from "../random/index.js";
 import { SystemTimerService, type TimerService } from "../time/index.js";
@@ -51,13 +51,14 @@
             firstByteTimeoutMs: timing.streamSilenceMs,
         }),
     });
-    const peerServer = PeerServer.create(vm.peerHandler, settings.peerKey);
+    const clients = createClients(settings, timers, logger, metrics);
+    const peerServer = createPeerServer(settings, vm, clients, timers);
     const shutdown = createShutdown(vm, logger);
     const httpServer = HttpServer.create({
         settings,
         gateway: vm.gateway,
         metrics,
-        clients: createClients(settings, timers, logger, metrics),
+        clients,
         getCallers: () => vm.getCallers(),
         isReady: () => vm.isReady(),
         operators: { getStatus: () => vm.getStatus(), drain: () => shutdown.stop() },
@@ -82,6 +83,20 @@
     return { vm, stop: shutdown.stop, stopped };
 };
 
+const createPeerServer = (
+    { peerKey }: Settings,
+    vm: EntryVm,
+    clients: ClientResources,
+    timers: TimerService,
+): PeerServer => {
+    const unverified = UnverifiedSessions.create({
+        timers,
+        maxSessions: clients.maxUnverifiedPeers,
+        onClose: () => clients.recorder.record("connections"),
+    });
+    return PeerServer.create(vm.peerHandler, peerKey, unverified);
+};
+
 const createClients = (
     settings: Settings,
     timers: TimerService,
--- a/packages/wigeonpulley/test/peers/connect-peer-transport.test.ts
+++ b/packages/wigeonpulley/test/peers/connect-peer-transport.test.ts
@@ -1,4 +1,6 @@
 /** Calls between VMs over real connections. */
+import { connect as connectHttp2 } from "node:http2";
+import { connect } from "node:net";
 import { expect, onTestFinished, test } from "vitest";
 import {
     type ConfigurationVersion,
@@ -9,6 +11,7 @@
     type RecordBatch,
     SystemTimerService,
     type TopicPosition,
+    UnverifiedSessions,
     type VmListEntry,
 } from "wigeonpulley";
 
@@ -37,9 +40,16 @@
     }
 }
 
+const MAX_UNVERIFIED_SESSIONS = 4;
+
 /** Connects a VM to a peer on the loopback interface. */
 const connectTo = async (handler: GossipHandler) => {
-    const server = PeerServer.create(handler, PEER_KEY);
+    const unverified = UnverifiedSessions.create({
+        timers: SystemTimerService.create(),
+        maxSessions: MAX_UNVERIFIED_SESSIONS,
+        onClose: () => undefined,
+    });
+    const server = PeerServer.create(handler, PEER_KEY, unverified);
     const port = await server.listen({ host: "127.0.0.1", port: 0 });
     onTestFinished(() => server.close());
     const transport = ConnectPeerTransport.create("vm-1", PEER_KEY, {
@@ -53,7 +63,7 @@
         peerUrl: `http://127.0.0.1:${port}`,
         state: "live",
     };
-    return { transport, entry };
+    return { transport, entry, port };
 };
 
 test("an invalid configuration of a peer is a failure of the call", async () => {
@@ -96,3 +106,43 @@
     expect((await transport.fetchOperatorRecords(entry, { era: 2, offset: 5 })).unwrap()).toBeUndefined();
     expect(peer.positions).toEqual([undefined, { era: 2, offset: 5 }]);
 });
+
+/** Opens a connection that sends nothing; resolves when it is closed. */
+const openSilent = (port: number): Promise<void> => {
+    const socket = connect(port, "127.0.0.1");
+    onTestFinished(() => void socket.destroy());
+    socket.on("error", () => undefined);
+    socket.resume();
+    return new Promise(resolve => socket.once("close", () => resolve()));
+};
+
+// Guards against GONE: connections without a call took the descriptors of a process.
+test("the oldest connections that show no key are closed for new ones, and a VM is still served", async () => {
+    const { transport, entry, port } = await connectTo(InvalidConfigurationPeer.create());
+    const closed = Array.from({ length: 3 * MAX_UNVERIFIED_SESSIONS }, () => openSilent(port));
+    await Promise.all(closed.slice(0, MAX_UNVERIFIED_SESSIONS));
+    const response = await transport.fetchConfiguration(entry, -1);
+    expect(response.unwrapErr().message).toContain("invalid configuration");
+    for (let count = 0; count < 3 * MAX_UNVERIFIED_SESSIONS; count += 1) {
+        void openSilent(port);
+    }
+    const again = await transport.fetchConfiguration(entry, -1);
+    expect(again.unwrapErr().message).toContain("invalid configuration");
+});
+
+// Guards against GONE: the message of a call was read into memory before its key was checked.
+test("a call without the key is refused before its message has been read", async () => {
+    const { port } = await connectTo(InvalidConfigurationPeer.create());
+    const session = connectHttp2(`http://127.0.0.1:${port}`);
+    onTestFinished(() => void session.destroy());
+    const stream = session.request({
+        ":method": "POST",
+        ":path": "/wigeonpulley.peer.v1.PeerService/FetchConfiguration",
+        "content-type": "application/grpc",
+        "x-peer-key": "another key",
+    });
+    stream.on("error", () => undefined);
+    stream.write(Buffer.alloc(16_384));
+    const headers = await new Promise<Record<string, unknown>>(resolve => stream.once("response", resolve));
+    expect(headers["grpc-status"]).toBe("16");
+});
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -15,6 +15,7 @@
 /** Tests that measure the memory of a process: one file at a time, after all others, since they load the machine. */
 const CROWD_TESTS = [
     "platform/test/client-input.test.ts",
+    "platform/test/client-matrix.test.ts",
     "platform/test/client-resources.test.ts",
     "platform/test/gateway-client-resources.test.ts",
 ];
