Charge responses that are collected whole to the memory for clients

On the product's own interface, a service's response, or a chat that isn't streamed, was collected whatever its length. Cause: the client of endpoints read bodies to their end, outside of any account. Change: the account of a request goes with it to the endpoint's client; a response is charged twice, for its bytes and its text, until its own response is closed and the request has been served, also when the caller has left. One without room is read no further, and the request fails as one that may have run, without Retry-After. Not measured with a process and a crowd.

--- a/packages/wigeonpulley/src/endpoints/endpoint-client.ts
+++ b/packages/wigeonpulley/src/endpoints/endpoint-client.ts
@@ -1,6 +1,7 @@
 /** Interface through which gateways and schedulers call endpoints. */
 import type { Result } from "ts-results-es";
 import * as z from "zod";
+import type { ByteAccount } from "../clients/index.js";
 import type { Endpoint } from "../config/index.js";
 import type { SchedulerError } from "../errors/index.js";
 import type { ConsumedPermit, DispatchPermit } from "./dispatch-permit.js";
@@ -14,6 +15,8 @@
     readonly body: string;
     /** Forwarded so that services can deduplicate requests themselves. */
     readonly idempotencyKey: string | undefined;
+    /** Account that a response is charged to while it is collected and until it is sent; undefined when nothing bounds it. */
+    readonly account?: ByteAccount | undefined;
 }
 
 /** One event of an engine's stream. */
--- a/packages/wigeonpulley/src/endpoints/http-endpoint-client.ts
+++ b/packages/wigeonpulley/src/endpoints/http-endpoint-client.ts
@@ -4,6 +4,7 @@
 import { Err, Ok, type Result } from "ts-results-es";
 import { Agent, type Dispatcher, request as sendRequest } from "undici";
 import * as z from "zod";
+import { type ByteAccount, CompactBytes, SegmentPool } from "../clients/index.js";
 import type { Endpoint } from "../config/index.js";
 import { describeCause, SchedulerError } from "../errors/index.js";
 import { isConnectFailure } from "../platform/index.js";
@@ -29,6 +30,8 @@
 const REQUEST_ID_HEADER = "x-request-id";
 /** Time for an endpoint to respond to any call other than a dispatch. */
 const CONTROL_TIMEOUT_MS = 2_000;
+/** Copies of a collected response that are held together: its bytes and its text. */
+const TEXT_COPIES = 2;
 
 const cancelResponseSchema = z.object({ outcome: z.enum(["never-seen", "cancelled", "finished"]) });
 
@@ -103,7 +106,12 @@
         const { consumedPermit, data } = response.value;
         try {
             const contentType = String(data.headers["content-type"] ?? "application/octet-stream");
-            return Ok({ status: data.statusCode, contentType, body: await data.body.text() });
+            const body = await readText(data.body, request.account);
+            if (body === undefined) {
+                const error = createError(endpoint, "its response has no room in memory");
+                return Err({ kind: "maybe-sent", consumedPermit, error });
+            }
+            return Ok({ status: data.statusCode, contentType, body });
         }
         catch (cause) {
             return Err({
@@ -223,6 +231,23 @@
         : { kind: "maybe-sent", consumedPermit, error: createError(endpoint, reason) };
 };
 
+/** Reads a whole body as text; undefined when the account has no room for it, and the rest of it is not read. */
+const readText = async (
+    body: Readable,
+    account: ByteAccount | undefined,
+): Promise<string | undefined> => {
+    const bytes = CompactBytes.create(SegmentPool.create(0));
+    for await (const chunk of body as AsyncIterable<Buffer>) {
+        const growth = bytes.computeGrowth(chunk.length);
+        if (growth > 0 && account?.tryAdd(growth * TEXT_COPIES) === false) {
+            // Leaving the loop destroys the body.
+            return undefined;
+        }
+        bytes.push(chunk);
+    }
+    return bytes.take().toString();
+};
+
 const openStream = (response: Dispatcher.ResponseData): EngineStream => {
     const body = response.body;
     body.on("error", () => undefined); // Reading the events reports the error.
--- a/packages/wigeonpulley/src/gateway/caller-request.ts
+++ b/packages/wigeonpulley/src/gateway/caller-request.ts
@@ -1,6 +1,7 @@
 /** Parses callers' requests into the fields that scheduling and dispatch need. */
 import { Err, Ok, type Result } from "ts-results-es";
 import * as z from "zod";
+import type { ByteAccount } from "../clients/index.js";
 import { formatProblems, type Labels, labelsSchema } from "../config/index.js";
 import { SchedulerError } from "../errors/index.js";
 import { hashText } from "../hashing/index.js";
@@ -22,6 +23,8 @@
     readonly contentType: string;
     /** Aborted when the caller disconnects. */
     readonly signal: AbortSignal;
+    /** What the request and its response hold; closed with the response. */
+    readonly account?: ByteAccount | undefined;
 }
 
 /** A request for a model. */
--- a/packages/wigeonpulley/src/gateway/http-server.ts
+++ b/packages/wigeonpulley/src/gateway/http-server.ts
@@ -2,10 +2,11 @@
 import fastify, { type FastifyInstance, type FastifyReply, type FastifyRequest } from "fastify";
 import * as Option from "fp-ts/lib/Option.js";
 import { timingSafeEqual } from "node:crypto";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import { Readable } from "node:stream";
 import { Err, Ok, type Result } from "ts-results-es";
 import * as z from "zod";
-import { type ClientResources, createMemoryError } from "../clients/index.js";
+import { type ByteAccount, type ClientResources, createMemoryError } from "../clients/index.js";
 import { type Caller, findCaller, hashKey, type Settings } from "../config/index.js";
 import { computeRetryAfterSeconds, createProblemBody, SchedulerError } from "../errors/index.js";
 import { listOpenResponses } from "../http-connections/index.js";
@@ -39,6 +40,8 @@
 const MAX_UNANSWERED = 256;
 /** Memory planned for a request beside its body, in bytes. */
 const REQUEST_BYTES = 8_192;
+/** Memory planned for an event of a collected response beside its data, in bytes. */
+const EVENT_BYTES = 64;
 /** Copies of a body that are held while its request is served: its text, and its parsed fields or what goes to the endpoint. */
 const BODY_COPIES = 2;
 const HTTP_OK = 200;
@@ -52,6 +55,10 @@
 
 /** HTTP server of one VM for callers and operators. */
 export class HttpServer {
+    private readonly accounts = new WeakMap<IncomingMessage, ByteAccount>();
+    /** What ends when a request has been served, also after its caller has left. */
+    private readonly serving = new WeakMap<IncomingMessage, Promise<unknown>>();
+
     private constructor(private readonly app: FastifyInstance, private readonly options: HttpServerOptions) {}
 
     /** Creates a server that does not listen yet. */
@@ -104,6 +111,22 @@
         });
     }
 
+    /** Returns the account of a request, which is closed when its response is closed and the request has been served. */
+    private getOrOpenAccount(request: IncomingMessage, response: ServerResponse): ByteAccount {
+        const known = this.accounts.get(request);
+        if (known !== undefined) {
+            return known;
+        }
+        const account = this.options.clients.budget.open("requests");
+        this.accounts.set(request, account);
+        const close = (): void => account.close();
+        if (response.closed) {
+            close();
+        }
+        response.once("close", () => void Promise.resolve(this.serving.get(request)).then(close, close));
+        return account;
+    }
+
     /** Reads the body of a known caller as text. What it holds is released when the response ends. */
     private async readText(request: FastifyRequest): Promise<string> {
         const { clients, settings, getCallers } = this.options;
@@ -111,13 +134,11 @@
         if (Option.isNone(findCaller(getCallers(), parseBearer(request)))) {
             throw SchedulerError.create("UnknownCaller", {});
         }
-        const account = clients.budget.open("requests");
         const response = listOpenResponses(raw.socket).find(({ req }) => req === raw);
         if (response === undefined || response.closed) {
-            account.close();
             throw SchedulerError.create("RequestCancelled", {});
         }
-        response.once("close", () => account.close());
+        const account = this.getOrOpenAccount(raw, response);
         if (!account.tryAdd(REQUEST_BYTES)) {
             clients.recorder.record("memory");
             throw createMemoryError();
@@ -159,6 +180,7 @@
                                 kind: "engine",
                                 contentType: "application/json",
                                 signal: createCloseSignal(reply),
+                                account: this.getOrOpenAccount(request.raw, reply.raw),
                             })
                         ),
                     isStreamingBody(request.body),
@@ -174,6 +196,11 @@
                     true,
                 ),
         );
+        this.addServiceRoutes();
+    }
+
+    private addServiceRoutes(): void {
+        const { gateway } = this.options;
         void this.app.register((scope, options, done) => {
             scope.removeAllContentTypeParsers();
             scope.addContentTypeParser("*", (request: FastifyRequest) => this.readText(request));
@@ -185,7 +212,10 @@
                         reply,
                         caller =>
                             parseHeaders(request.headers).map(headers =>
-                                gateway.serve(caller, createServiceRequest(request, reply, headers))
+                                gateway.serve(caller, {
+                                    ...createServiceRequest(request, reply, headers),
+                                    account: this.getOrOpenAccount(request.raw, reply.raw),
+                                })
                             ),
                         false,
                     ),
@@ -233,6 +263,9 @@
             return sendProblem(reply, SchedulerError.create("UnknownCaller", {}));
         }
         const started = run(caller.value);
+        if (started.isOk()) {
+            this.serving.set(request.raw, started.value);
+        }
         const response = started.isOk() ? await started.value : Err(started.error);
         if (response.isErr()) {
             return sendProblem(reply, response.error);
@@ -243,7 +276,9 @@
                 response.value.body,
             );
         }
-        return isStreaming ? sendStream(reply, response.value) : sendCompletion(reply, response.value);
+        return isStreaming
+            ? sendStream(reply, response.value)
+            : sendCompletion(reply, response.value, this.getOrOpenAccount(request.raw, reply.raw));
     }
 
     private isOperator(request: FastifyRequest): boolean {
@@ -311,12 +346,20 @@
     }
 }
 
-const sendCompletion = async (reply: FastifyReply, { response }: StreamedResponse): Promise<FastifyReply> => {
+const sendCompletion = async (
+    reply: FastifyReply,
+    { response }: StreamedResponse,
+    account: ByteAccount,
+): Promise<FastifyReply> => {
     const events: string[] = [];
     for await (const item of response.events) {
         if (item.isErr()) {
             return sendProblem(reply, item.error);
         }
+        if (!account.tryAdd(EVENT_BYTES + item.value.data.length * BODY_COPIES)) {
+            const reason = "the response has no room in memory";
+            return sendProblem(reply, SchedulerError.create("EndpointFailed", { endpoint: "", reason }));
+        }
         events.push(item.value.data);
     }
     return reply.type("application/json").send(mergeChunks(events));
--- a/packages/wigeonpulley/src/gateway/request-context.ts
+++ b/packages/wigeonpulley/src/gateway/request-context.ts
@@ -48,4 +48,5 @@
     contentType: request.contentType,
     body: request.body,
     idempotencyKey: request.idempotencyKey,
+    account: request.account,
 });
