Go on parsing for other connections after an error in a callback of the parser

Seen in a reading of the scheduler: an exception in a callback left its turn without the next one, so that held input waited until new input came, while a process that stops after an unexpected error still owes responses. Change: the next turn is scheduled in any case. A stopping VM keeps connections whose input waits to be parsed, and refuses what is on them.

--- a/packages/wigeonpulley/src/clients/input-scheduler.ts
+++ b/packages/wigeonpulley/src/clients/input-scheduler.ts
@@ -64,7 +64,7 @@
         if (this.levelBySource.has(source) || !source.hasInput) {
             return;
         }
-        this.enqueue(source);
+        this.addToLevel(source);
         this.parseWaiting();
     }
 
@@ -74,7 +74,7 @@
         this.levelBySource.delete(source);
     }
 
-    private enqueue(source: InputSource): void {
+    private addToLevel(source: InputSource): void {
         const index = source.work < FIRST_LEVEL_WORK
             ? 0
             : 1 + Math.floor(Math.log(source.work / FIRST_LEVEL_WORK) / Math.log(LEVEL_FACTOR));
@@ -93,7 +93,7 @@
         this.isParsing = true;
         try {
             while (this.workInTurn < this.options.maxWorkPerTurn) {
-                const source = this.takeNext();
+                const source = this.removeNext();
                 if (source === undefined) {
                     break;
                 }
@@ -101,12 +101,13 @@
             }
         }
         finally {
+            // What a callback throws ends no connection but its own.
             this.isParsing = false;
+            this.scheduleTurn();
         }
-        this.scheduleTurn();
     }
 
-    private takeNext(): InputSource | undefined {
+    private removeNext(): InputSource | undefined {
         const [source] = this.levels.find(({ size }) => size > 0) ?? [];
         if (source !== undefined) {
             this.remove(source);
@@ -128,13 +129,13 @@
             Math.min(MAX_PART_BYTES, partBytes * Math.min(MAX_PART_GROWTH, PART_WORK / work)),
         );
         if (source.hasInput && !this.levelBySource.has(source)) {
-            this.enqueue(source);
+            this.addToLevel(source);
         }
     }
 
     private scheduleTurn(): void {
         const { scheduleTurn = setImmediate, onHeldBack } = this.options;
-        if (this.isTurnScheduled || this.workInTurn === 0) {
+        if (this.isTurnScheduled || (this.workInTurn === 0 && this.waitingCount === 0)) {
             return;
         }
         this.isTurnScheduled = true;
--- a/packages/wigeonpulley/src/forwarding/front-server.ts
+++ b/packages/wigeonpulley/src/forwarding/front-server.ts
@@ -181,7 +181,8 @@
         await waitUntilLoopIsInTime(this.options.timers);
         // Node counts a connection that has sent nothing yet as busy, so requests are counted here.
         this.requestCountBySocket.forEach((requestCount, socket) => {
-            if (requestCount === 0) {
+            // Input that waits to be parsed may be a request, which is then refused.
+            if (requestCount === 0 && socket.readableLength === 0) {
                 // After end(), a request that still arrives would be read and couldn't be answered.
                 socket.destroy();
             }
--- a/packages/wigeonpulley/test/clients/input-scheduler.test.ts
+++ b/packages/wigeonpulley/test/clients/input-scheduler.test.ts
@@ -137,6 +137,22 @@
     expect(scheduler.waitingCount).toBe(0);
 });
 
+// Guards against LOST: a process that stops after an unexpected error still serves the requests that have arrived.
+test("an error in a callback of the parser leaves the other connections their turns", () => {
+    const { scheduler, createInput, runTurn } = createTurns();
+    const failing = createInput(COSTLY, READ_BYTES);
+    failing.parse = () => {
+        throw new TypeError("a fault of this test");
+    };
+    expect(() => scheduler.add(failing)).toThrow(TypeError);
+    const other = createInput(COSTLY, READ_BYTES);
+    scheduler.add(other);
+    while (runTurn()) {
+        // Ends when nothing waits.
+    }
+    expect(other.parsedBytes).toBe(READ_BYTES);
+});
+
 const inputArbitrary = fc.record({
     workPerByte: fc.constantFrom(CHEAP, 0.01, COSTLY, 1, 2),
     bytes: fc.integer({ min: 1, max: 200_000 }),
