Show how busy the event loop is, what fills it, and how long requests wait unread

The record of a request could not tell a VM without slots from one without processor time: the time in the operating system before the first callback, the delay of the event loop at other moments, and what its turns are spent on showed nowhere. Metrics and the event EventLoopLate (108) have the busy share, the processor time, the delays and the time by kind of work; RequestEnded has unreadMs and ahead.

--- a/packages/wigeonpulley/src/clients/client-resources.ts
+++ b/packages/wigeonpulley/src/clients/client-resources.ts
@@ -1,6 +1,7 @@
 /** What the clients of one process hold: the budget, the uploads and the connections, with their limits. */
 import type { EventLogger } from "../logging/index.js";
 import type { MetricsRegistry } from "../metrics/index.js";
+import type { WorkMeter } from "../processor/index.js";
 import type { TimerService } from "../time/index.js";
 import { BYTE_KINDS, ByteBudget, type ByteKind } from "./byte-budget.js";
 import type { ClientSettings } from "./client-settings.js";
@@ -20,6 +21,7 @@
     readonly metrics: MetricsRegistry;
     readonly settings: ClientSettings;
     readonly memoryMb: number;
+    readonly work?: WorkMeter | undefined;
     /** Limits on connections where the settings name none. */
     readonly maxConnections: number;
     readonly maxOperatorConnections: number;
@@ -40,7 +42,7 @@
     readonly maxUnverifiedPeers: number;
 
     private constructor(options: ClientResourcesOptions) {
-        const { timers, settings, metrics, memoryMb } = options;
+        const { timers, settings, metrics, memoryMb, work } = options;
         this.maxUnverifiedPeers = settings.maxUnverifiedPeers;
         this.budget = ByteBudget.create({
             timers,
@@ -53,6 +55,7 @@
             timers,
             settings,
             inputs: InputScheduler.create({
+                work,
                 maxWorkPerTurn: settings.parserCallbacksPerTurn,
                 onHeldBack: () => this.recorder.record("input"),
             }),
--- a/packages/wigeonpulley/src/clients/input-scheduler.ts
+++ b/packages/wigeonpulley/src/clients/input-scheduler.ts
@@ -3,6 +3,7 @@
  * much work as many (chunks of one byte, short header lines), so the bound counts callbacks of the parser and not bytes. Input
  * beyond the bound waits, and the connections that have cost least so far come first.
  */
+import { measureWork, type WorkMeter } from "../processor/index.js";
 
 /** Work that connections at the first level have cost at most; each further level allows a multiple of it. */
 const FIRST_LEVEL_WORK = 256;
@@ -34,6 +35,7 @@
     readonly maxWorkPerTurn: number;
     /** Called in each turn that leaves input of costly connections unparsed. */
     readonly onHeldBack: () => void;
+    readonly work?: WorkMeter | undefined;
     /** Calls back in the next turn of the event loop, after it has polled. */
     readonly scheduleTurn?: (callback: () => void) => void;
 }
@@ -121,7 +123,7 @@
             return;
         }
         const { partBytes } = source;
-        const work = source.parse(partBytes);
+        const work = measureWork(this.options.work, "parsing", () => source.parse(partBytes));
         this.workInTurn += work;
         source.work += work;
         source.partBytes = Math.max(
--- a/packages/wigeonpulley/src/forwarding/attempt.ts
+++ b/packages/wigeonpulley/src/forwarding/attempt.ts
@@ -2,6 +2,7 @@
 import { CompactBytes, SegmentPool } from "../clients/index.js";
 import type { EventLogger } from "../logging/index.js";
 import type { Placement, RequestOutcome } from "../placement/index.js";
+import { measureWork, type WorkMeter } from "../processor/index.js";
 import type { Quarantine } from "../quarantine/index.js";
 import type { TimerService } from "../time/index.js";
 import { AttemptEvidence } from "./attempt-evidence.js";
@@ -24,6 +25,7 @@
 /** Dependencies of an attempt. */
 export interface AttemptOptions {
     readonly timers: TimerService;
+    readonly work?: WorkMeter;
     readonly logger: EventLogger;
     readonly codec: HeaderCodec;
     readonly transport: EndpointTransport;
@@ -236,7 +238,7 @@
     }
 
     private async relayEvents(head: ResponseHead): Promise<AttemptOutcome> {
-        const { relay, writer, placement } = this.options;
+        const { relay, writer, placement, work } = this.options;
         let hasStarted = false;
         let isEventGapRecorded = false;
         for (;;) {
@@ -253,7 +255,7 @@
                 placement.recordFirstEvent();
                 relay.startResponse(head);
             }
-            await this.write(relay.push(chunk));
+            await this.write(measureWork(work, "relay", () => relay.push(chunk)));
             if (relay.isEventTooLong) {
                 this.exchange.abort("an event is too long");
                 return createFailedOutcome("an event is too long");
--- a/packages/wigeonpulley/src/forwarding/forwarder.ts
+++ b/packages/wigeonpulley/src/forwarding/forwarder.ts
@@ -5,6 +5,7 @@
 import { SchedulerError } from "../errors/index.js";
 import type { EventLogger } from "../logging/index.js";
 import type { Placement, PlacementRequest, PlacementService, VersionPolicy } from "../placement/index.js";
+import type { WorkMeter } from "../processor/index.js";
 import type { Quarantine } from "../quarantine/index.js";
 import type { TimerService } from "../time/index.js";
 import type { RetryBudget } from "./admission-limits.js";
@@ -34,6 +35,7 @@
     readonly logger: EventLogger;
     readonly codec: HeaderCodec;
     readonly transport: EndpointTransport;
+    readonly work?: WorkMeter;
     readonly placement: PlacementService;
     readonly versions: VersionPolicy;
     readonly regions: RequestRegions;
--- a/packages/wigeonpulley/src/forwarding/front-server.ts
+++ b/packages/wigeonpulley/src/forwarding/front-server.ts
@@ -13,6 +13,7 @@
 import type { EventLogger } from "../logging/index.js";
 import type { MetricsRegistry } from "../metrics/index.js";
 import { computeAllowedRegions } from "../placement/index.js";
+import type { ProcessorMonitor } from "../processor/index.js";
 import type { RandomSource } from "../random/index.js";
 import { type ActiveConfiguration, type CallerLimits, selectTarget } from "../routing/index.js";
 import type { TimerService } from "../time/index.js";
@@ -41,6 +42,7 @@
     readonly port: number;
     readonly maxOpenRequests: number;
     readonly clients: ClientResources;
+    readonly processor: ProcessorMonitor;
     readonly admission: AdmissionCheck;
     /** Key that all VMs share, for a server that takes requests of other VMs only; undefined for callers. */
     readonly peerKey?: string | undefined;
@@ -59,6 +61,17 @@
     readonly arrivedAt: number;
     /** VM that passed it on; undefined when a caller sent it to this VM. */
     readonly origin: PeerRequestOrigin | undefined;
+    readonly delays: ProcessDelays;
+}
+
+/** What in this process delayed a request that has been read. */
+interface ProcessDelays {
+    /** Longest time for which its head can have waited in the operating system before it was read, in milliseconds. */
+    readonly unreadMs: number;
+    /** Requests that were in progress when it was read. */
+    readonly ahead: number;
+    /** Time of the poll after it was read, in milliseconds. */
+    readonly loopDelayMs: number;
 }
 
 /** Interval at which Node checks connections for request heads that exceed their timeout. */
@@ -236,6 +249,7 @@
 
     private async handleRequest(message: IncomingMessage, response: ServerResponse): Promise<void> {
         const arrivedAt = this.options.timers.now();
+        const arrival = { unreadMs: this.options.processor.estimateUnreadMs(), ahead: this.openRequests };
         const writer = ResponseWriter.create(
             response,
             () => this.isDraining,
@@ -246,7 +260,7 @@
         this.openRequests += 1;
         this.updateRequestCount(message.socket, 1);
         try {
-            await this.serve(message, response, writer, arrivedAt, account);
+            await this.serve(message, response, writer, { arrivedAt, arrival, account });
         }
         catch (cause) {
             this.reportFailure(writer, SchedulerError.fromUnknown(cause));
@@ -288,8 +302,9 @@
         message: IncomingMessage,
         response: ServerResponse,
         writer: ResponseWriter,
-        arrivedAt: number,
-        account: ByteAccount,
+        { arrivedAt, arrival, account }: Pick<ReceivedRequest, "arrivedAt" | "account"> & {
+            readonly arrival: Omit<ProcessDelays, "loopDelayMs">;
+        },
     ): Promise<void> {
         const { peerKey, clients } = this.options;
         const origin = peerKey === undefined ? undefined : parsePeerHeaders(message.headers, peerKey);
@@ -334,6 +349,7 @@
             account,
             arrivedAt,
             origin,
+            delays: { ...arrival, loopDelayMs: 0 },
         };
         await this.serveAdmitted(received, response, writer);
     }
@@ -359,7 +375,7 @@
         this.lifetimes.set(request.lifetime, writer);
         cancelWhenCallerLeaves(request, message, response);
         try {
-            await this.forward(request, writer, loopDelayMs);
+            await this.forward(request, writer, { ...received.delays, loopDelayMs });
         }
         finally {
             request.lifetime.close();
@@ -370,7 +386,7 @@
     private async forward(
         request: RoutedRequest,
         writer: ResponseWriter,
-        loopDelayMs: number,
+        delays: ProcessDelays,
     ): Promise<void> {
         const { quotaLimiter, forwarder, logger } = this.options;
         const { workspace } = request;
@@ -401,7 +417,7 @@
         if (workspace !== undefined && quota !== undefined && !summary.mayHaveRun) {
             quotaLimiter.refund(workspace.name, units);
         }
-        this.writeSummary(request, summary, loopDelayMs);
+        this.writeSummary(request, summary, delays);
     }
 
     /** Refuses any request while this VM shuts down or is full; undefined when it may be admitted. */
@@ -480,11 +496,12 @@
         writer.sendError(error);
     }
 
-    private writeSummary(request: RoutedRequest, summary: ForwardSummary, loopDelayMs: number): void {
+    private writeSummary(request: RoutedRequest, summary: ForwardSummary, delays: ProcessDelays): void {
         const { logger, metrics, timers } = this.options;
         const tookMs = Math.round(timers.now() - request.arrivedAt);
         metrics.recordRequest(request.route.name, summary.outcome);
-        metrics.recordPhase(request.route.name, "event-loop", loopDelayMs);
+        metrics.recordPhase(request.route.name, "unread", delays.unreadMs);
+        metrics.recordPhase(request.route.name, "event-loop", delays.loopDelayMs);
         metrics.recordPhase(request.route.name, "total", tookMs);
         logger.write("RequestEnded", {
             id: request.metadata.attemptId,
@@ -499,7 +516,9 @@
             sends: summary.sends,
             rank: computeRank(request.route, request.workspace),
             promptTokens: request.metadata.tokens?.prompt ?? 0,
-            loopDelayMs: Math.round(loopDelayMs),
+            unreadMs: Math.round(delays.unreadMs),
+            ahead: delays.ahead,
+            loopDelayMs: Math.round(delays.loopDelayMs),
             waitedMs: summary.waitedMs,
             firstMs: summary.firstMs,
             predictedMs: summary.predictedMs,
--- a/packages/wigeonpulley/src/index.ts
+++ b/packages/wigeonpulley/src/index.ts
@@ -18,6 +18,7 @@
 export * from "./peers/index.js";
 export * from "./placement/index.js";
 export * from "./platform/index.js";
+export * from "./processor/index.js";
 export * from "./quarantine/index.js";
 export * from "./quotas/index.js";
 export * from "./random/index.js";
--- a/packages/wigeonpulley/src/logging/event-catalogue.ts
+++ b/packages/wigeonpulley/src/logging/event-catalogue.ts
@@ -193,6 +193,8 @@
             sends: number;
             rank: number;
             promptTokens: number;
+            unreadMs: number;
+            ahead: number;
             loopDelayMs: number;
             waitedMs: number;
             firstMs: number;
@@ -463,6 +465,15 @@
         ({ service, version, reason }) =>
             `the state of the rollout of ${service} to version ${version} could not be read or written: ${reason}`,
     ),
+    EventLoopLate: defineEvent<
+        { delayMs: number; overMs: number; busyPercent: number; processorPercent: number; work: string; }
+    >(
+        108,
+        "warn",
+        ({ delayMs, overMs, busyPercent, processorPercent, work }) =>
+            `a timer ran ${delayMs} ms late; in the last ${overMs} ms the event loop was busy for ${busyPercent}% of the time, `
+            + `and the process used ${processorPercent}% of a core; time by kind of work: ${work}`,
+    ),
     LinesDropped: defineEvent<{ count: number; }>(
         902,
         "warn",
--- a/packages/wigeonpulley/src/logging/event-logger.ts
+++ b/packages/wigeonpulley/src/logging/event-logger.ts
@@ -1,6 +1,7 @@
 /** Writes events of the catalogue through consola, one JSON object a line. */
 import { type ConsolaInstance, createConsola } from "consola";
 import type { SchedulerError } from "../errors/index.js";
+import { measureWork, type WorkMeter } from "../processor/index.js";
 import {
     eventCatalogue,
     type EventDetails,
@@ -105,6 +106,8 @@
 
 /** Logger of one process. */
 export class EventLogger {
+    private work: WorkMeter | undefined;
+
     private constructor(private readonly sink: EventSink) {}
 
     /** Creates a logger that writes to a sink. */
@@ -112,6 +115,11 @@
         return new EventLogger(sink);
     }
 
+    /** Adds the time of writing to a meter. */
+    observeWork(work: WorkMeter): void {
+        this.work = work;
+    }
+
     /** Writes an event of the catalogue. */
     write<Name extends EventName>(name: Name, details: EventDetails<Name>): void {
         const entry = eventCatalogue[name] as EventEntry<EventDetails<Name>>;
@@ -119,7 +127,11 @@
         if (!this.sink.isEnabled(level)) {
             return;
         }
-        this.sink.write({ number, name, level, message: entry.message(details), details });
+        measureWork(
+            this.work,
+            "logs",
+            () => this.sink.write({ number, name, level, message: entry.message(details), details }),
+        );
     }
 
     /** Resolves when all written events have been handed to the output. */
--- a/packages/wigeonpulley/src/membership/membership-service.ts
+++ b/packages/wigeonpulley/src/membership/membership-service.ts
@@ -17,6 +17,7 @@
 import type { EventLogger } from "../logging/index.js";
 import { decodePosition, encodePosition, type GossipTransport } from "../peers/index.js";
 import type { VmList, VmListEntry } from "../platform/index.js";
+import { measureWork, type WorkMeter } from "../processor/index.js";
 import type { RandomSource } from "../random/index.js";
 import type { TopicPosition } from "../store/index.js";
 import { type CancelTimer, ClockReading, type TimerService } from "../time/index.js";
@@ -80,6 +81,7 @@
     readonly logger: EventLogger;
     readonly vmList: VmList;
     readonly transport: GossipTransport;
+    readonly work?: WorkMeter;
     /** Reports sent with the digests; none when absent. */
     readonly reports?: ReportGossip;
     /** Confirmations of the configuration sent with the digests; none when absent. */
@@ -319,8 +321,10 @@
 
     /** Merges a peer's digest and returns this VM's. */
     handleDigest(digest: MemberDigest): MemberDigest {
-        this.merge(digest, undefined);
-        return this.createDigest(digest);
+        return measureWork(this.options.work, "gossip", () => {
+            this.merge(digest, undefined);
+            return this.createDigest(digest);
+        });
     }
 
     /** Whether this VM reads the store for others, follows one that does, or reads for itself alone. */
@@ -368,19 +372,25 @@
 
     private async gossipWithMember(peer: VmListEntry): Promise<void> {
         const startedAt = ClockReading.create(this.options.timers);
-        const response = await this.options.transport.exchangeDigests(peer, this.createDigest());
+        const { transport, work } = this.options;
+        const digest = measureWork(work, "gossip", () => this.createDigest());
+        const response = await transport.exchangeDigests(peer, digest);
         if (response.isOk()) {
-            this.merge(response.value, startedAt.monotonicMs);
-            this.confirmConfiguration(response.value, startedAt);
-            if (response.value.instanceList !== undefined) {
-                this.options.instanceList?.applyState(response.value.instanceList, startedAt);
-            }
+            measureWork(work, "gossip", () => this.applyResponse(response.value, startedAt));
         }
         else {
             this.suspect(peer, startedAt.monotonicMs);
         }
     }
 
+    private applyResponse(digest: MemberDigest, askedAt: ClockReading): void {
+        this.merge(digest, askedAt.monotonicMs);
+        this.confirmConfiguration(digest, askedAt);
+        if (digest.instanceList !== undefined) {
+            this.options.instanceList?.applyState(digest.instanceList, askedAt);
+        }
+    }
+
     /**
      * Applies the peer's confirmation. The peer stated the age after `startedAt`, so counting it from there never
      * underestimates the age; a digest that the peer sent by itself may have been on its way for any time.
--- a/packages/wigeonpulley/src/metrics/metrics-registry.ts
+++ b/packages/wigeonpulley/src/metrics/metrics-registry.ts
@@ -3,7 +3,7 @@
 import { Counter, Gauge, Registry } from "prom-client";
 
 /** Phases of a request whose durations are recorded. */
-export type RequestPhase = "event-loop" | "queue" | "first-token" | "inter-token" | "total";
+export type RequestPhase = "unread" | "event-loop" | "queue" | "first-token" | "inter-token" | "total";
 
 /** Limit on clients that refused, ended or held back something. */
 export type ClientLimit = "memory" | "slow-upload" | "unread" | "connections" | "pipelined" | "input";
@@ -109,6 +109,42 @@
         });
     }
 
+    /** Adds the quantiles of a histogram. */
+    registerQuantiles(name: string, help: string, histogram: Histogram): void {
+        const gauge: Gauge<"quantile"> = new Gauge({
+            name,
+            help,
+            labelNames: ["quantile"],
+            registers: [this.registry],
+            collect: () =>
+                PERCENTILES.forEach(percentile =>
+                    gauge.set(
+                        { quantile: String(percentile / PERCENT) },
+                        histogram.getValueAtPercentile(percentile),
+                    )
+                ),
+        });
+    }
+
+    /** Adds a counter by kind whose values are read whenever the metrics are formatted. */
+    registerTotals<Kind extends string>(
+        name: string,
+        help: string,
+        kinds: readonly Kind[],
+        readTotal: (kind: Kind) => number,
+    ): void {
+        const counter: Counter<"kind"> = new Counter({
+            name,
+            help,
+            labelNames: ["kind"],
+            registers: [this.registry],
+            collect: () => {
+                counter.reset();
+                kinds.forEach(kind => counter.inc({ kind }, readTotal(kind)));
+            },
+        });
+    }
+
     /** Counts a request or connection that a limit on clients refused or ended. */
     recordClientLimit(limit: ClientLimit): void {
         this.clientLimits.inc({ limit });
--- a/packages/wigeonpulley/src/placement/placement-service.ts
+++ b/packages/wigeonpulley/src/placement/placement-service.ts
@@ -6,6 +6,7 @@
 import type { Evacuations, Instance, InstanceDirectory } from "../discovery/index.js";
 import { SchedulerError } from "../errors/index.js";
 import type { EventLogger } from "../logging/index.js";
+import { measureWork, type WorkMeter } from "../processor/index.js";
 import type { RandomSource } from "../random/index.js";
 import type { TimerService } from "../time/index.js";
 import { type AdmissionRefusal, forecastAdmission } from "./admission-forecast.js";
@@ -57,6 +58,7 @@
     readonly versions: VersionPolicy;
     /** Homes of prompt blocks; none by default. */
     readonly homes?: HomePolicy;
+    readonly work?: WorkMeter;
     readonly dataCentre: string;
     readonly region: string;
     /** Region by data centre. */
@@ -318,6 +320,10 @@
     }
 
     private dispatchQueue(service: string, freedInstance?: string): void {
+        measureWork(this.options.work, "placement", () => this.dispatchWaiting(service, freedInstance));
+    }
+
+    private dispatchWaiting(service: string, freedInstance: string | undefined): void {
         const { queue, fairness, shares, turnover } = this.getQueue(service);
         const now = this.options.timers.now();
         if (queue.length === 0 && !this.isForecasting) {
--- a/packages/wigeonpulley/src/routed-vm/daemon.ts
+++ b/packages/wigeonpulley/src/routed-vm/daemon.ts
@@ -5,6 +5,7 @@
 import { ConsolaSink, EventLogger } from "../logging/index.js";
 import { MetricsRegistry } from "../metrics/index.js";
 import { ConnectPeerTransport, PeerServer, UnverifiedSessions } from "../peers/index.js";
+import { ProcessorMonitor, SystemProcessorClock } from "../processor/index.js";
 import { SystemRandom } from "../random/index.js";
 import { SystemTimerService, type TimerService } from "../time/index.js";
 import { OperatorServer } from "./operator-server.js";
@@ -77,6 +78,11 @@
         const timers = SystemTimerService.create();
         const logger = EventLogger.create(ConsolaSink.create(settings.logLevel, settings.name));
         const metrics = MetricsRegistry.create();
+        const processor = ProcessorMonitor.create({ timers, logger, clock: SystemProcessorClock.create() });
+        timers.observeDelays(delayMs => processor.recordTimerDelay(delayMs));
+        logger.observeWork(processor.work);
+        processor.observeGarbageCollection();
+        processor.registerMetrics(metrics);
         const transport = UndiciTransport.create({
             timers,
             connectTimeoutMs: CONNECT_TIMEOUT_MS,
@@ -92,6 +98,7 @@
             metrics,
             adapter: options.createAdapter(timers),
             transport,
+            processor,
             peerKey,
             peers: ConnectPeerTransport.create(settings.name, peerKey, {
                 isCountingGossip: false,
--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -29,6 +29,7 @@
     RendezvousHomes,
 } from "../placement/index.js";
 import type { VmListEntry } from "../platform/index.js";
+import type { ProcessorMonitor } from "../processor/index.js";
 import { Quarantine, QuarantineStore } from "../quarantine/index.js";
 import { SharedQuotaLimiter, SharedRetryBudget } from "../quotas/index.js";
 import type { RandomSource } from "../random/index.js";
@@ -54,6 +55,7 @@
     readonly metrics: MetricsRegistry;
     readonly adapter: PlatformAdapter;
     readonly transport: EndpointTransport;
+    readonly processor: ProcessorMonitor;
     readonly peers: GossipTransport;
     /** Key that all VMs share. */
     readonly peerKey: string;
@@ -180,6 +182,7 @@
             rollouts: this.rollouts,
             drainMs: this.bounds.drainMs,
             getReadingRole: () => this.membership.storeReadingRole,
+            work: options.processor.work,
         });
         this.membership = this.createMembership();
         this.membership.subscribe(() => this.coldInstances.refreshVms());
@@ -494,6 +497,7 @@
             learnedConcurrency: this.learnedConcurrency,
             versions: this.rollouts,
             homes: this.createHomes(),
+            work: this.options.processor.work,
         });
     }
 
@@ -596,7 +600,7 @@
     }
 
     private createMembership(): MembershipService {
-        const { settings, timers, random, logger, peers } = this.options;
+        const { settings, timers, random, logger, peers, processor } = this.options;
         return MembershipService.create({
             self: this.describeSelf(),
             timers,
@@ -604,6 +608,7 @@
             logger,
             vmList: this.vmList,
             transport: peers,
+            work: processor.work,
             reports: ReportService.create({
                 self: settings.name,
                 directory: this.directory,
@@ -650,12 +655,13 @@
     }
 
     private createForwarder(): Forwarder {
-        const { settings, timers, random, logger, adapter, transport, peerKey } = this.options;
+        const { settings, timers, random, logger, adapter, transport, peerKey, processor } = this.options;
         return Forwarder.create({
             timers,
             logger,
             codec: adapter.headerCodec,
             transport,
+            work: processor.work,
             placement: this.placement,
             versions: this.rollouts,
             regions: RequestRegions.create(this.activeConfiguration),
@@ -685,6 +691,7 @@
         const { clients, memoryMb, mostDescriptors } = settings;
         return ClientResources.create({
             ...this.options,
+            work: this.options.processor.work,
             settings: clients,
             memoryMb,
             maxConnections: Math.floor(mostDescriptors * CONNECTION_DESCRIPTOR_SHARE),
@@ -696,7 +703,7 @@
     }
 
     private createFrontServer(address: string, peerKey: string | undefined): FrontServer {
-        const { settings, timers, random, logger, metrics, adapter } = this.options;
+        const { settings, timers, random, logger, metrics, adapter, processor } = this.options;
         const { memoryMb, mostDescriptors } = settings;
         const [host = "", port = "0"] = address.split(":");
         return FrontServer.create({
@@ -707,6 +714,7 @@
             codec: adapter.headerCodec,
             activeConfiguration: this.activeConfiguration,
             clients: this.clients,
+            processor,
             forwarder: this.forwarder,
             quotaLimiter: this.quotaLimiter,
             host,
--- a/packages/wigeonpulley/src/routed-vm/store-subscriptions.ts
+++ b/packages/wigeonpulley/src/routed-vm/store-subscriptions.ts
@@ -2,6 +2,7 @@
 import type { Evacuations, Instance, InstanceChange, InstanceDirectory } from "../discovery/index.js";
 import type { EventLogger } from "../logging/index.js";
 import type { StoreReadingRole } from "../membership/index.js";
+import type { WorkMeter } from "../processor/index.js";
 import type { RandomSource } from "../random/index.js";
 import type { RolloutService } from "../rollouts/index.js";
 import type { ActiveConfiguration } from "../routing/index.js";
@@ -32,6 +33,7 @@
     readonly drainMs: number;
     /** Returns whether this VM reads the store for others, follows one that does, or reads for itself alone. */
     readonly getReadingRole: () => StoreReadingRole;
+    readonly work?: WorkMeter;
 }
 
 /** Long-poll time of the operators' records, in milliseconds. */
--- a/packages/wigeonpulley/src/store/topic-follower.ts
+++ b/packages/wigeonpulley/src/store/topic-follower.ts
@@ -5,6 +5,7 @@
  */
 import type { SchedulerError } from "../errors/index.js";
 import type { EventLogger } from "../logging/index.js";
+import { measureWork, type WorkMeter } from "../processor/index.js";
 import type { RandomSource } from "../random/index.js";
 import { ClockReading, type TimerService } from "../time/index.js";
 import type { KeyedRecord, KeyedStore, RecordBatch, Topic, TopicPosition } from "./keyed-store.js";
@@ -43,6 +44,7 @@
     /** False while a read may wait longer than the pause, because this VM learns of changes from others; true when absent. */
     readonly isReadDue?: () => boolean;
     readonly listener: TopicListener;
+    readonly work?: WorkMeter;
 }
 
 /** Bounds of the exponential backoff after failed reads; half of each delay is random. */
@@ -211,7 +213,11 @@
      * Reads may overlap, so records that another read has applied are skipped. Returns false for a read that says nothing
      * about the present, since another one has seen a later state of the store.
      */
-    private apply(from: TopicPosition | undefined, { records, next }: RecordBatch): boolean {
+    private apply(from: TopicPosition | undefined, batch: RecordBatch): boolean {
+        return measureWork(this.options.work, "store", () => this.applyBatch(from, batch));
+    }
+
+    private applyBatch(from: TopicPosition | undefined, { records, next }: RecordBatch): boolean {
         const { listener } = this.options;
         const { applied } = this;
         if (applied !== undefined && next.era < applied.era) {
--- a/packages/wigeonpulley/src/time/system-timer-service.ts
+++ b/packages/wigeonpulley/src/time/system-timer-service.ts
@@ -13,6 +13,7 @@
 export class SystemTimerService extends TimerService {
     /** Number of timers that wait for input: late ones, and those that come due after them meanwhile. */
     private waiting = 0;
+    private onTimerRun: (delayMs: number) => void = () => undefined;
 
     private constructor() {
         super();
@@ -23,6 +24,11 @@
         return new SystemTimerService();
     }
 
+    /** Calls back with the time in milliseconds by which each timer that runs is late. */
+    observeDelays(listener: (delayMs: number) => void): void {
+        this.onTimerRun = listener;
+    }
+
     override now(): number {
         return performance.now();
     }
@@ -41,7 +47,9 @@
             }
         };
         const timer = setTimeout(() => {
-            if (this.waiting === 0 && this.now() - dueAt <= LATE_TIMER_MS) {
+            const delayMs = this.now() - dueAt;
+            this.onTimerRun(delayMs);
+            if (this.waiting === 0 && delayMs <= LATE_TIMER_MS) {
                 callback();
                 return;
             }
