Let gossip cost a busy VM less

Callers on small VMs got late responses from services with free slots. While slots were scarce, each VM exchanged digests more than 20 times a second, and each digest carried up to 16 reports that were decoded before they were found to be known.

A report that is not news is told by its first fields; others are decoded without reflection; a VM's own report is sent again for 250 ms; the answer to a digest leaves out what came with it; and the busier the event loop, the rarer the rounds between the regular ones.

--- a/packages/wigeonpulley/src/membership/membership-service.ts
+++ b/packages/wigeonpulley/src/membership/membership-service.ts
@@ -27,8 +27,8 @@
 
 /** Load reports that VMs send with their digests. */
 export abstract class ReportGossip {
-    /** Returns this VM's report and those of other VMs that should be forwarded. */
-    abstract createReports(incarnation: bigint): readonly CarriedReport[];
+    /** Returns this VM's report and those that should be forwarded to a VM which has just sent some. */
+    abstract createReports(incarnation: bigint, received: readonly CarriedReport[]): readonly CarriedReport[];
 
     /** Applies received reports. */
     abstract applyReports(reports: readonly CarriedReport[]): void;
@@ -415,7 +415,7 @@
             configurationAgeMs: ageMs < MAX_CONFIGURATION_AGE_MS ? ageMs + 1 : 0,
             sender: this.options.self.name,
             members: [this.self, ...this.table.consumeChanges(MAX_DIGEST_CHANGES)],
-            reports: [...this.options.reports?.createReports(this.incarnation) ?? []],
+            reports: [...this.options.reports?.createReports(this.incarnation, request?.reports ?? []) ?? []],
             ...this.options.evidence?.createEvidence(),
         });
     }
--- a/packages/wigeonpulley/src/placement/index.ts
+++ b/packages/wigeonpulley/src/placement/index.ts
@@ -57,6 +57,7 @@
 export { combineRanks, RankFairness } from "./rank-fairness.js";
 export { type QueuedRequest, RankQueue } from "./rank-queue.js";
 export { RankReservation } from "./rank-reservation.js";
+export { decodeLoadReport, type LoadReportContent } from "./report-decoder.js";
 export { computeForecastRetryDelayMs, computeRetryDelayMs } from "./retry-delay.js";
 export { computeStartTags, computeTurnWeights, countPeersAhead, type TurnWeights } from "./share-order.js";
 export { SlotTurnover } from "./slot-turnover.js";
--- a/packages/wigeonpulley/src/placement/peer-load-reports.ts
+++ b/packages/wigeonpulley/src/placement/peer-load-reports.ts
@@ -1,16 +1,13 @@
 /** Keeps the load reports of the other VMs until they are too old to mean anything. */
-import { create, fromBinary } from "@bufbuild/protobuf";
-import {
-    type CarriedReport,
-    CarriedReportSchema,
-    type LoadReport,
-    LoadReportSchema,
-} from "../gen/wigeonpulley/peer/v1/peer_pb.js";
+import { create } from "@bufbuild/protobuf";
+import { type CarriedReport, CarriedReportSchema } from "../gen/wigeonpulley/peer/v1/peer_pb.js";
 import type { TimerService } from "../time/index.js";
 import { parseQueueName } from "./allowed-regions.js";
 import type { ReportedPace } from "./learned-concurrency.js";
 import { decodePace } from "./pace-reports.js";
 import { PeerLoads } from "./peer-loads.js";
+import { decodeLoadReport, type LoadReportContent } from "./report-decoder.js";
+import { isNewerReport, readReportHeader, type ReportHeader } from "./report-header.js";
 import { decodeUse, type WorkspaceUse } from "./workspace-use.js";
 
 /** Age at which a report expires, in milliseconds; several report intervals. */
@@ -21,7 +18,7 @@
 const MAX_FORWARDED_REPORTS = 16;
 
 interface ReceivedReport {
-    readonly report: LoadReport;
+    readonly report: LoadReportContent;
     readonly encoded: Uint8Array;
     /** Monotonic time at which the report was made, in milliseconds. */
     readonly madeAt: number;
@@ -71,12 +68,13 @@
     }
 
     /** Stores a report and returns it; undefined when it is this VM's own or not newer than the known one. */
-    applyReport(carried: CarriedReport): LoadReport | undefined {
-        const report = fromBinary(LoadReportSchema, carried.report);
-        const known = this.received.get(report.vm)?.report;
-        const isOutdated = known !== undefined && (known.incarnation > report.incarnation
-            || (known.incarnation === report.incarnation && known.sequence >= report.sequence));
-        if (report.vm === this.ownVm || isOutdated) {
+    applyReport(carried: CarriedReport): LoadReportContent | undefined {
+        // Most reports come several times, from several VMs.
+        if (!this.isNews(readReportHeader(carried.report))) {
+            return undefined;
+        }
+        const report = decodeLoadReport(carried.report);
+        if (!this.isNews(report)) {
             return undefined;
         }
         this.totals = undefined;
@@ -96,11 +94,19 @@
         return report;
     }
 
-    /** Reports of other VMs that are worth forwarding, newest first. */
-    listToForward(): readonly CarriedReport[] {
+    /** Reports of other VMs that are worth forwarding to a VM which holds others, newest first. */
+    listToForward(held: readonly CarriedReport[] = []): readonly CarriedReport[] {
         const now = this.timers.now();
+        const heldByVm = new Map(held.map(({ report }) => {
+            const header = readReportHeader(report);
+            return [header.vm, header];
+        }));
         return [...this.received.values()]
-            .filter(({ madeAt }) => now - madeAt <= MAX_FORWARD_AGE_MS)
+            .filter(({ report, madeAt }) => {
+                const other = heldByVm.get(report.vm);
+                return now - madeAt <= MAX_FORWARD_AGE_MS
+                    && (other === undefined || isNewerReport(report, other));
+            })
             .sort((left, right) => right.madeAt - left.madeAt)
             .slice(0, MAX_FORWARDED_REPORTS)
             .map(({ encoded, madeAt }) =>
@@ -159,6 +165,11 @@
         return this.getTotals().workspaceUses.get(service)?.get(rank) ?? NO_USES;
     }
 
+    private isNews(header: ReportHeader): boolean {
+        const known = this.received.get(header.vm)?.report;
+        return header.vm !== this.ownVm && (known === undefined || isNewerReport(header, known));
+    }
+
     private getTotals(): ReportTotals {
         if (this.totals === undefined || this.timers.now() >= this.totals.validUntil) {
             const reports = this.listUnexpired();
--- a/packages/wigeonpulley/src/routed-vm/report-service.ts
+++ b/packages/wigeonpulley/src/routed-vm/report-service.ts
@@ -13,14 +13,20 @@
     encodeUse,
     formatQueueName,
     type LearnedConcurrency,
+    type LoadReportContent,
     type PeerLoadReports,
     type PlacementService,
 } from "../placement/index.js";
 import type { SharedQuotaLimiter, WorkspaceUsage } from "../quotas/index.js";
 import { type RolloutProgress, type RolloutService, rolloutStateSchema } from "../rollouts/index.js";
+import type { TimerService } from "../time/index.js";
+
+/** Time for which a report of this VM is sent again, in milliseconds. */
+const OWN_REPORT_LIFETIME_MS = 250;
 
 /** Sources of this VM's report, and the parts that the other VMs' reports are applied to. */
 export interface ReportServiceOptions {
+    readonly timers: TimerService;
     readonly self: string;
     readonly directory: InstanceDirectory;
     readonly placement: PlacementService;
@@ -34,6 +40,7 @@
 /** Creates and applies the reports of one VM. */
 export class ReportService extends ReportGossip {
     private sequence = 0;
+    private own: { readonly encoded: Uint8Array; readonly madeAt: number; } | undefined;
 
     private constructor(private readonly options: ReportServiceOptions) {
         super();
@@ -44,10 +51,23 @@
         return new ReportService(options);
     }
 
-    override createReports(incarnation: bigint): readonly CarriedReport[] {
-        this.sequence += 1;
-        const report = toBinary(LoadReportSchema, this.createOwnReport(incarnation));
-        return [create(CarriedReportSchema, { report, ageMs: 0 }), ...this.options.reports.listToForward()];
+    override createReports(
+        incarnation: bigint,
+        received: readonly CarriedReport[],
+    ): readonly CarriedReport[] {
+        const now = this.options.timers.now();
+        if (this.own === undefined || now - this.own.madeAt >= OWN_REPORT_LIFETIME_MS) {
+            this.sequence += 1;
+            this.own = {
+                encoded: toBinary(LoadReportSchema, this.createOwnReport(incarnation)),
+                madeAt: now,
+            };
+        }
+        const { encoded, madeAt } = this.own;
+        return [
+            create(CarriedReportSchema, { report: encoded, ageMs: Math.round(now - madeAt) }),
+            ...this.options.reports.listToForward(received),
+        ];
     }
 
     override applyReports(received: readonly CarriedReport[]): void {
@@ -103,7 +123,7 @@
     }
 }
 
-const listQuotaUsage = (report: LoadReport): readonly WorkspaceUsage[] =>
+const listQuotaUsage = (report: LoadReportContent): readonly WorkspaceUsage[] =>
     report.workspaces.map((workspace, index) => ({
         workspace,
         keptPerS: report.workspaceKeptPerS[index] ?? 0,
@@ -113,7 +133,7 @@
     }));
 
 /** Parses a rollout report. Returns an empty list if this version of the program doesn't know the state. */
-const parseRollout = (report: LoadReport["rollouts"][number]): readonly RolloutProgress[] => {
+const parseRollout = (report: LoadReportContent["rollouts"][number]): readonly RolloutProgress[] => {
     const state = rolloutStateSchema.safeParse(report.state);
     return state.success
         ? [{
--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -105,6 +105,13 @@
 /** Maximum memory planned for an open request with its body and response, in megabytes. */
 const MEMORY_PER_REQUEST_MB = 0.15;
 
+/**
+ * Interval of the faster gossip for a busy share of the event loop, in milliseconds. Each round takes processor time also of the
+ * VMs that are called, so that it is given up when little is left.
+ */
+const computeContendedIntervalMs = (busyShare: number): number =>
+    CONTENDED_GOSSIP_INTERVAL_MS / Math.max(CONTENDED_GOSSIP_INTERVAL_MS / HEARTBEAT_MS, 1 - busyShare);
+
 /** One VM for routed traffic. */
 export class RoutedVm extends GossipHandler {
     /** What clients of all its servers hold. */
@@ -253,18 +260,23 @@
         if (this.isStopping) {
             return;
         }
-        this.cancelContendedGossip = this.options.timers.scheduleRepeating(
-            CONTENDED_GOSSIP_INTERVAL_MS,
-            () => {
-                if (this.placement.isContended()) {
-                    this.membership.gossipWithMembers(
-                        this.membership.memberCount < MANY_MEMBERS
-                            ? CONTENDED_GOSSIP_FANOUT
-                            : CONTENDED_GOSSIP_FANOUT_AMONG_MANY,
-                    );
-                }
-            },
-        );
+        this.scheduleContendedGossip();
+    }
+
+    /** Gossips between the regular rounds while slots are scarce, less often the busier this VM is. */
+    private scheduleContendedGossip(): void {
+        const { timers, processor } = this.options;
+        const intervalMs = computeContendedIntervalMs(processor.getBusyShare());
+        this.cancelContendedGossip = timers.schedule(Math.min(intervalMs, HEARTBEAT_MS), () => {
+            if (intervalMs < HEARTBEAT_MS && this.placement.isContended()) {
+                this.membership.gossipWithMembers(
+                    this.membership.memberCount < MANY_MEMBERS
+                        ? CONTENDED_GOSSIP_FANOUT
+                        : CONTENDED_GOSSIP_FANOUT_AMONG_MANY,
+                );
+            }
+            this.scheduleContendedGossip();
+        });
     }
 
     /**
@@ -610,6 +622,7 @@
             transport: peers,
             work: processor.work,
             reports: ReportService.create({
+                timers,
                 self: settings.name,
                 directory: this.directory,
                 placement: this.placement,
--- a/packages/wigeonpulley/test/compatibility/recorded-examples.test.ts
+++ b/packages/wigeonpulley/test/compatibility/recorded-examples.test.ts
@@ -165,6 +165,7 @@
 const createReportService = (applied: unknown[], uses: readonly RankUses[] = []): ReportService =>
     ReportService.create(
         {
+            timers: VirtualTimerService.create(),
             self: "vm-1",
             directory: { list: () => [{ id: "i-1" }, { id: "i-2" }] },
             placement: {
@@ -201,7 +202,7 @@
     );
 
 const encodeReport = (): unknown => {
-    const [report] = createReportService([]).createReports(5n);
+    const [report] = createReportService([]).createReports(5n, []);
     return Buffer.from(report?.report ?? []).toString("hex");
 };
 
@@ -211,7 +212,7 @@
         perWeight: 1e-6,
         waiting: 4,
     }]]);
-    const [carried] = createReportService([], [{ service: "desk", rank: 2, uses }]).createReports(5n);
+    const [carried] = createReportService([], [{ service: "desk", rank: 2, uses }]).createReports(5n, []);
     const reports = PeerLoadReports.create("vm-9", VirtualTimerService.create());
     if (carried !== undefined) {
         reports.applyReport(carried);
