Choose among the instances of the service, and give up sooner when all are full

The directory keeps its lists until an entry changes, and slots are compared before anything else. What is chosen stays the same (tests of placement).

--- a/packages/wigeonpulley/src/discovery/instance-directory.ts
+++ b/packages/wigeonpulley/src/discovery/instance-directory.ts
@@ -25,6 +25,9 @@
 /** Directory of one VM. */
 export class InstanceDirectory {
     private readonly instances = new Map<string, Instance>();
+    /** All instances and those of each service; cleared with each change. */
+    private listed: readonly Instance[] | undefined;
+    private readonly listedByService = new Map<string, readonly Instance[]>();
     /** Last entries of removed instances. */
     private readonly removed = RecentMap.create<string, Instance>(MAX_REMOVED_INSTANCES);
     private readonly pendingRemovals = new Map<string, CancelTimer>();
@@ -58,7 +61,16 @@
 
     /** Returns all known instances, including draining ones and missing ones within their grace period. */
     list(): readonly Instance[] {
-        return [...this.instances.values()];
+        this.listed ??= [...this.instances.values()];
+        return this.listed;
+    }
+
+    /** Returns all known instances of a service, as `list` does. */
+    listOfService(service: string): readonly Instance[] {
+        const known = this.listedByService.get(service)
+            ?? this.list().filter(instance => instance.service === service);
+        this.listedByService.set(service, known);
+        return known;
     }
 
     /**
@@ -159,6 +171,7 @@
         this.pendingRemovals.get(instance.id)?.();
         this.pendingRemovals.delete(instance.id);
         this.instances.set(instance.id, instance);
+        this.clearLists();
         if (before === undefined || before.state !== instance.state || !isSameIncarnation(before, instance)) {
             this.logger.write("InstanceSeen", {
                 instance: instance.id,
@@ -185,10 +198,16 @@
         }
         this.pendingRemovals.delete(id);
         this.instances.delete(id);
+        this.clearLists();
         this.logger.write("InstanceGone", { instance: id });
         this.notify();
     }
 
+    private clearLists(): void {
+        this.listed = undefined;
+        this.listedByService.clear();
+    }
+
     private notify(): void {
         this.listeners.forEach(listener => listener());
     }
--- a/packages/wigeonpulley/src/placement/instance-chooser.ts
+++ b/packages/wigeonpulley/src/placement/instance-chooser.ts
@@ -100,15 +100,20 @@
         isSuitable: (instance: Instance) => boolean,
     ): InstanceChoice | ChoiceFailure {
         const { directory, loads, homes } = this.options;
-        const usable = directory.list().filter(instance =>
-            isSuitable(instance) && this.isCandidate(instance, request)
-        );
-        const free = usable.map(instance => computeLimit(instance) - this.countInFlight(instance));
-        const freeSlots = free.reduce((sum, count) => sum + Math.max(0, count), 0);
-        if (freeSlots === 0) {
-            // Under load most choices end here: waiting requests are tried again and again.
+        const instances = directory.listOfService(request.service);
+        const isUsable = (instance: Instance): boolean =>
+            isSuitable(instance) && this.isCandidate(instance, request);
+        // Under load most choices end here: waiting requests are tried again and again.
+        if (
+            !instances.some(instance =>
+                computeLimit(instance) > this.countInFlight(instance) && isUsable(instance)
+            )
+        ) {
             return "no-place";
         }
+        const usable = instances.filter(isUsable);
+        const free = usable.map(instance => computeLimit(instance) - this.countInFlight(instance));
+        const freeSlots = free.reduce((sum, count) => sum + Math.max(0, count), 0);
         const isDelayAvoidable = this.hasInstanceWithoutDelay(request);
         const promptHomes = homes.findHomes(request, this.listLoaded(usable, free));
         let best: Omit<InstanceChoice, "freeSlots" | "homes"> | undefined;
@@ -159,7 +164,7 @@
     /** True when some instance, busy or not, could prefill the prompt within the gap target of its streams. */
     private hasInstanceWithoutDelay(request: PlacementRequest): boolean {
         return request.gapTargetMs !== undefined
-            && this.options.directory.list().some(instance =>
+            && this.options.directory.listOfService(request.service).some(instance =>
                 this.isCandidate(instance, request)
                 && !this.isGapTargetExceeded(instance, request, request.promptTokens)
             );
@@ -207,7 +212,7 @@
         computeLimit: (instance: Instance) => number,
     ): number {
         const { directory, regions } = this.options;
-        return directory.list()
+        return directory.listOfService(request.service)
             .filter(instance =>
                 regions.getRegion(instance.dataCentre) === region && this.isCandidate(instance, request)
             )
@@ -230,8 +235,7 @@
 
     private isCandidate(instance: Instance, request: PlacementRequest): boolean {
         const { health, loads, rateLimits, coldInstances, versions } = this.options;
-        return instance.service === request.service
-            && instance.state === "ready"
+        return instance.state === "ready"
             && this.isPermitted(instance, request)
             && !request.excludedInstances.has(instance.id)
             && versions.canUse(instance, request.isCanary)
--- a/packages/wigeonpulley/src/placement/placement-service.ts
+++ b/packages/wigeonpulley/src/placement/placement-service.ts
@@ -617,8 +617,8 @@
 
     /** Instances of the request's service in its regions, whatever their state is. */
     private listRegistered(request: PlacementRequest): readonly Instance[] {
-        return this.options.directory.list().filter(instance =>
-            instance.service === request.service && this.chooser.isInAllowedRegion(instance, request)
+        return this.options.directory.listOfService(request.service).filter(instance =>
+            this.chooser.isInAllowedRegion(instance, request)
         );
     }
 
@@ -686,8 +686,8 @@
     private observeCapacity(
         service: string,
     ): { readonly isBrittle: boolean; readonly inFlight: number; readonly slots: number; } {
-        const usable = this.options.directory.list().filter(({ id, service: other, state }) =>
-            other === service && state === "ready" && this.health.isTrusted(id)
+        const usable = this.options.directory.listOfService(service).filter(({ id, state }) =>
+            state === "ready" && this.health.isTrusted(id)
         );
         const slots = usable.reduce((sum, instance) => sum + instance.slots, 0);
         this.getQueue(service).turnover.recordCapacity(usable.length, slots, this.options.timers.now());
