Relay streams in common turns while the processor is scarce

Nearly half of the processor time of a request went into relaying its events one by one: each read, parse and write cost almost as much as for several. A first event and a whole response never wait.

--- a/packages/wigeonpulley/src/forwarding/attempt.ts
+++ b/packages/wigeonpulley/src/forwarding/attempt.ts
@@ -18,6 +18,7 @@
 import { listForwardedRequestHeaders } from "./hop-by-hop.js";
 import { removePeerHeaders } from "./peer-headers.js";
 import { findPeerError } from "./peer-response.js";
+import type { RelayPace } from "./relay-pace.js";
 import type { ResponseWriter } from "./response-writer.js";
 import { computeCallerTimeoutMs, isRetryable, type RoutedRequest } from "./routed-request.js";
 import type { StreamRelay } from "./stream-relay.js";
@@ -26,6 +27,7 @@
 export interface AttemptOptions {
     readonly timers: TimerService;
     readonly work?: WorkMeter;
+    readonly relayPace?: RelayPace;
     readonly logger: EventLogger;
     readonly codec: HeaderCodec;
     readonly transport: EndpointTransport;
@@ -269,6 +271,7 @@
                 isEventGapRecorded = true;
                 placement.recordEvents(this.relayedEvents);
             }
+            await this.waitForTurn();
         }
         if (!hasStarted && head.endsWithConnection && !this.isResumed) {
             return createFailedOutcome("the connection ended before the first event", true);
@@ -285,6 +288,15 @@
         return { kind: "answered", status: head.status };
     }
 
+    private async waitForTurn(): Promise<void> {
+        const turn = this.options.relayPace?.waitForTurn();
+        if (turn !== undefined) {
+            this.exchange.pause();
+            await turn;
+            this.exchange.resume();
+        }
+    }
+
     private async relayBuffered(head: ResponseHead): Promise<AttemptOutcome> {
         const { writer, placement, request } = this.options;
         const { account } = request;
--- a/packages/wigeonpulley/src/forwarding/endpoint-transport.ts
+++ b/packages/wigeonpulley/src/forwarding/endpoint-transport.ts
@@ -47,6 +47,16 @@
     /** True while bytes are buffered, so that `readChunk` does not wait. */
     abstract get hasChunk(): boolean;
 
+    /** Leaves what the instance sends unread until `resume`, as far as the transport can. */
+    pause(): void {
+        // Without effect by default.
+    }
+
+    /** Reads on after `pause`. */
+    resume(): void {
+        // Without effect by default.
+    }
+
     /** Aborts the exchange and closes its connection, unless the response was read to its end. */
     abstract abort(reason: string): void;
 }
--- a/packages/wigeonpulley/src/forwarding/forwarder.ts
+++ b/packages/wigeonpulley/src/forwarding/forwarder.ts
@@ -15,6 +15,7 @@
 import type { HeaderCodec } from "./header-codec.js";
 import { createPeerHeaders } from "./peer-headers.js";
 import type { PeerSelector } from "./peer-selector.js";
+import type { RelayPace } from "./relay-pace.js";
 import { type CancelReason } from "./request-lifetime.js";
 import type { RequestRegions } from "./request-regions.js";
 import { isFingerprint, listTraits } from "./request-traits.js";
@@ -36,6 +37,8 @@
     readonly codec: HeaderCodec;
     readonly transport: EndpointTransport;
     readonly work?: WorkMeter;
+    /** Turns in which streams are relayed; without them, each event is relayed at once. */
+    readonly relayPace?: RelayPace;
     readonly placement: PlacementService;
     readonly versions: VersionPolicy;
     readonly regions: RequestRegions;
--- a/packages/wigeonpulley/src/forwarding/index.ts
+++ b/packages/wigeonpulley/src/forwarding/index.ts
@@ -35,6 +35,7 @@
 } from "./header-codec.js";
 export { listForwardedRequestHeaders, listForwardedResponseHeaders } from "./hop-by-hop.js";
 export { PeerSelector, type PeerSelectorOptions, type RequestPeer } from "./peer-selector.js";
+export { RelayPace } from "./relay-pace.js";
 export { type CancelReason, RequestLifetime } from "./request-lifetime.js";
 export { RequestRegions } from "./request-regions.js";
 export { listTraits } from "./request-traits.js";
--- a/packages/wigeonpulley/src/forwarding/undici-transport.ts
+++ b/packages/wigeonpulley/src/forwarding/undici-transport.ts
@@ -76,7 +76,10 @@
     private failure: ExchangeFailure | undefined;
     private isComplete = false;
     private isReleased = false;
+    /** True while reading pauses because of what is buffered. */
     private isPaused = false;
+    /** True while the reader of this exchange has paused it. */
+    private isHeld = false;
     private interimResponses = 0;
     private bufferedBytes = 0;
     private chunks: Buffer[] = [];
@@ -150,6 +153,23 @@
         this.fail(reason, false);
     }
 
+    override pause(): void {
+        this.isHeld = true;
+        this.connection.pause();
+    }
+
+    override resume(): void {
+        this.isHeld = false;
+        this.resumeConnection();
+    }
+
+    /** Reads on unless the connection already serves another request, or something else still holds this exchange. */
+    private resumeConnection(): void {
+        if (!this.isReleased && !this.isPaused && !this.isHeld) {
+            this.connection.resume();
+        }
+    }
+
     private pauseReading(): void {
         this.isPaused = true;
         this.connection.pause();
@@ -161,9 +181,7 @@
         await (chunkCount < HIGH_WATER_MARK_CHUNKS
             ? waitForPendingInput()
             : this.timers.sleep(CHUNK_PAUSE_MS));
-        if (!this.isReleased) {
-            this.connection.resume();
-        }
+        this.resumeConnection();
     }
 
     private createHandler(): Dispatcher.DispatchHandler {
--- a/packages/wigeonpulley/src/processor/processor-monitor.ts
+++ b/packages/wigeonpulley/src/processor/processor-monitor.ts
@@ -21,6 +21,8 @@
 const MIN_SAMPLE_MS = 200;
 /** Weight of the newest sample in the smoothed share. */
 const SAMPLE_WEIGHT = 0.3;
+/** Time in which an older delay loses most of its weight in the smoothed one, in milliseconds. */
+const DELAY_MEMORY_MS = 300;
 /** Delay of a timer above which the event loop is reported as late, in milliseconds. */
 const LATE_MS = 250;
 /** Least time between two such reports, in milliseconds. */
@@ -40,6 +42,8 @@
     private readonly delays: Histogram = createHistogram();
     private last: Reading;
     private busyShare = 0;
+    private delayMs = 0;
+    private delayAt: number;
     private usedShare = 0;
     private reported: Reading;
     private reportedWorkMs: readonly number[] = WORK_KINDS.map(() => 0);
@@ -53,6 +57,7 @@
         this.work = WorkMeter.create(options.timers);
         this.last = this.read();
         this.reported = this.last;
+        this.delayAt = this.last.at;
         this.polledAt = this.last.at;
         this.polledIdleMs = this.last.idleMs;
     }
@@ -81,10 +86,16 @@
         return this.usedShare;
     }
 
+    /** Smoothed delay of what becomes due in the event loop, in milliseconds. */
+    getDelayMs(): number {
+        return this.delayMs;
+    }
+
     /** Records by how much a timer was late, in milliseconds. */
     recordTimerDelay(delayMs: number): void {
         this.startTurn();
         this.delays.recordValue(Math.max(0, Math.round(delayMs)));
+        this.updateDelay(delayMs);
         if (delayMs >= LATE_MS && this.options.timers.now() - this.reported.at >= REPORT_INTERVAL_MS) {
             this.writeReport(delayMs);
         }
@@ -123,6 +134,14 @@
         );
     }
 
+    /** Timers that are due in the same turn count as one. */
+    private updateDelay(delayMs: number): void {
+        const now = this.options.timers.now();
+        const weight = 1 - Math.exp(-(now - this.delayAt) / DELAY_MEMORY_MS);
+        this.delayMs += (Math.max(0, delayMs) - this.delayMs) * weight;
+        this.delayAt = now;
+    }
+
     private startTurn(): number {
         if (this.turnInputSince === undefined) {
             const idleMs = this.options.clock.readIdleMs();
--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -8,6 +8,7 @@
     Forwarder,
     FrontServer,
     PeerSelector,
+    RelayPace,
     type RequestPeer,
     RequestRegions,
 } from "../forwarding/index.js";
@@ -675,6 +676,7 @@
             codec: adapter.headerCodec,
             transport,
             work: processor.work,
+            relayPace: RelayPace.create(timers, processor),
             placement: this.placement,
             versions: this.rollouts,
             regions: RequestRegions.create(this.activeConfiguration),
--- a/packages/wigeonpulley/test/forwarding/undici-transport.test.ts
+++ b/packages/wigeonpulley/test/forwarding/undici-transport.test.ts
@@ -393,3 +393,51 @@
     await new Promise(resolve => closed.close(resolve));
     expect(await transport.open(createInstance({ port }))).toBe(false);
 });
+
+test("a paused exchange is not read from the operating system, and goes on with all bytes", async () => {
+    let sentBytes = 0;
+    const endpoint = await start(socket => {
+        socket.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n");
+        const chunk = `4000\r\n${"b".repeat(0x4000)}\r\n`;
+        const send = (): void => {
+            while (sentBytes < 8_000_000 && socket.write(chunk)) {
+                sentBytes += 0x4000;
+            }
+        };
+        socket.on("drain", send);
+        setTimeout(send, 50);
+    });
+    const exchange = createTransport().send(endpoint.instance, GET);
+    await exchange.readHead();
+    expect(String(await exchange.readChunk())).toBe("a");
+    exchange.pause();
+    await new Promise(resolve => setTimeout(resolve, 300));
+    expect(exchange.hasChunk).toBe(false);
+    expect(sentBytes).toBeLessThan(8_000_000);
+    exchange.resume();
+    let received = 0;
+    while (received < 8_000_000) {
+        const chunk = await exchange.readChunk();
+        expect(chunk).toBeInstanceOf(Buffer);
+        received += chunk instanceof Buffer ? chunk.length : 0;
+    }
+    exchange.abort("enough");
+});
+
+test("a response that ended while its exchange was paused is complete, and its connection serves the next one", async () => {
+    const endpoint = await start(socket => {
+        socket.write("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nab");
+        setTimeout(() => socket.write("cd"), 50);
+    });
+    const transport = createTransport();
+    const exchange = transport.send(endpoint.instance, GET);
+    await exchange.readHead();
+    expect(String(await exchange.readChunk())).toBe("ab");
+    exchange.pause();
+    await new Promise(resolve => setTimeout(resolve, 150));
+    exchange.resume();
+    expect(String(await exchange.readChunk())).toBe("cd");
+    expect(await exchange.readChunk()).toBeUndefined();
+    await transport.send(endpoint.instance, GET).readHead();
+    expect(endpoint.connections).toHaveLength(1);
+});
