--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -47,6 +47,12 @@
     footer: { js: "})" },
 });
 
+await build({
+    ...options,
+    entryPoints: ["platform/warm-up/index.ts"],
+    outfile: "target/warm-up.cjs",
+});
+
 // V8 accepts a cache only with the options with which it was written.
 const [, nodeOptions = ""] = /^run = "node (.*)target\//m.exec(readFileSync("deploy/system.toml", "utf8"))
     ?? [];
@@ -54,5 +60,6 @@
     ...nodeOptions.split(" ").filter(option => option !== ""),
     "scripts/write-code-cache.mjs",
     "target/daemon.cjs",
+    "target/warm-up.cjs",
     "target/daemon.cache",
 ], { stdio: "inherit" });
