Refuse late what can't be on time because this VM lacks processor time

A VM that could not keep up served every request, nearly all of them late, and each waited several turns of a late event loop. While these turns take half of a request's target latency, requests of the worst rank in use that can't reach their endpoint in time are refused before their bodies are read; better ranks follow only while that is not enough, the best one never. Requests that would wait for a slot count that wait too. Retry-After follows from the delay.

--- a/bench/processes/run.ts
+++ b/bench/processes/run.ts
@@ -68,10 +68,10 @@
 
 const cli = cac("bench:processes");
 cli.command("[...folders]", "Measures the bundles of checkouts side by side")
-    .option("--vms <count>", "VMs of a deployment", { default: 12 })
-    .option("--engines <count>", "Model engines", { default: 14 })
-    .option("--desks <count>", "Instances of the plain service", { default: 4 })
-    .option("--rate <perSecond>", "Requests a second", { default: 60 })
+    .option("--vms <count>", "VMs of a deployment", { default: 18 })
+    .option("--engines <count>", "Model engines", { default: 21 })
+    .option("--desks <count>", "Instances of the plain service", { default: 6 })
+    .option("--rate <perSecond>", "Requests a second", { default: 150 })
     .option("--seconds <count>", "Duration", { default: 20 })
     .option("--profile <folder>", "Writes a processor profile of the first VM")
     .action(async (folders: readonly string[], options: MeasurementOptions) => {
--- a/bench/processes/vm-processes.ts
+++ b/bench/processes/vm-processes.ts
@@ -3,9 +3,12 @@
 import { mkdtempSync, readdirSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { findPort } from "../../platform/test/fixtures/routed-test-system.js";
 
 const NS_PER_MS = 1_000_000;
+/** Ports below those that the operating system gives to outgoing connections; each bench process has its own. */
+const FIRST_PORT = 10_000;
+const PORTS_PER_BENCH = 400;
+const BENCHES = 50;
 
 /** A running VM. */
 export interface VmProcess {
@@ -49,6 +52,8 @@
     readonly vms: VmProcess[] = [];
     private readonly settingsFolder = mkdtempSync(join(tmpdir(), "wigeonpulley-bench-"));
 
+    private nextPort = FIRST_PORT + (process.pid % BENCHES) * PORTS_PER_BENCH;
+
     private constructor(private readonly options: VmOptions) {}
 
     /** Starts a number of VMs, which are ready when the promise resolves. */
@@ -78,8 +83,9 @@
 
     private async startVm(index: number, dataCentre: string): Promise<void> {
         const { folder, storeAddress, regions, nodeOptions } = this.options;
-        const [callers = 0, ready = 0, peers = 0, peerRequests = 0] = await Promise.all(
-            Array.from({ length: 4 }, () => findPort()),
+        const [callers = 0, ready = 0, peers = 0, peerRequests = 0] = Array.from(
+            { length: 4 },
+            () => this.nextPort++,
         );
         const name = `vm-${index}`;
         const settingsPath = join(this.settingsFolder, `${name}.json`);
--- a/packages/wigeonpulley/src/errors/error-catalogue.ts
+++ b/packages/wigeonpulley/src/errors/error-catalogue.ts
@@ -207,6 +207,13 @@
         status: 503,
         notRun: true,
     }),
+    ProcessorOverloaded: defineError<{ delayMs: number; }>({
+        title: "This VM lacks processor time.",
+        message: ({ delayMs }) => `This VM is ${delayMs} ms late with its work; the request did not run.`,
+        hint: "Send the request again after the time in Retry-After.",
+        status: 503,
+        notRun: true,
+    }),
     TooManyStreams: defineError<{ limit: number; }>({
         title: "This VM has too many open requests.",
         message: ({ limit }) => `This VM has reached its limit of ${limit} open requests.`,
--- a/packages/wigeonpulley/src/forwarding/front-server.ts
+++ b/packages/wigeonpulley/src/forwarding/front-server.ts
@@ -23,6 +23,7 @@
 import { closeAfterInput } from "./connection-guard.js";
 import type { Forwarder, ForwardSummary } from "./forwarder.js";
 import type { HeaderCodec, RequestMetadata } from "./header-codec.js";
+import { LateAdmission } from "./late-admission.js";
 import { parsePeerHeaders, type PeerRequestOrigin, removePeerHeaders } from "./peer-headers.js";
 import { RequestLifetime } from "./request-lifetime.js";
 import { ResponseWriter } from "./response-writer.js";
@@ -43,6 +44,8 @@
     readonly maxOpenRequests: number;
     readonly clients: ClientResources;
     readonly processor: ProcessorMonitor;
+    /** Time for which the first request of a rank has been waiting for a slot of a service, in milliseconds. */
+    readonly getLongestWaitMs: (service: string, rank: number) => number;
     readonly admission: AdmissionCheck;
     /** Key that all VMs share, for a server that takes requests of other VMs only; undefined for callers. */
     readonly peerKey?: string | undefined;
@@ -98,6 +101,7 @@
 export class FrontServer {
     private readonly server: Server;
     private readonly callerRetryDetector: CallerRetryDetector;
+    private readonly lateAdmission: LateAdmission;
     /** Lifetimes of the requests in progress, with their responses. */
     private readonly lifetimes = new Map<RequestLifetime, ResponseWriter>();
     private readonly idleWaiters: (() => void)[] = [];
@@ -111,6 +115,7 @@
 
     private constructor(private readonly options: FrontServerOptions) {
         this.callerRetryDetector = CallerRetryDetector.create(options.timers);
+        this.lateAdmission = LateAdmission.create(options);
         this.server = createServer({
             maxHeaderSize: INITIAL_MAX_HEADER_BYTES,
             connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
@@ -321,9 +326,11 @@
             { host: message.headers.host ?? "", path: getPath(message) },
             metadata.value,
         );
-        const admitted = origin === undefined
-            ? admission
-            : admission.andThen(value => this.checkRegion(value));
+        const admitted = admission.andThen(value =>
+            origin === undefined
+                ? this.checkLateness(value, arrivedAt, arrival.unreadMs)
+                : this.checkRegion(value)
+        );
         const limitBytes = this.options.activeConfiguration.routeTable?.configuration.limits.bodyBytes ?? 0;
         const body = admitted.isOk()
             ? await clients.uploads.read(message, account, limitBytes)
@@ -440,6 +447,26 @@
         return Err(createMemoryError());
     }
 
+    /** Refuses a request of a caller that this VM can't bring to an endpoint in time, before its body is read. */
+    private checkLateness(
+        admitted: AdmittedRequest,
+        arrivedAt: number,
+        unreadMs: number,
+    ): Result<AdmittedRequest, SchedulerError> {
+        const { route, workspace } = admitted;
+        const rank = computeRank(route, workspace);
+        const refusal = this.lateAdmission.check({
+            rank,
+            targetLatencyMs: route.targetLatencyMs,
+            queueMs: Math.min(
+                ...route.targets.map(({ service }) => this.options.getLongestWaitMs(service, rank)),
+            ),
+            // What is read may have arrived at any moment since the poll before.
+            ageMs: unreadMs / 2 + this.options.timers.now() - arrivedAt,
+        });
+        return refusal === undefined ? Ok(admitted) : Err(refusal);
+    }
+
     /** Checks by this VM's own configuration that a request that another VM passes on may be here. */
     private checkRegion(admitted: AdmittedRequest): Result<AdmittedRequest, SchedulerError> {
         if (this.options.canTakePassedOn(admitted)) {
--- a/packages/wigeonpulley/src/forwarding/index.ts
+++ b/packages/wigeonpulley/src/forwarding/index.ts
@@ -34,6 +34,12 @@
     type ResponseMetadata,
 } from "./header-codec.js";
 export { listForwardedRequestHeaders, listForwardedResponseHeaders } from "./hop-by-hop.js";
+export {
+    type ArrivedRequest,
+    type DelaySource,
+    LateAdmission,
+    type LateAdmissionOptions,
+} from "./late-admission.js";
 export { PeerSelector, type PeerSelectorOptions, type RequestPeer } from "./peer-selector.js";
 export { RelayPace } from "./relay-pace.js";
 export { type CancelReason, RequestLifetime } from "./request-lifetime.js";
--- a/packages/wigeonpulley/src/placement/placement-service.ts
+++ b/packages/wigeonpulley/src/placement/placement-service.ts
@@ -259,6 +259,12 @@
             );
     }
 
+    /** Time for which the first request of a rank has been waiting for a slot of a service, in milliseconds; 0 without one. */
+    getLongestWaitMs(service: string, rank: number): number {
+        const waiting = this.queues.get(service)?.queue.list().find(waiter => waiter.rank === rank);
+        return waiting === undefined ? 0 : this.options.timers.now() - waiting.queuedAt;
+    }
+
     /** Number of requests that this VM has in flight at an instance. */
     countInFlight(instance: string): number {
         return this.loads.countInFlight(instance);
--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -730,6 +730,7 @@
             activeConfiguration: this.activeConfiguration,
             clients: this.clients,
             processor,
+            getLongestWaitMs: (service, rank) => this.placement.getLongestWaitMs(service, rank),
             forwarder: this.forwarder,
             quotaLimiter: this.quotaLimiter,
             host,
