--- a/packages/wigeonpulley/src/processor/processor-monitor.ts
+++ b/packages/wigeonpulley/src/processor/processor-monitor.ts
@@ -103,7 +103,7 @@
 
     /**
      * Returns the longest time for which input that is handled now can have waited in the operating system, in milliseconds: since
-     * the poll before, unless the event loop has waited for events meanwhile.
+     * the poll before, less the time for which the event loop has waited for events meanwhile.
      */
     estimateUnreadMs(): number {
         return this.options.timers.now() - this.startTurn();
@@ -145,7 +145,8 @@
     private startTurn(): number {
         if (this.turnInputSince === undefined) {
             const idleMs = this.options.clock.readIdleMs();
-            this.turnInputSince = idleMs > this.polledIdleMs ? this.options.timers.now() : this.polledAt;
+            // While the event loop waits for events, it reads at once.
+            this.turnInputSince = this.polledAt + Math.max(0, idleMs - this.polledIdleMs);
             // Runs after all input of this turn, just before the next poll.
             setImmediate(() => {
                 this.turnInputSince = undefined;
