--- a/packages/wigeonpulley/src/processor/processor-monitor.ts
+++ b/packages/wigeonpulley/src/processor/processor-monitor.ts
@@ -23,6 +23,8 @@
 const SAMPLE_WEIGHT = 0.3;
 /** Time in which an older delay loses most of its weight in the smoothed one, in milliseconds. */
 const DELAY_MEMORY_MS = 300;
+/** Delay of a timer from which its turn is worth a mark, in milliseconds: marks wake up an idle event loop once more. */
+const BUSY_DELAY_MS = 5;
 /** Delay of a timer above which the event loop is reported as late, in milliseconds. */
 const LATE_MS = 250;
 /** Least time between two such reports, in milliseconds. */
@@ -93,7 +95,9 @@
 
     /** Records by how much a timer was late, in milliseconds. */
     recordTimerDelay(delayMs: number): void {
-        this.startTurn();
+        if (delayMs >= BUSY_DELAY_MS) {
+            this.startTurn();
+        }
         this.delays.recordValue(Math.max(0, Math.round(delayMs)));
         this.updateDelay(delayMs);
         if (delayMs >= LATE_MS && this.options.timers.now() - this.reported.at >= REPORT_INTERVAL_MS) {
