--- a/packages/wigeonpulley/src/processor/processor-monitor.ts
+++ b/packages/wigeonpulley/src/processor/processor-monitor.ts
@@ -76,13 +76,13 @@
         }).observe({ entryTypes: ["gc"] });
     }
 
-    /** Share of the time for which the event loop was busy lately, from 0 to 1. */
+    /** Share of the time for which the event loop was busy recently, from 0 to 1. */
     getBusyShare(): number {
         this.refresh();
         return this.busyShare;
     }
 
-    /** Processor time that the process used lately, in cores. */
+    /** Processor time that the process used recently, in cores. */
     getUsedShare(): number {
         this.refresh();
         return this.usedShare;
@@ -117,12 +117,12 @@
     registerMetrics(metrics: MetricsRegistry): void {
         metrics.registerGauge(
             "wigeonpulley_event_loop_busy_share",
-            "Share of the time for which the event loop was busy lately, from 0 to 1.",
+            "Share of the time for which the event loop was busy recently, from 0 to 1.",
             () => this.getBusyShare(),
         );
         metrics.registerGauge(
             "wigeonpulley_processor_cores",
-            "Processor time that the process used lately, in cores.",
+            "Processor time that the process used recently, in cores.",
             () => this.getUsedShare(),
         );
         metrics.registerQuantiles(
--- a/packages/wigeonpulley/src/processor/work-meter.ts
+++ b/packages/wigeonpulley/src/processor/work-meter.ts
@@ -1,7 +1,7 @@
 /** Adds up the time that a process spends on each kind of work. */
 import type { TimerService } from "../time/index.js";
 
-/** Kinds of work that are told apart. */
+/** Kinds of work that are distinguished. */
 export const WORK_KINDS = ["parsing", "placement", "relay", "gossip", "store", "logs", "garbage"] as const;
 
 /** Kind of work. */
