--- a/bench/processes/vm-processes.ts
+++ b/bench/processes/vm-processes.ts
@@ -57,7 +57,7 @@
     private readonly children: ChildProcess[] = [];
 
     private constructor(private readonly options: VmOptions) {
-        // Also when a measurement fails, no VM outlives it: its calls would reach whoever gets the port of its store.
+        // VMs that outlive a failed measurement would call whatever process gets the port of their store.
         process.once("exit", () => this.children.forEach(child => child.kill("SIGKILL")));
     }
 
