Log reads of the store that return only a part of a topic

Cause: a read of a long backlog returns at most 1 MB, and nothing in the log or in the types shows whether a read reached the end of its topic.

Tests of the store, roll-outs and recorded examples pass.

--- a/packages/wigeonpulley/src/logging/event-catalogue.ts
+++ b/packages/wigeonpulley/src/logging/event-catalogue.ts
@@ -179,6 +179,11 @@
         ({ dataCentre, reason }) =>
             `a record about the evacuation of data centre ${dataCentre} changes nothing: ${reason}`,
     ),
+    TopicPartRead: defineEvent<{ topic: string; offset: number; end: number; }>(
+        213,
+        "info",
+        ({ topic, offset, end }) => `read a part of ${topic} up to offset ${offset}; it ended at ${end}`,
+    ),
     RequestEnded: defineEvent<
         {
             id: string;
--- a/packages/wigeonpulley/src/store/index.ts
+++ b/packages/wigeonpulley/src/store/index.ts
@@ -9,8 +9,10 @@
     type RefreshAge,
 } from "./freshness-keeper.js";
 export {
+    type CompleteBatch,
     type KeyedRecord,
     KeyedStore,
+    type PartialBatch,
     type RecordBatch,
     type Topic,
     type TopicPosition,
--- a/packages/wigeonpulley/src/store/keyed-store.ts
+++ b/packages/wigeonpulley/src/store/keyed-store.ts
@@ -19,26 +19,38 @@
     readonly offset: number;
 }
 
-/** Records of a topic with the position at which to continue. */
+/** Records of a topic with the position at which to continue. Says nothing about what the topic holds after them. */
 export interface RecordBatch {
     readonly records: readonly KeyedRecord[];
     readonly next: TopicPosition;
 }
 
+/** A batch up to the end that the topic had when the store responded. */
+export interface CompleteBatch extends RecordBatch {
+    readonly kind: "complete";
+}
+
+/** A batch after which the topic held more when the store responded. */
+export interface PartialBatch extends RecordBatch {
+    readonly kind: "part";
+    /** Offset at which the topic ended. */
+    readonly endOffset: number;
+}
+
 /** The platform's store. */
 export abstract class KeyedStore {
     /**
-     * Reads the newest record of each key. Calls `onReceiving` later, when the response begins to arrive. Fails with
+     * Reads the newest record of each key, all pages of them. Calls `onReceiving` later, when the response begins to arrive. Fails with
      * StoreUnavailable.
      */
     abstract readSnapshot(
         topic: Topic,
         onReceiving?: () => void,
-    ): Promise<Result<RecordBatch, SchedulerError>>;
+    ): Promise<Result<CompleteBatch, SchedulerError>>;
 
     /**
-     * Reads records from a position on; waits up to `waitMs` milliseconds for the first one. Calls `onReceiving` when the
-     * response begins to arrive after that. Fails with StoreUnavailable, or with StoreHistoryLost when records from the
+     * Reads records from a position on; waits up to `waitMs` milliseconds for the first one. The store limits the length of
+     * a response, so that a read may return a part only. Calls `onReceiving` when the response begins to arrive. Fails with StoreUnavailable, or with StoreHistoryLost when records from the
      * position on were trimmed or the store was restored since.
      */
     abstract readFrom(
@@ -46,7 +58,7 @@
         position: TopicPosition,
         waitMs: number,
         onReceiving?: () => void,
-    ): Promise<Result<RecordBatch, SchedulerError>>;
+    ): Promise<Result<CompleteBatch | PartialBatch, SchedulerError>>;
 
     /**
      * Appends a record and returns its offset; a record without a value removes the key. With `expectedEnd`, the record is
--- a/packages/wigeonpulley/src/store/topic-follower.ts
+++ b/packages/wigeonpulley/src/store/topic-follower.ts
@@ -189,7 +189,7 @@
     }
 
     private async readNow(waitMs: number, onReceiving: () => void): Promise<ReadOutcome> {
-        const { store, topic, timers, listener } = this.options;
+        const { store, topic, timers, logger, listener } = this.options;
         const sentAt = ClockReading.create(timers);
         const from = this.position;
         const batch = from === undefined
@@ -203,6 +203,10 @@
             return batch.error.name === "StoreHistoryLost" ? "history-lost" : "failed";
         }
         this.recordSuccess();
+        if (batch.value.kind === "part") {
+            const { next, endOffset } = batch.value;
+            logger.write("TopicPartRead", { topic, offset: next.offset, end: endOffset });
+        }
         if (this.apply(from, batch.value) && sentAt.monotonicMs >= this.settledAt) {
             listener.confirm(sentAt);
         }
--- a/packages/wigeonpulley/test/compatibility/recorded-examples.test.ts
+++ b/packages/wigeonpulley/test/compatibility/recorded-examples.test.ts
@@ -21,6 +21,7 @@
     ClaimFold,
     ClaimRequestSchema,
     ClaimResponseSchema,
+    type CompleteBatch,
     computeDigest,
     type Configuration,
     configurationSchema,
@@ -43,9 +44,9 @@
     LoadReportSchema,
     MemberDigestSchema,
     parseRequestLogLine,
+    type PartialBatch,
     PeerLoadReports,
     type RankUses,
-    type RecordBatch,
     ReportService,
     ResumeTokenSigner,
     routedSettingsSchema,
@@ -297,15 +298,19 @@
 class RecordingStore extends KeyedStore {
     readonly records: unknown[] = [];
 
-    override readSnapshot(): Promise<Result<RecordBatch, SchedulerError>> {
+    override readSnapshot(): Promise<Result<CompleteBatch, SchedulerError>> {
         const value = Buffer.from(String(RECORDED["vmRecord"]));
         return Promise.resolve(
-            Ok({ records: [{ key: "vm-1", value, offset: 0 }], next: { era: 1, offset: 1 } }),
+            Ok({
+                kind: "complete",
+                records: [{ key: "vm-1", value, offset: 0 }],
+                next: { era: 1, offset: 1 },
+            }),
         );
     }
 
-    override readFrom(): Promise<Result<RecordBatch, SchedulerError>> {
-        return Promise.resolve(Ok({ records: [], next: { era: 1, offset: 0 } }));
+    override readFrom(): Promise<Result<CompleteBatch | PartialBatch, SchedulerError>> {
+        return Promise.resolve(Ok({ kind: "complete", records: [], next: { era: 1, offset: 0 } }));
     }
 
     override put(
