Confirm nothing by a read that returned only a part of a topic

Cause: the store returns 1 MB of records at most. The follower took every batch for all there was, and confirmed the version in the first part of a backlog as of that read. The end of the topic, which each response names, was ignored. catchUp had the same fault: the writing of roll-out states rests on it. Ruled out by the event TopicPartRead: a wrong age of the old confirmation, and late applying.

Change: a read returns a CompleteBatch or a PartialBatch, and only the first can confirm. After a part the follower reads on at once, and reads beside each other fetch each part once. A backlog that never ends is applied and confirms nothing.

Why it works: a confirmation now means that the read reached the end which the store named in the same response, so that whatever was acknowledged before the read was sent has been applied.

--- a/packages/wigeonpulley/src/store/keyed-store.ts
+++ b/packages/wigeonpulley/src/store/keyed-store.ts
@@ -30,7 +30,7 @@
     readonly kind: "complete";
 }
 
-/** A batch after which the topic held more when the store responded. */
+/** A batch of at least one record, after which the topic held more when the store responded. */
 export interface PartialBatch extends RecordBatch {
     readonly kind: "part";
     /** Offset at which the topic ended. */
--- a/packages/wigeonpulley/src/store/topic-follower.ts
+++ b/packages/wigeonpulley/src/store/topic-follower.ts
@@ -3,12 +3,21 @@
  * applied; when the store has trimmed the history or was restored from a copy, a new snapshot is read. Failed reads back
  * off exponentially.
  */
+import type { Result } from "ts-results-es";
 import type { SchedulerError } from "../errors/index.js";
 import type { EventLogger } from "../logging/index.js";
 import { measureWork, type WorkMeter } from "../processor/index.js";
 import type { RandomSource } from "../random/index.js";
 import { ClockReading, type TimerService } from "../time/index.js";
-import type { KeyedRecord, KeyedStore, RecordBatch, Topic, TopicPosition } from "./keyed-store.js";
+import type {
+    CompleteBatch,
+    KeyedRecord,
+    KeyedStore,
+    PartialBatch,
+    RecordBatch,
+    Topic,
+    TopicPosition,
+} from "./keyed-store.js";
 
 /** Callbacks of a follower. */
 export interface TopicListener {
@@ -20,8 +29,8 @@
     /** Applies later records in their order. */
     readonly applyChanges: (records: readonly KeyedRecord[]) => void;
     /**
-     * Called when a read that was sent at `sentAt` found no record that has not been applied. A store that was just
-     * restored from a copy confirms nothing, since what was lost has yet to be written again.
+     * Called when a read that was sent at `sentAt` reached the end of the topic, and all that it found has been applied. A
+     * store that was just restored from a copy confirms nothing, since what was lost has yet to be written again.
      */
     readonly confirm: (sentAt: ClockReading) => void;
     /** Called when the store stops responding. */
@@ -57,8 +66,17 @@
 /** Time after the first read of a restored store for the writers to write again what was lost. */
 const RESTORE_SETTLE_MS = 1_000;
 
-/** How a read ended: only after a failed one the next is delayed. */
-type ReadOutcome = "applied" | "history-lost" | "failed";
+/**
+ * Reads in succession, each of a part of the topic, after which those that wait for the end of the topic are told that it
+ * was not reached. Others may append records faster than this VM reads them.
+ */
+const MAX_SUCCESSIVE_READS = 32;
+
+/**
+ * How a read ended. "complete": all that the topic held was applied. "part": there is more to read, at once. "outdated":
+ * another read has seen a later history. Only after a failed read the next one is delayed.
+ */
+type ReadOutcome = "complete" | "part" | "outdated" | "history-lost" | "failed";
 
 /** Follower of one topic. */
 export class TopicFollower {
@@ -72,7 +90,7 @@
     private storeLostAt: ClockReading | undefined;
     private readonly abortController = new AbortController();
     private ongoingRefresh: Promise<void> | undefined;
-    /** Read whose response is arriving, and the position from which it reads. */
+    /** Read whose response is arriving or is about to, and the position from which it reads. */
     private receivingRead:
         | { readonly outcome: Promise<ReadOutcome>; readonly from: TopicPosition | undefined; }
         | undefined;
@@ -86,11 +104,11 @@
     }
 
     /**
-     * Reads the topic, not before the call; true when this VM has applied all that the store held then. Resolves with false
-     * when the store did not respond or has lost its history.
+     * Reads the topic to its end, not before the call; true when this VM has applied all that the store held then. Resolves
+     * with false when the store did not respond, has lost its history, or is written to faster than this VM reads.
      */
     async catchUp(): Promise<boolean> {
-        return await this.readOnce(0) === "applied";
+        return await this.readToEnd(0) === "complete";
     }
 
     /** Starts to follow the topic. */
@@ -104,11 +122,11 @@
     }
 
     /**
-     * Reads immediately, in parallel to a regular read that waits for records, or as soon as one that receives them has
-     * ended; resolves when the read has ended, also when it failed.
+     * Reads to the end of the topic immediately, in parallel to a regular read that waits for records, or as soon as one that
+     * receives them has ended; resolves when the read has ended, also when it failed.
      */
     refresh(): Promise<void> {
-        this.ongoingRefresh ??= this.readOnce(0).then(() => {
+        this.ongoingRefresh ??= this.readToEnd(0).then(() => {
             this.ongoingRefresh = undefined;
         });
         return this.ongoingRefresh;
@@ -143,7 +161,10 @@
             // After a failure the first response matters, not the next record.
             const waitMs = this.storeLostAt === undefined ? longPollMs : 0;
             // A refresh may find out that the store does not respond while a long poll still waits for it.
-            const outcome = await Promise.race([this.readOnce(waitMs), this.waitForLoss()]);
+            const outcome = await Promise.race([this.readToEnd(waitMs), this.waitForLoss()]);
+            if (outcome === "part") {
+                continue;
+            }
             await timers.sleep(
                 outcome === "failed" ? this.computeRetryDelayMs() : pauseMs,
                 this.abortController.signal,
@@ -163,21 +184,40 @@
     }
 
     /**
-     * Reads after the response that is arriving, if any: it would be received twice over the same link otherwise, unless its
-     * records came from another VM meanwhile. Its confirmation doesn't do instead, since the store may have composed it
-     * before this call.
+     * Reads until the end of the topic is reached or a read fails. Waits for a response that is arriving: it would be received
+     * twice over the same link otherwise, unless its records came from another VM meanwhile. Its confirmation doesn't do
+     * instead, since the store may have composed it before this call.
      */
-    private async readOnce(waitMs: number): Promise<ReadOutcome> {
-        if (this.receivingRead !== undefined && isSamePosition(this.receivingRead.from, this.position)) {
-            await this.receivingRead.outcome;
-        }
-        if (this.abortController.signal.aborted) {
-            return "failed";
+    private async readToEnd(waitMs: number): Promise<ReadOutcome> {
+        let isContinued = false;
+        for (let reads = 0; reads < MAX_SUCCESSIVE_READS; reads += 1) {
+            const { receivingRead, position } = this;
+            if (receivingRead !== undefined && isSamePosition(receivingRead.from, position)) {
+                await receivingRead.outcome;
+                continue;
+            }
+            if (this.abortController.signal.aborted) {
+                return "failed";
+            }
+            const outcome = await this.readOnce(isContinued ? 0 : waitMs, isContinued);
+            if (outcome !== "part") {
+                return outcome;
+            }
+            isContinued = true;
         }
+        return "part";
+    }
+
+    /** Reads once. The response of a read that continues after a part is known to arrive, before it begins to. */
+    private async readOnce(waitMs: number, isContinued: boolean): Promise<ReadOutcome> {
         const from = this.position;
-        const outcome: Promise<ReadOutcome> = this.readNow(waitMs, () => {
+        const setReceiving = (): void => {
             this.receivingRead = { outcome, from };
-        });
+        };
+        const outcome: Promise<ReadOutcome> = this.readNow(waitMs, setReceiving);
+        if (isContinued) {
+            setReceiving();
+        }
         try {
             return await outcome;
         }
@@ -189,10 +229,10 @@
     }
 
     private async readNow(waitMs: number, onReceiving: () => void): Promise<ReadOutcome> {
-        const { store, topic, timers, logger, listener } = this.options;
+        const { store, topic, timers } = this.options;
         const sentAt = ClockReading.create(timers);
         const from = this.position;
-        const batch = from === undefined
+        const batch: Result<CompleteBatch | PartialBatch, SchedulerError> = from === undefined
             ? await store.readSnapshot(topic, onReceiving)
             : await store.readFrom(topic, from, waitMs, onReceiving);
         if (this.abortController.signal.aborted) {
@@ -203,14 +243,26 @@
             return batch.error.name === "StoreHistoryLost" ? "history-lost" : "failed";
         }
         this.recordSuccess();
-        if (batch.value.kind === "part") {
-            const { next, endOffset } = batch.value;
-            logger.write("TopicPartRead", { topic, offset: next.offset, end: endOffset });
+        if (!this.apply(from, batch.value)) {
+            return "outdated";
         }
-        if (this.apply(from, batch.value) && sentAt.monotonicMs >= this.settledAt) {
-            listener.confirm(sentAt);
+        return batch.value.kind === "complete"
+            ? this.confirm(batch.value, sentAt)
+            : this.recordPart(batch.value);
+    }
+
+    /** Only a batch up to the end of the topic shows that nothing is newer than what has been applied. */
+    private confirm(batch: CompleteBatch, sentAt: ClockReading): ReadOutcome {
+        if (sentAt.monotonicMs >= this.settledAt) {
+            this.options.listener.confirm(sentAt);
         }
-        return "applied";
+        return batch.kind;
+    }
+
+    private recordPart({ kind, next, endOffset }: PartialBatch): ReadOutcome {
+        const { topic, logger } = this.options;
+        logger.write("TopicPartRead", { topic, offset: next.offset, end: endOffset });
+        return kind;
     }
 
     /**
