Fail a read of a log whose page has no records before the end

A claim that was not read would count as none.

Change: such a page fails the read with LogUnavailable, in one function for both.

--- a/packages/wigeonpulley/src/claims/partition-follower.ts
+++ b/packages/wigeonpulley/src/claims/partition-follower.ts
@@ -1,7 +1,7 @@
 /** Follows one claim partition on demand: it reads only while an attempt waits for a verdict or for a key's holder. */
 import { Err, Ok, type Result } from "ts-results-es";
 import { SchedulerError } from "../errors/index.js";
-import type { PlatformLog } from "../platform/index.js";
+import { checkEndReached, type PlatformLog } from "../platform/index.js";
 import { ClaimFold, type ClaimVerdict, type HeldClaim } from "./claim-fold.js";
 
 /** Follower of one partition. */
@@ -70,11 +70,12 @@
             if (page.isErr()) {
                 return Err(page.error);
             }
-            const { records, firstOffset, endOffset } = page.value;
+            const { records, firstOffset } = page.value;
             const fold = this.applyRetention(firstOffset);
             records.forEach(record => fold.apply(record, nonce => this.tracked.has(nonce)));
-            if (fold.nextOffset >= endOffset || records.length === 0) {
-                return Ok.EMPTY;
+            const isEndReached = checkEndReached(page.value, fold.nextOffset);
+            if (isEndReached.isErr() || isEndReached.value) {
+                return isEndReached.map(() => undefined);
             }
         }
     }
--- a/packages/wigeonpulley/src/config/queries/fold-configuration-stream.ts
+++ b/packages/wigeonpulley/src/config/queries/fold-configuration-stream.ts
@@ -1,7 +1,7 @@
 /** Reads the configuration stream page by page and folds its records. */
 import { Err, Ok, type Result } from "ts-results-es";
 import type { SchedulerError } from "../../errors/index.js";
-import type { LogRecord, PlatformLog } from "../../platform/index.js";
+import { checkEndReached, type LogRecord, type PlatformLog } from "../../platform/index.js";
 import {
     CONFIGURATION_STREAM,
     type ConfigurationState,
@@ -33,7 +33,7 @@
         if (page.isErr()) {
             return Err(page.error);
         }
-        const { records, firstOffset, endOffset } = page.value;
+        const { records, firstOffset } = page.value;
         if (state === undefined || state.nextOffset < firstOffset) {
             state = createConfigurationState(firstOffset);
         }
@@ -45,7 +45,11 @@
                 return Ok(state);
             }
         }
-        if (records.length === 0 || state.nextOffset >= endOffset) {
+        const isEndReached = checkEndReached(page.value, state.nextOffset);
+        if (isEndReached.isErr()) {
+            return Err(isEndReached.error);
+        }
+        if (isEndReached.value) {
             return Ok(state);
         }
     }
--- a/packages/wigeonpulley/src/platform/platform-log.ts
+++ b/packages/wigeonpulley/src/platform/platform-log.ts
@@ -1,6 +1,6 @@
 /** Interface of the platform's append-only log. */
-import type { Result } from "ts-results-es";
-import type { SchedulerError } from "../errors/index.js";
+import { Err, Ok, type Result } from "ts-results-es";
+import { SchedulerError } from "../errors/index.js";
 
 /** One record with its offset in the stream. */
 export interface LogRecord {
@@ -17,6 +17,23 @@
     readonly endOffset: number;
 }
 
+/**
+ * Returns whether a reader that applied a page up to `nextOffset` is at the end of the stream. Fails with LogUnavailable when the
+ * page has no records although the stream goes on: then the reader is neither at the end nor any further.
+ */
+export const checkEndReached = (
+    { records, endOffset }: LogPage,
+    nextOffset: number,
+): Result<boolean, SchedulerError> =>
+    records.length === 0 && nextOffset < endOffset
+        ? Err(
+            SchedulerError.create("LogUnavailable", {
+                operation: `read from ${nextOffset}`,
+                reason: `no records before the end at ${endOffset}`,
+            }),
+        )
+        : Ok(nextOffset >= endOffset);
+
 /** Log of streams of records, limited in rate and retention. */
 export abstract class PlatformLog {
     /**
