Pass on with a request which version admitted it and whether it may run again

Cause: what was passed on named neither its version nor whether it may run again. A VM that the store had turned away matched it against its older table, found it on an idempotent route, and repeated it after the instance's own 500. Ruled out by the logs of both ends: two sends by the passing VM, and repetition after a lost connection.

Change: both travel with the request. A VM that is behind refuses with ConfigurationBehind, before its own route and key are looked at; the request has not run, and goes on to the next VM.

Why it works: the VM that runs a request has the version that admitted it or a newer one, and a request runs again only if both versions allow it, also where one VM is of a build without the headers.

One existing check is written anew: "a stream ... is resumed through another VM" looked at the last four headers, of which there are more now; it looks for the same header among all.

--- a/packages/wigeonpulley/src/errors/error-catalogue.ts
+++ b/packages/wigeonpulley/src/errors/error-catalogue.ts
@@ -243,6 +243,15 @@
         status: 503,
         notRun: true,
     }),
+    ConfigurationBehind: defineError<{ version: number; wantedVersion: number; }>({
+        title: "The VM has an older configuration than the VM that passed the request on.",
+        message: ({ version, wantedVersion }) =>
+            `This VM has version ${version} of the configuration; the request was admitted by version ${wantedVersion}.`,
+        hint:
+            "The VM that passed the request on tries another one; operators check why this VM reads the store late.",
+        status: 503,
+        notRun: true,
+    }),
     NoRoute: defineError<{ path: string; }>({
         title: "No route matches the request.",
         message: ({ path }) => `No route of this host matches the path ${path}.`,
--- a/packages/wigeonpulley/src/forwarding/attempt.ts
+++ b/packages/wigeonpulley/src/forwarding/attempt.ts
@@ -155,7 +155,7 @@
             path: request.path,
             headers,
             body: request.body,
-            isAtMostOnce: !isRetryable(request.route),
+            isAtMostOnce: !isRetryable(request),
         });
     }
 
--- a/packages/wigeonpulley/src/forwarding/forwarder.ts
+++ b/packages/wigeonpulley/src/forwarding/forwarder.ts
@@ -191,7 +191,12 @@
         }
         const placed = placement.tryAcquire(placementRequest)
             ?? (request.peer === undefined && progress.peerSends < MAX_PEER_SENDS
-                ? peers.select(request.service, progress.excludedInstances, placementRequest.allowedRegions)
+                ? peers.select({
+                    service: request.service,
+                    excludedIds: progress.excludedInstances,
+                    allowedRegions: placementRequest.allowedRegions,
+                    configurationVersion: request.configurationVersion,
+                })
                 : undefined);
         if (placed !== undefined) {
             progress.waitedMs ??= this.options.timers.now() - request.arrivedAt;
@@ -375,6 +380,7 @@
                 service: request.service,
                 to: placement.instance.id,
                 sends: progress.peerSends,
+                version: request.configurationVersion,
             });
         }
         try {
@@ -385,7 +391,7 @@
                 relay: progress.relay,
                 traits: progress.traits,
                 placement,
-                isLast: placement.isPeer || !isRetryable(request.route)
+                isLast: placement.isPeer || !isRetryable(request)
                     || progress.attempts + 1 >= request.route.maxAttempts,
                 prepareRetry: signal => this.prepareRetry(request, writer, progress, signal),
                 confirmRetry: next => this.confirmRetry(request, progress, next),
@@ -395,6 +401,8 @@
                             vm: this.options.identity.vm,
                             elapsedMs,
                             allowedRegions: this.options.regions.getAllowed(request),
+                            configurationVersion: request.configurationVersion,
+                            isRepeatable: isRetryable(request),
                         },
                         this.options.identity.peerKey,
                     ),
@@ -439,7 +447,7 @@
         const canRetry = isNotRun
             ? progress.notRunSends <= MAX_NOT_RUN_RETRIES
             // The other VM has used the attempts of a request that it sent to an instance.
-            : !progress.isAtPeer && isRetryable(request.route)
+            : !progress.isAtPeer && isRetryable(request)
                 && progress.attempts < request.route.maxAttempts
                 // A response that has started can be continued only as a stream.
                 && (!writer.hasStarted || progress.relay.hasStarted)
@@ -486,7 +494,7 @@
             return this.createCancelError(cancelReason, progress);
         }
         const isQuarantined = error.name === "PromptQuarantined" || error.name === "RequestQuarantined";
-        const canRefuse = !isQuarantined && isRetryable(request.route)
+        const canRefuse = !isQuarantined && isRetryable(request)
             && !progress.relay.eventCount;
         return progress.attempts === 0 || canRefuse
             ? error
--- a/packages/wigeonpulley/src/forwarding/front-server.ts
+++ b/packages/wigeonpulley/src/forwarding/front-server.ts
@@ -92,6 +92,9 @@
 /** Delay of the event loop above which this VM takes no requests of other VMs: it is late for its own callers. */
 const MAX_PEER_LOOP_DELAY_MS = 250;
 
+/** Version of a VM without a configuration. */
+const NO_VERSION = -1;
+
 /** Memory planned for a request beside its body and head, in bytes. */
 const REQUEST_BYTES = 8_192;
 /** Multiple of the open requests from which on connections with several unanswered requests are closed. */
@@ -322,10 +325,12 @@
             this.refuse(writer, "", "", metadata.error);
             return;
         }
-        const admission = this.refuseBeforeAdmission(message, account) ?? await this.options.admission.admit(
-            { host: message.headers.host ?? "", path: getPath(message) },
-            metadata.value,
-        );
+        const ownAdmission = this.refuseBeforeAdmission(message, account)
+            ?? await this.options.admission.admit(
+                { host: message.headers.host ?? "", path: getPath(message) },
+                metadata.value,
+            );
+        const admission = this.findVersionRefusal(ownAdmission, origin) ?? ownAdmission;
         const admitted = admission.andThen(value =>
             origin === undefined
                 ? this.checkLateness(value, arrivedAt, arrival.unreadMs)
@@ -345,6 +350,7 @@
                 metadata.value.attemptId,
                 routeName,
                 refusal ?? SchedulerError.create("Stopping", {}, { retryAfterMs: RETRY_AFTER_MS }),
+                origin,
             );
             return;
         }
@@ -375,7 +381,7 @@
             const error = SchedulerError.create("TooManyStreams", { limit: maxOpenRequests }, {
                 retryAfterMs: RETRY_AFTER_MS,
             });
-            this.refuse(writer, metadata.attemptId, admitted.route.name, error);
+            this.refuse(writer, metadata.attemptId, admitted.route.name, error, origin);
             return;
         }
         const request = this.createRequest(received);
@@ -467,6 +473,29 @@
         return refusal === undefined ? Ok(admitted) : Err(refusal);
     }
 
+    /**
+     * Refuses a request that another VM has admitted by a newer configuration, whatever this VM's older one says of its route
+     * and key; undefined for other requests.
+     */
+    private findVersionRefusal(
+        admission: Result<AdmittedRequest, SchedulerError>,
+        origin: PeerRequestOrigin | undefined,
+    ): Result<never, SchedulerError> | undefined {
+        const { activeConfiguration } = this.options;
+        const wantedVersion = origin?.configurationVersion;
+        const table = admission.isOk() ? admission.value.table : activeConfiguration.routeTable;
+        const version = table?.configuration.version ?? NO_VERSION;
+        if (wantedVersion === undefined || version >= wantedVersion) {
+            return undefined;
+        }
+        activeConfiguration.recordVersion(wantedVersion);
+        return Err(
+            SchedulerError.create("ConfigurationBehind", { version, wantedVersion }, {
+                retryAfterMs: RETRY_AFTER_MS,
+            }),
+        );
+    }
+
     /** Checks by this VM's own configuration that a request that another VM passes on may be here. */
     private checkRegion(admitted: AdmittedRequest): Result<AdmittedRequest, SchedulerError> {
         if (this.options.canTakePassedOn(admitted)) {
@@ -505,11 +534,18 @@
             lifetime: RequestLifetime.create(timers, arrivedAt + limitMs),
             peer: origin?.vm,
             peerAllowedRegions: origin?.allowedRegions,
+            isRepeatableForPeer: origin?.isRepeatable,
             account,
         };
     }
 
-    private refuse(writer: ResponseWriter, id: string, route: string, error: SchedulerError): void {
+    private refuse(
+        writer: ResponseWriter,
+        id: string,
+        route: string,
+        error: SchedulerError,
+        origin?: PeerRequestOrigin,
+    ): void {
         const { logger, activeConfiguration, metrics } = this.options;
         const ageMs = activeConfiguration.getAgeMs();
         logger.write("RequestNotAdmitted", {
@@ -518,6 +554,8 @@
             error: error.name,
             version: activeConfiguration.routeTable?.configuration.version ?? 0,
             ageMs: Number.isFinite(ageMs) ? Math.round(ageMs) : -1,
+            peer: origin?.vm ?? "",
+            peerVersion: origin?.configurationVersion ?? 0,
         });
         metrics.recordRequest(route, error.name);
         writer.sendError(error);
--- a/packages/wigeonpulley/src/forwarding/peer-selector.ts
+++ b/packages/wigeonpulley/src/forwarding/peer-selector.ts
@@ -1,6 +1,7 @@
 /**
- * Selects the VM that a request is passed on to when this VM reaches too few instances of its service: one of two random
- * VMs, the one with fewer requests of this VM in progress. A VM that can't serve a service is left out for a moment.
+ * Selects the VM that a request is passed on to when this VM reaches too few instances of its service: of two random VMs, one
+ * that is known to have the request's configuration, and then the one with fewer requests of this VM in progress. A VM that
+ * can't serve a service is left out for a moment.
  */
 import type { Instance } from "../discovery/index.js";
 import { type DataCentreRegions, Placement, type ReleaseOutcome } from "../placement/index.js";
@@ -15,6 +16,21 @@
     /** IP address and port for the requests. */
     readonly host: string;
     readonly port: number;
+    /** Newest version of the configuration that it is known to have; -1 for none. */
+    readonly configuration: number;
+    /** True when it refuses requests that were admitted by a newer configuration than its own. */
+    readonly comparesConfigurations: boolean;
+}
+
+/** Request that is to be passed on. */
+export interface PassedOnRequest {
+    readonly service: string;
+    /** Ids of VMs that the request was passed on to already. */
+    readonly excludedIds: ReadonlySet<string>;
+    /** Regions that the request may use; undefined for all. */
+    readonly allowedRegions: ReadonlySet<string> | undefined;
+    /** Version of the configuration that admitted it. */
+    readonly configurationVersion: number;
 }
 
 /** Dependencies of the selector. */
@@ -46,21 +62,21 @@
         return new PeerSelector(options);
     }
 
-    /** Selects a VM whose id is not excluded, in one of the allowed regions if there are any; undefined when there is none. */
+    /** Selects a VM that may take the request; undefined when there is none. */
     select(
-        service: string,
-        excludedIds: ReadonlySet<string>,
-        allowedRegions: ReadonlySet<string> | undefined,
+        { service, excludedIds, allowedRegions, configurationVersion }: PassedOnRequest,
     ): Placement | undefined {
         const { timers, listPeers, region } = this.options;
         const now = timers.now();
-        const able = listPeers().filter(({ name, ...peer }) =>
+        const able = listPeers().filter(peer =>
             this.isAllowed(peer, allowedRegions)
-            && !excludedIds.has(createPeerId(name))
-            && (this.unableUntil.get(createKey(name, service)) ?? Number.NEGATIVE_INFINITY) <= now
+            // One that doesn't compare versions would serve the request by an older configuration.
+            && (peer.comparesConfigurations || peer.configuration >= configurationVersion)
+            && !excludedIds.has(createPeerId(peer.name))
+            && (this.unableUntil.get(createKey(peer.name, service)) ?? Number.NEGATIVE_INFINITY) <= now
         );
         const near = able.filter(peer => peer.region === region);
-        const peer = this.pickLeastBusy(near.length > 0 ? near : able);
+        const peer = this.pickBest(near.length > 0 ? near : able, configurationVersion);
         return peer === undefined ? undefined : this.occupy(peer, service);
     }
 
@@ -73,13 +89,17 @@
             || (allowedRegions.has(region) && this.options.regions.isAllowed(dataCentre, allowedRegions));
     }
 
-    private pickLeastBusy(peers: readonly RequestPeer[]): RequestPeer | undefined {
+    private pickBest(peers: readonly RequestPeer[], configurationVersion: number): RequestPeer | undefined {
         const remaining = [...peers];
         const picked = Array.from(
             { length: Math.min(CHOICES, remaining.length) },
             () => remaining.splice(this.options.random.pickInteger(remaining.length), 1),
         ).flat();
-        return picked.toSorted((left, right) => this.countInFlight(left) - this.countInFlight(right))[0];
+        const isBehind = ({ configuration }: RequestPeer): number =>
+            configuration < configurationVersion ? 1 : 0;
+        return picked.toSorted((left, right) =>
+            isBehind(left) - isBehind(right) || this.countInFlight(left) - this.countInFlight(right)
+        )[0];
     }
 
     private countInFlight({ name }: RequestPeer): number {
--- a/packages/wigeonpulley/src/forwarding/routed-request.ts
+++ b/packages/wigeonpulley/src/forwarding/routed-request.ts
@@ -29,6 +29,8 @@
     readonly peer: string | undefined;
     /** Regions that this VM allows by its own configuration; undefined for all. */
     readonly peerAllowedRegions?: ReadonlySet<string> | undefined;
+    /** False when the VM that passed the request on knows that it may run once only; undefined for a caller's request. */
+    readonly isRepeatableForPeer?: boolean | undefined;
     /** Holds its bytes; undefined where nothing bounds them. */
     readonly account?: ByteAccount | undefined;
 }
@@ -52,9 +54,15 @@
 export const computeRank = (route: Route, workspace: Workspace | undefined): number =>
     combineRanks(workspace?.rank ?? 0, route.rank);
 
-/** True when running the request a second time does no harm. */
-export const isRetryable = (route: Route): boolean =>
-    route.kind === "idempotent" || (route.kind === "stream" && route.isResumable);
+/**
+ * True when running the request a second time does no harm, by the configuration of this VM and by that of the VM which
+ * passed it on.
+ */
+export const isRetryable = (
+    { route, isRepeatableForPeer = true }: Pick<RoutedRequest, "route" | "isRepeatableForPeer">,
+): boolean =>
+    isRepeatableForPeer
+    && (route.kind === "idempotent" || (route.kind === "stream" && route.isResumable));
 
 /** Units that the request consumes of its workspace's quota; 0 without a quota. */
 export const countQuotaUnits = ({ metadata, workspace }: RoutedRequest): number => {
--- a/packages/wigeonpulley/src/logging/event-catalogue.ts
+++ b/packages/wigeonpulley/src/logging/event-catalogue.ts
@@ -218,7 +218,16 @@
             `request ${id} ended with status ${status} (${outcome}) at instance ${instance}`,
     ),
     RequestNotAdmitted: defineEvent<
-        { id: string; route: string; error: string; version: number; ageMs: number; }
+        {
+            id: string;
+            route: string;
+            error: string;
+            version: number;
+            ageMs: number;
+            /** VM that passed the request on, and the version by which it admitted it; empty and 0 without. */
+            peer: string;
+            peerVersion: number;
+        }
     >(
         407,
         "info",
@@ -296,11 +305,14 @@
         ({ id, instance, reason, lastEventId }) =>
             `request ${id} failed at instance ${instance} (${reason}) and is retried after event ${lastEventId}`,
     ),
-    RequestPassedOn: defineEvent<{ id: string; service: string; to: string; sends: number; }>(
+    RequestPassedOn: defineEvent<
+        { id: string; service: string; to: string; sends: number; version: number; }
+    >(
         411,
         "info",
-        ({ id, service, to }) =>
-            `request ${id} is passed on to ${to}, because this VM reaches too few instances of ${service}`,
+        ({ id, service, to, version }) =>
+            `request ${id}, admitted by configuration ${version}, is passed on to ${to}, because this VM reaches too few `
+            + `instances of ${service}`,
     ),
     ClientsLimited: defineEvent<
         {
--- a/packages/wigeonpulley/src/membership/membership-service.ts
+++ b/packages/wigeonpulley/src/membership/membership-service.ts
@@ -106,6 +106,8 @@
     readonly incarnation: bigint;
     /** Version of the active configuration of that VM; -1 for none. */
     readonly configuration: number;
+    /** True when it refuses requests that were admitted by a newer configuration than its own. */
+    readonly comparesConfigurations: boolean;
     readonly isLeaving: boolean;
     readonly isLive: boolean;
 }
@@ -157,7 +159,12 @@
     private constructor(private readonly options: MembershipOptions) {
         this.incarnation = BigInt(Math.floor(options.timers.readWallClock()));
         const { name, peerUrl } = options.self;
-        this.self = create(MemberStateSchema, { name, peerUrl, incarnation: this.incarnation });
+        this.self = create(MemberStateSchema, {
+            name,
+            peerUrl,
+            incarnation: this.incarnation,
+            comparesConfigurations: true,
+        });
         this.table = MemberTable.create(options.peerTimeoutMs);
         this.partners = GossipPartners.create({
             ...options,
@@ -244,6 +251,7 @@
             entry: this.options.self,
             incarnation: this.incarnation,
             configuration: this.options.getConfigurationVersion(),
+            comparesConfigurations: true,
             isLeaving: this.self.leaving,
             isLive: true,
         };
@@ -253,6 +261,7 @@
                 entry,
                 incarnation: record.state.incarnation,
                 configuration: record.state.configuration - 1,
+                comparesConfigurations: record.state.comparesConfigurations,
                 isLeaving: record.state.leaving,
                 isLive: this.table.isLive(record, now),
             }];
--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -442,12 +442,21 @@
 
     /** Returns the other live VMs that take requests, at the addresses that they announce themselves. */
     private listRequestPeers(): readonly RequestPeer[] {
-        return this.membership.listLive().flatMap(entry => {
-            const port = Number(entry.requestAddress?.split(":")[1]);
-            return entry.name === this.options.settings.name || !Number.isInteger(port)
-                ? []
-                : [{ ...entry, host: new URL(entry.peerUrl).hostname, port }];
-        });
+        return this.membership.listMembers().flatMap(
+            ({ entry, isLive, isLeaving, configuration, comparesConfigurations }) => {
+                const port = Number(entry.requestAddress?.split(":")[1]);
+                return !isLive || isLeaving || entry.name === this.options.settings.name
+                        || !Number.isInteger(port)
+                    ? []
+                    : [{
+                        ...entry,
+                        host: new URL(entry.peerUrl).hostname,
+                        port,
+                        configuration,
+                        comparesConfigurations,
+                    }];
+            },
+        );
     }
 
     /**
--- a/packages/wigeonpulley/test/forwarding/allowed-regions.test.ts
+++ b/packages/wigeonpulley/test/forwarding/allowed-regions.test.ts
@@ -8,7 +8,12 @@
     SeededRandom,
     VirtualTimerService,
 } from "wigeonpulley";
-import { createForwarding, createSignedHead, createSignedResponse } from "../fixtures/forwarding-fixture.js";
+import {
+    createForwarding,
+    createRequestPeer,
+    createSignedHead,
+    createSignedResponse,
+} from "../fixtures/forwarding-fixture.js";
 import { UNIT_PROPERTY } from "../fixtures/properties.js";
 import { createInstance } from "../fixtures/raw-endpoint.js";
 import { createRouteInput, createRoutingConfiguration } from "../fixtures/routing-fixture.js";
@@ -21,13 +26,8 @@
 );
 const UNREACHABLE: readonly ScriptedStep[] = [{ kind: "fail", mayHaveRun: false }];
 
-const createPeer = (name: string, dataCentre: string, region: string): RequestPeer => ({
-    name,
-    dataCentre,
-    region,
-    host: "127.0.0.1",
-    port: 1,
-});
+const createPeer = (name: string, dataCentre: string, region: string): RequestPeer =>
+    createRequestPeer({ name, dataCentre, region });
 
 /** Another version of the configuration, in which the route allows the given regions. */
 const createTable = (version: number, allowedRegions: readonly string[]): RouteTable => ({
@@ -69,11 +69,12 @@
             || (allowed.some(name => name === region)
                 && allowed.some(name => name === regions.getRegion(dataCentre)))
         );
-        const selected = selector.select(
-            "stock",
-            new Set(),
-            allowed === undefined ? undefined : new Set(allowed),
-        );
+        const selected = selector.select({
+            service: "stock",
+            excludedIds: new Set(),
+            allowedRegions: allowed === undefined ? undefined : new Set(allowed),
+            configurationVersion: 1,
+        });
         expect(selected === undefined).toBe(usable.length === 0);
         if (selected !== undefined) {
             expect(usable.map(({ name }) => `vm:${name}`)).toContain(selected.instance.id);
--- a/packages/wigeonpulley/test/forwarding/evacuation.test.ts
+++ b/packages/wigeonpulley/test/forwarding/evacuation.test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from "vitest";
-import { createForwarding, createSignedResponse } from "../fixtures/forwarding-fixture.js";
+import { createForwarding, createRequestPeer, createSignedResponse } from "../fixtures/forwarding-fixture.js";
 import { createInstance } from "../fixtures/raw-endpoint.js";
 import type { ScriptedStep } from "../fixtures/scripted-transport.js";
 
@@ -75,7 +75,7 @@
     const { timers, evacuations, serve, transport } = createForwarding({
         instances: INSTANCES,
         regions: REGIONS,
-        peers: [{ name: "vm-2", dataCentre: "south-1", region: "south", host: "127.0.0.1", port: 9 }],
+        peers: [createRequestPeer()],
         script: ({ id }) =>
             id === "i-south-1" ? [{ kind: "fail", mayHaveRun: false }] : createSignedResponse("served"),
     });
--- a/packages/wigeonpulley/test/forwarding/passed-on-requests.test.ts
+++ b/packages/wigeonpulley/test/forwarding/passed-on-requests.test.ts
@@ -2,6 +2,7 @@
 import { RequestLifetime, type RequestPeer } from "wigeonpulley";
 import {
     createForwarding,
+    createRequestPeer,
     createSignedHead,
     createSignedResponse,
     createStreamEvent,
@@ -9,13 +10,9 @@
 import type { ScriptedStep } from "../fixtures/scripted-transport.js";
 
 const LIMIT_MS = 30_000;
-const PEERS: readonly RequestPeer[] = ["vm-2", "vm-3"].map((name, index) => ({
-    name,
-    dataCentre: "south-1",
-    region: "south",
-    host: "127.0.0.1",
-    port: index + 1,
-}));
+const PEERS: readonly RequestPeer[] = ["vm-2", "vm-3"].map((name, index) =>
+    createRequestPeer({ name, port: index + 1 })
+);
 const UNREACHABLE: readonly ScriptedStep[] = [{ kind: "fail", mayHaveRun: false }];
 const STREAM = {
     kind: "stream",
@@ -27,10 +24,10 @@
 } as const;
 
 /** A forwarder that has noticed that it reaches no instance; `steps` are the response of each other VM from then on. */
-const createCutOff = async (steps: readonly ScriptedStep[]) => {
+const createCutOff = async (steps: readonly ScriptedStep[], peers: readonly RequestPeer[] = PEERS) => {
     let hasNoticed = false;
     const forwarding = createForwarding({
-        peers: PEERS,
+        peers,
         script: ({ id }) => {
             if (!id.startsWith("vm:")) {
                 return UNREACHABLE;
@@ -45,6 +42,10 @@
     return forwarding;
 };
 
+/** Formats alternating names and values. */
+const formatHeaders = (headers: readonly string[] = []): readonly string[] =>
+    headers.flatMap((name, index) => index % 2 === 0 ? [`${name}: ${headers[index + 1]}`] : []);
+
 const listDispatched = ({ transport }: Awaited<ReturnType<typeof createCutOff>>): readonly string[] =>
     transport.dispatches.map(({ instance }) => instance);
 
@@ -142,7 +143,83 @@
     await timers.runUntilSettled(Promise.all([serve({}).summary, serve({}).summary]), 300);
     await timers.runUntilSettled(stream.summary, LIMIT_MS);
     const last = transport.dispatches.findLast(({ instance }) => instance.startsWith("vm:"));
-    expect(last?.request.headers.slice(-8)).toEqual(expect.arrayContaining(["x-last", "2"]));
+    expect(formatHeaders(last?.request.headers)).toContain("x-last: 2");
     expect(stream.view).toMatchObject({ isComplete: true });
     expect([...stream.view.body.matchAll(/piece (\d)/g)].map(([, piece]) => piece)).toEqual(["1", "2", "3"]);
 });
+
+/** Headers of the first request that was sent on. */
+const listSentHeaders = ({ transport }: Awaited<ReturnType<typeof createCutOff>>): readonly string[] =>
+    formatHeaders(transport.dispatches[0]?.request.headers);
+
+// Guards against TWICE: the other VM decided by its older configuration whether a request may run again.
+test.each([
+    { route: { kind: "once" } as const, isRepeatable: false },
+    { route: { kind: "idempotent" } as const, isRepeatable: true },
+    { route: STREAM, isRepeatable: true },
+    { route: { ...STREAM, isResumable: false }, isRepeatable: false },
+])(
+    "a request is passed on with its version and with whether it may run again (%o)",
+    async ({ route, isRepeatable }) => {
+        const cutOff = await createCutOff(createSignedResponse("served"));
+        const { summary } = cutOff.serve(route, { configurationVersion: 1 });
+        await cutOff.timers.runUntilSettled(summary, LIMIT_MS);
+        expect(listSentHeaders(cutOff)).toContain("x-vm-configuration: 1");
+        expect(listSentHeaders(cutOff).includes("x-vm-repeatable: 1")).toBe(isRepeatable);
+    },
+);
+
+// Guards against TWICE: a VM repeated a request after the instance's own 500, by a configuration older than the request's.
+test("a request that another VM passed on as running once runs once, though this VM's configuration allows repeats", async () => {
+    const forwarding = createForwarding({ script: () => createSignedResponse("failed", 500) });
+    const { summary, view } = forwarding.serve(
+        { kind: "idempotent", maxAttempts: 3 },
+        { peer: "vm-2", isRepeatableForPeer: false },
+    );
+    expect(await forwarding.timers.runUntilSettled(summary, LIMIT_MS)).toMatchObject({ mayHaveRun: true });
+    expect(forwarding.transport.dispatches.map(({ request }) => request.isAtMostOnce)).toEqual([true]);
+    expect(view.status).toBe(500);
+});
+
+// Guards against RECOVER: a VM that is behind refuses, and the request has to be served by another one.
+test("a request goes on to the next VM when one is behind, which is asked again for later requests", async () => {
+    const cutOff = await createCutOff([
+        { kind: "head", status: 503, headers: { "x-vm-error": "ConfigurationBehind" } },
+        { kind: "end" },
+    ]);
+    const { summary, view } = cutOff.serve({ kind: "once" });
+    expect(await cutOff.timers.runUntilSettled(summary, LIMIT_MS)).toMatchObject({ mayHaveRun: false });
+    const asked = (): readonly string[] =>
+        listDispatched(cutOff).filter(id => id.startsWith("vm:")).toSorted();
+    expect(asked()).toEqual(["vm:vm-2", "vm:vm-3"]);
+    expect(view.status).toBe(503);
+    cutOff.transport.dispatches.length = 0;
+    await cutOff.timers.runUntilSettled(cutOff.serve({ kind: "once" }).summary, LIMIT_MS);
+    expect(asked()).toEqual(["vm:vm-2", "vm:vm-3"]);
+});
+
+// Guards against TWICE and CONFIG during an upgrade: a build that doesn't compare configurations serves by an older one.
+test("a VM that doesn't compare configurations is asked only if it is known to have the request's version", async () => {
+    const cutOff = await createCutOff(createSignedResponse("served"), [
+        createRequestPeer({ name: "vm-2", port: 1, comparesConfigurations: false, configuration: 4 }),
+        createRequestPeer({ name: "vm-3", port: 2, comparesConfigurations: false, configuration: 5 }),
+    ]);
+    for (const configurationVersion of [5, 5, 5, 5, 6, 6]) {
+        const { summary } = cutOff.serve({ kind: "once" }, { configurationVersion });
+        await cutOff.timers.runUntilSettled(summary, LIMIT_MS);
+    }
+    const asked = listDispatched(cutOff).filter(id => id.startsWith("vm:"));
+    expect(asked).toEqual(["vm:vm-3", "vm:vm-3", "vm:vm-3", "vm:vm-3"]);
+});
+
+test("a VM that is known to have the request's version is preferred", async () => {
+    const cutOff = await createCutOff(createSignedResponse("served"), [
+        createRequestPeer({ name: "vm-2", port: 1, configuration: 4 }),
+        createRequestPeer({ name: "vm-3", port: 2, configuration: 5 }),
+    ]);
+    for (let count = 0; count < 4; count += 1) {
+        const { summary } = cutOff.serve({ kind: "once" }, { configurationVersion: 5 });
+        await cutOff.timers.runUntilSettled(summary, LIMIT_MS);
+    }
+    expect(listDispatched(cutOff)).toEqual(["vm:vm-3", "vm:vm-3", "vm:vm-3", "vm:vm-3"]);
+});
