Divide limits by an assumed number of VMs until the real one is known

Cause: the number of VMs was 1 until the list of VMs had been read, and quotas, the retry budget, limits of connections and instances, and the exposure of a roll-out were divided by it. Each VM used the whole quota. Ruled out by the log: usage before the loss that is forgotten, and shares that are lent twice; no VM refused anything until it had read the list.

Change: one count for all, which is known or assumed (400). VMs learn it from the list, from a copy of it in two other topics, or from the digest of another VM. The list is read before the configuration. A bucket that was created with an assumed number is put right once it is known. The exposure is divided by all listed VMs, no longer by those that this VM can reach.

Why it works: no VM takes a part of a limit for which it doesn't know the divisor, and the divisor survives the loss of one or two partitions, so that callers are served within their quotas meanwhile.

--- a/packages/wigeonpulley/src/logging/event-catalogue.ts
+++ b/packages/wigeonpulley/src/logging/event-catalogue.ts
@@ -73,6 +73,11 @@
         "warn",
         ({ vm }) => `the gateway on VM ${vm} was lost; its tickets are removed and its slots expire`,
     ),
+    VmListCopyRead: defineEvent<{ vms: number; }>(
+        305,
+        "warn",
+        ({ vms }) => `the list of VMs can't be read; a copy names ${vms}`,
+    ),
     RequestDispatched: defineEvent<{ id: string; endpoint: string; tier: string; }>(
         401,
         "debug",
--- a/packages/wigeonpulley/src/membership/index.ts
+++ b/packages/wigeonpulley/src/membership/index.ts
@@ -14,5 +14,7 @@
     MembershipService,
     type OwnerLocation,
     ReportGossip,
+    type VmCount,
 } from "./membership-service.js";
 export { findStoreReader, type StoreReadingRole } from "./store-readers.js";
+export { VmListCopier, type VmListCopierOptions } from "./vm-list-copier.js";
--- a/packages/wigeonpulley/src/membership/membership-service.ts
+++ b/packages/wigeonpulley/src/membership/membership-service.ts
@@ -24,6 +24,7 @@
 import { GossipPartners } from "./gossip-partners.js";
 import { isNewerState, MemberTable, resolveEntry } from "./member-table.js";
 import { findStoreReader, type StoreReadingRole } from "./store-readers.js";
+import { VmListCopier } from "./vm-list-copier.js";
 
 /** Load reports that VMs send with their digests. */
 export abstract class ReportGossip {
@@ -118,6 +119,23 @@
     readonly region: string;
 }
 
+/** How much a VM knows of the number of VMs. */
+export interface VmCount {
+    /** VMs among which limits over all VMs are divided, this one included. */
+    readonly count: number;
+    /** False while the count is assumed, until the list of VMs, a copy of it or another VM has named it. */
+    readonly isKnown: boolean;
+}
+
+/**
+ * Number of VMs that is assumed while it is unknown. A VM that takes itself for the only one would use whole limits, and so would
+ * each of the others.
+ */
+const ASSUMED_VM_COUNT = 400;
+
+/** Time after which a copy is read beside the list, whose read may fail late, in milliseconds. */
+const COPY_DELAY_MS = 150;
+
 /** Delay before a failed registration is repeated, in milliseconds; up to twice as long at random. */
 const REGISTRATION_RETRY_MS = 1_000;
 
@@ -144,7 +162,11 @@
     private leavingEndpoints: ReadonlySet<string> = new Set();
     private starting: Promise<void> | undefined;
     private isRegistered = false;
-    private hasList = false;
+    /** Where the VMs were read from. */
+    private listSource: "none" | "copy" | "list" = "none";
+    /** Largest number of VMs that another VM has named; 0 for none. */
+    private countOfPeers = 0;
+    private readonly copier: VmListCopier;
     private isReadingList = false;
     private cancelListRetry: CancelTimer = () => undefined;
     /** The newest registration, which may be under way. */
@@ -166,6 +188,7 @@
             comparesConfigurations: true,
         });
         this.table = MemberTable.create(options.peerTimeoutMs);
+        this.copier = VmListCopier.create({ ...options, listLive: () => this.listLive() });
         this.partners = GossipPartners.create({
             ...options,
             onDropped: peer => {
@@ -200,7 +223,8 @@
             timers.scheduleRepeating(vmListPollMs, () => void this.readVmList()),
         );
         void this.registerSelf();
-        await this.readVmList();
+        this.copier.start();
+        await this.readList();
         this.gossipWithMembers(GOSSIP_FANOUT);
     }
 
@@ -220,6 +244,7 @@
     /** Stops the timers. */
     stop(): void {
         this.abortController.abort();
+        this.copier.stop();
         this.cancelListRetry();
         this.cancelTimers.forEach(cancel => cancel());
     }
@@ -271,15 +296,34 @@
 
     /**
      * Number of all listed VMs, including this one; before the list has been read, of those that gossip names. Gossip may name
-     * VMs that are gone.
+     * VMs that are gone, and not all that there are: limits over all VMs are divided by `vmCount`.
      */
     get memberCount(): number {
-        return (this.hasList ? this.table.listedCount : this.table.size) + 1;
+        return (this.listSource === "list" ? this.table.listedCount : this.table.size) + 1;
+    }
+
+    /** Number of VMs among which limits over all VMs are divided. */
+    get vmCount(): VmCount {
+        const count = this.listSource === "list"
+            ? this.memberCount
+            : Math.max(this.memberCount, this.countOfPeers);
+        const isKnown = this.listSource !== "none" || this.countOfPeers > 0;
+        return { count: isKnown ? count : Math.max(count, ASSUMED_VM_COUNT), isKnown };
     }
 
-    /** True once the platform's list has been read. */
+    /** True once the platform's list or a copy of it has been read. */
     get hasReadList(): boolean {
-        return this.hasList;
+        return this.listSource !== "none";
+    }
+
+    /** Reads the list, or a copy while the list can't be read; resolves when it has been read, or could not be. */
+    async readList(): Promise<void> {
+        const limit = new AbortController();
+        const reading = this.readVmList().finally(() => limit.abort());
+        await Promise.race([reading, this.options.timers.sleep(COPY_DELAY_MS, limit.signal)]);
+        if (!this.hasReadList) {
+            await this.readCopy();
+        }
     }
 
     /** True once another VM has sent a message to this one. */
@@ -422,6 +466,7 @@
             ...(operatorPosition === undefined ? {} : { operatorPosition: encodePosition(operatorPosition) }),
             ...(instanceList === undefined ? {} : { instanceList }),
             configurationAgeMs: ageMs < MAX_CONFIGURATION_AGE_MS ? ageMs + 1 : 0,
+            vmCount: this.vmCount.isKnown ? this.vmCount.count : 0,
             sender: this.options.self.name,
             members: [this.self, ...this.table.consumeChanges(MAX_DIGEST_CHANGES)],
             reports: [...this.options.reports?.createReports(this.incarnation, request?.reports ?? []) ?? []],
@@ -454,6 +499,7 @@
             }
         }
         this.table.recordContact(digest.sender, now);
+        this.countOfPeers = Math.max(this.countOfPeers, digest.vmCount);
         if (digest.operatorPosition !== undefined) {
             this.options.freshness?.recordPosition(digest.sender, decodePosition(digest.operatorPosition));
         }
@@ -494,7 +540,8 @@
             this.retryFirstList();
             return;
         }
-        this.hasList = true;
+        this.listSource = "list";
+        this.countOfPeers = 0;
         this.leavingEndpoints = new Set(
             listing.value.endpoints.filter(endpoint => endpoint.state === "leaving").map(endpoint =>
                 endpoint.name
@@ -509,14 +556,28 @@
         this.notify();
     }
 
+    /** Reads a copy of the list and applies it, unless the list itself is read meanwhile. */
+    private async readCopy(): Promise<void> {
+        const vms = await this.options.vmList.readCopy();
+        if (vms !== undefined && !this.hasReadList) {
+            this.listSource = "copy";
+            this.options.logger.write("VmListCopyRead", { vms: vms.length });
+            this.table.applyList(
+                vms.filter(({ name }) => name !== this.options.self.name),
+                this.options.timers.now(),
+            );
+            this.notify();
+        }
+    }
+
     /** Reads the list again soon while it has never been read: until then, this VM calls no other one. */
     private retryFirstList(): void {
         const { timers, random } = this.options;
-        if (!this.hasList && !this.abortController.signal.aborted) {
+        if (this.listSource !== "list" && !this.abortController.signal.aborted) {
             this.cancelListRetry();
             this.cancelListRetry = timers.schedule(
                 LIST_RETRY_MS * (1 + random.pickFraction()),
-                () => void this.readVmList(),
+                () => void this.readList(),
             );
         }
     }
--- a/packages/wigeonpulley/src/placement/instance-rate-limits.ts
+++ b/packages/wigeonpulley/src/placement/instance-rate-limits.ts
@@ -35,6 +35,8 @@
     readonly logger: EventLogger;
     /** Returns the names of the VMs that may send requests. */
     readonly listVms: () => readonly string[];
+    /** Returns the number that is assumed while they are unknown; undefined once they are known, or when absent. */
+    readonly getAssumedVmCount?: () => number | undefined;
 }
 
 interface KnownLimit {
@@ -78,7 +80,7 @@
     private constructor(private readonly options: InstanceRateLimitsOptions) {
         this.brittle = BrittleInstances.create({
             ...options,
-            countVms: () => this.listOtherVms().length + 1,
+            countVms: () => this.options.getAssumedVmCount?.() ?? this.listOtherVms().length + 1,
         });
     }
 
@@ -223,6 +225,11 @@
 
     /** Returns this VM's part of a limit, in requests a second; 0 when others share it. */
     private computeOwnRate(key: number, { vmHashes }: KnownLimit, limitPerS: number): number {
+        const assumedCount = this.options.getAssumedVmCount?.();
+        if (assumedCount !== undefined) {
+            // Which VMs share the limit can't be told.
+            return limitPerS / assumedCount;
+        }
         const others = this.listOtherVms();
         const sharing = Math.min(
             others.length + 1,
--- a/packages/wigeonpulley/src/quotas/shared-quota-limiter.ts
+++ b/packages/wigeonpulley/src/quotas/shared-quota-limiter.ts
@@ -16,8 +16,8 @@
 /** Options of the limiter. */
 export interface SharedQuotaLimiterOptions {
     readonly timers: TimerService;
-    /** Returns the number of VMs that may use quotas, including this one. */
-    readonly countVms: () => number;
+    /** Returns the number of VMs that may use quotas, including this one, and whether it is known or assumed. */
+    readonly getVmCount: () => { readonly count: number; readonly isKnown: boolean; };
     /**
      * Returns by how much a workspace may exceed its quota in a window, over all VMs: `slack` units plus the fraction
      * `overrun`.
@@ -53,9 +53,14 @@
 /** Time for which a report is sent again unless this VM has used a quota meanwhile, in milliseconds. */
 const REPORT_VALIDITY_MS = 100;
 
+/** Longest wait that is estimated while the number of VMs is assumed, in milliseconds: it is learned before long. */
+const MAX_UNKNOWN_WAIT_MS = 1_000;
+
 interface Bucket {
     quota: Quota;
     level: number;
+    /** Part of the burst that it was created with while the number of VMs was assumed; undefined once that is known. */
+    assumedPart: number | undefined;
     refilledAt: number;
     demandPerSecond: number;
     demandAt: number;
@@ -128,7 +133,8 @@
         const bucket = this.getOrCreateBucket(workspace, quota);
         // The caller's next attempt reaches another VM, so this VM's whole deficit says little about the wait.
         const missing = Math.min(units, Math.max(0, -bucket.level));
-        return missing / this.computeRate(bucket) * MS_PER_SECOND;
+        const waitMs = missing / this.computeRate(bucket) * MS_PER_SECOND;
+        return bucket.assumedPart === undefined ? waitMs : Math.min(waitMs, MAX_UNKNOWN_WAIT_MS);
     }
 
     /** Returns the usage of every known workspace, to be reported to the other VMs. */
@@ -185,6 +191,7 @@
         const bucket: Bucket = {
             quota,
             level: quota.burst / this.countVms(),
+            assumedPart: this.options.getVmCount().isKnown ? undefined : quota.burst / this.countVms(),
             refilledAt: now,
             demandPerSecond: 0,
             demandAt: now,
@@ -225,6 +232,7 @@
     }
 
     private refill(bucket: Bucket): void {
+        this.replaceAssumedPart(bucket);
         const now = this.options.timers.now();
         const rate = this.computeRate(bucket);
         const filled = bucket.level + rate * (now - bucket.refilledAt) / MS_PER_SECOND;
@@ -232,8 +240,16 @@
         bucket.refilledAt = now;
     }
 
+    /** Gives a bucket its part of the burst as soon as the number of VMs is known. */
+    private replaceAssumedPart(bucket: Bucket): void {
+        if (bucket.assumedPart !== undefined && this.options.getVmCount().isKnown) {
+            bucket.level += bucket.quota.burst / this.countVms() - bucket.assumedPart;
+            bucket.assumedPart = undefined;
+        }
+    }
+
     private countVms(): number {
-        return Math.max(1, this.options.countVms());
+        return Math.max(1, this.options.getVmCount().count);
     }
 
     private computeEqualShare(bucket: Bucket): number {
--- a/packages/wigeonpulley/src/rollouts/rollout-service.ts
+++ b/packages/wigeonpulley/src/rollouts/rollout-service.ts
@@ -19,8 +19,10 @@
     readonly stateStore: RolloutStateStore;
     /** Reads the orders, not before the call; true when all that the store held then were applied. */
     readonly catchUpWithOrders: () => Promise<boolean>;
-    /** Returns the number of live VMs, including this one, and this VM's index in an order that all VMs agree on. */
-    readonly getWriterPosition: () => { readonly index: number; readonly vmCount: number; };
+    /** Returns this VM's index among the live ones, in an order that all VMs agree on. */
+    readonly getWriterIndex: () => number;
+    /** Returns the number of VMs that share the exposure that operators allow, live or not. */
+    readonly countVms: () => number;
     /** Returns the exposure that operators allow a canary before its deadline, over all VMs. */
     readonly getExposure: () => { readonly share: number; readonly slack: number; };
 }
@@ -82,11 +84,11 @@
         if (current !== undefined) {
             this.supersededVersions.set(order.service, superseded.add(current.version));
         }
-        const { timers, logger, getExposure, getWriterPosition } = this.options;
+        const { timers, logger, getExposure, countVms } = this.options;
         const rollout = Rollout.create(
             order,
             timers,
-            () => ({ ...getExposure(), vmCount: getWriterPosition().vmCount }),
+            () => ({ ...getExposure(), vmCount: countVms() }),
         );
         this.entries.set(order.service, {
             rollout,
@@ -104,12 +106,12 @@
      * that, so that a VM which doesn't know a final state doesn't write another one.
      */
     handleStoreRestored(): void {
-        const { timers, getWriterPosition } = this.options;
+        const { timers, getWriterIndex } = this.options;
         for (const entry of this.entries.values()) {
             entry.isStateLost = entry.rollout.isStateKnown;
             entry.retryAt = timers.now()
                 + (entry.isStateLost
-                    ? getWriterPosition().index * WRITER_STAGGER_MS
+                    ? getWriterIndex() * WRITER_STAGGER_MS
                     : RESTORE_WRITE_DELAY_MS);
         }
         this.startChecks();
@@ -245,14 +247,14 @@
         if (entry.isStateLost) {
             return this.writeState(entry, rollout.state);
         }
-        const { timers, getWriterPosition } = this.options;
+        const { timers, getWriterIndex } = this.options;
         const state = rollout.findDueState();
         if (state !== entry.dueWrite?.state) {
             entry.dueWrite = state === undefined ? undefined : { state, since: timers.now() };
         }
         if (
             entry.dueWrite !== undefined
-            && timers.now() >= entry.dueWrite.since + getWriterPosition().index * WRITER_STAGGER_MS
+            && timers.now() >= entry.dueWrite.since + getWriterIndex() * WRITER_STAGGER_MS
         ) {
             await this.writeState(entry, entry.dueWrite.state);
         }
@@ -260,7 +262,7 @@
 
     /** Reads the stored state, since an old order may have been carried out before this VM started. */
     private async restoreState(entry: Entry): Promise<void> {
-        const { timers, stateStore, getWriterPosition } = this.options;
+        const { timers, stateStore, getWriterIndex } = this.options;
         const { service, version } = entry.rollout.order;
         entry.isStoreCallRunning = true;
         const stored = await stateStore.readState(service, version);
@@ -271,7 +273,7 @@
         entry.rollout.applyState(stored.value ?? "active");
         entry.isStoreCallRunning = false;
         if (stored.value === undefined) {
-            await timers.sleep(getWriterPosition().index * WRITER_STAGGER_MS);
+            await timers.sleep(getWriterIndex() * WRITER_STAGGER_MS);
             await this.writeState(entry, "active");
         }
     }
--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -14,7 +14,7 @@
 } from "../forwarding/index.js";
 import type { MemberDigest } from "../gen/wigeonpulley/peer/v1/peer_pb.js";
 import type { EventLogger } from "../logging/index.js";
-import { findStoreReader, MembershipService } from "../membership/index.js";
+import { MembershipService } from "../membership/index.js";
 import type { MetricsRegistry } from "../metrics/index.js";
 import { GossipHandler, type GossipTransport } from "../peers/index.js";
 import {
@@ -171,6 +171,10 @@
             timers,
             logger,
             listVms: () => this.listSendingVms(),
+            getAssumedVmCount: () => {
+                const { count, isKnown } = this.membership.vmCount;
+                return isKnown ? undefined : count;
+            },
         });
         this.coldInstances = this.createColdInstances();
         // Before placement sends requests there again: the instances may have become cold just before the evacuation.
@@ -221,12 +225,10 @@
      * copies of long records, so all but its readers take them from others first, if those have them soon.
      */
     private async startReadingOperators(): Promise<void> {
-        const { settings, timers, random } = this.options;
-        const listed = await this.vmList.read();
-        const self = this.describeSelf();
-        const others = listed.map(({ vms }) => vms.filter(({ name }) => name !== settings.name)).unwrapOr([]);
-        const reader = findStoreReader(self, [self, ...others]);
-        if (reader !== undefined && reader.name !== settings.name && !this.isStopping) {
+        const { timers, random } = this.options;
+        // Before the configuration, from which on requests use limits that all VMs share.
+        await this.membership.readList();
+        if (this.membership.storeReadingRole === "follower" && !this.isStopping) {
             void this.membership.start();
             await Promise.race([
                 this.activeConfiguration.waitUntilLoaded(),
@@ -290,7 +292,7 @@
         );
         return knownService?.maxConnections === undefined
             ? Number.POSITIVE_INFINITY
-            : Math.floor(knownService.maxConnections * CONNECTION_SHARE / this.membership.memberCount);
+            : Math.floor(knownService.maxConnections * CONNECTION_SHARE / this.membership.vmCount.count);
     }
 
     /** Applies the bounds of new settings. All others, such as addresses and region, change only with a restart. */
@@ -567,7 +569,7 @@
     private createQuotaLimiter(): SharedQuotaLimiter {
         return SharedQuotaLimiter.create({
             timers: this.options.timers,
-            countVms: () => this.membership.memberCount,
+            getVmCount: () => this.membership.vmCount,
             getTolerance: () => ({
                 slack: this.bounds.quotaSlack,
                 overrun: this.bounds.quotaOverrun,
@@ -584,13 +586,14 @@
             logger,
             stateStore: RolloutStateStore.create(adapter.store, adapter.statusCodec),
             catchUpWithOrders: () => this.subscriptions.catchUpWithOperators(),
-            getWriterPosition: () => {
+            getWriterIndex: () => {
                 const live = this.membership.listMembers().filter(({ isLive, isLeaving }) =>
                     isLive && !isLeaving
                 );
                 const names = live.map(({ entry }) => entry.name).toSorted();
-                return { index: Math.max(0, names.indexOf(settings.name)), vmCount: names.length };
+                return Math.max(0, names.indexOf(settings.name));
             },
+            countVms: () => this.membership.vmCount.count,
             getExposure: () => ({ share: this.bounds.exposureShare, slack: this.bounds.exposureSlack }),
         });
     }
@@ -605,7 +608,7 @@
             dataCentre,
             region,
             regions,
-            countVms: () => this.membership.memberCount,
+            countVms: () => this.membership.vmCount.count,
         });
     }
 
@@ -705,7 +708,7 @@
                     extra: this.bounds.repeatExtra,
                     windowMs: this.bounds.repeatWindowS * MS_PER_S,
                 }),
-                countVms: () => this.membership.memberCount,
+                countVms: () => this.membership.vmCount.count,
             }),
         });
     }
--- a/packages/wigeonpulley/src/store/keyed-store.ts
+++ b/packages/wigeonpulley/src/store/keyed-store.ts
@@ -3,7 +3,7 @@
 import type { SchedulerError } from "../errors/index.js";
 
 /** Topics by content. */
-export type Topic = "operator" | "instances" | "vms" | "status" | "quarantine";
+export type Topic = "operator" | "instances" | "vms" | "vms-copy-1" | "vms-copy-2" | "status" | "quarantine";
 
 /** One record. */
 export interface KeyedRecord {
--- a/packages/wigeonpulley/test/quotas/first-requests.test.ts
+++ b/packages/wigeonpulley/test/quotas/first-requests.test.ts
@@ -10,7 +10,7 @@
     const timers = VirtualTimerService.create();
     const limiter = SharedQuotaLimiter.create({
         timers,
-        countVms: () => vmCount,
+        getVmCount: () => ({ count: vmCount, isKnown: true }),
         getTolerance: () => ({ slack: 140_000, overrun: 0.1, windowMs: 8_000 }),
     });
     for (let vm = 1; vm <= reportingCount; vm += 1) {
--- a/packages/wigeonpulley/test/quotas/quota-load.test.ts
+++ b/packages/wigeonpulley/test/quotas/quota-load.test.ts
@@ -81,7 +81,7 @@
     private createLimiter(): SharedQuotaLimiter {
         return SharedQuotaLimiter.create({
             timers: this.timers,
-            countVms: () => VM_COUNT,
+            getVmCount: () => ({ count: VM_COUNT, isKnown: true }),
             getTolerance: () => TOLERANCE,
         });
     }
--- a/packages/wigeonpulley/test/quotas/report-cost.test.ts
+++ b/packages/wigeonpulley/test/quotas/report-cost.test.ts
@@ -19,7 +19,7 @@
     });
     const limiter = SharedQuotaLimiter.create({
         timers,
-        countVms: () => VM_COUNT,
+        getVmCount: () => ({ count: VM_COUNT, isKnown: true }),
         getTolerance: () => ({ slack: 140_000, overrun: 0.1, windowMs: 8_000 }),
     });
     const usage = WORKSPACES.map(workspace => {
--- a/packages/wigeonpulley/test/quotas/shared-quota-limiter.test.ts
+++ b/packages/wigeonpulley/test/quotas/shared-quota-limiter.test.ts
@@ -50,7 +50,7 @@
     const createVm = () => ({
         limiter: SharedQuotaLimiter.create({
             timers,
-            countVms: () => (isVmCountKnown ? VM_COUNT : 1),
+            getVmCount: () => ({ count: isVmCountKnown ? VM_COUNT : 1, isKnown: true }),
             getTolerance: () => ({ slack: SLACK, overrun: OVERRUN, windowMs: WINDOW_MS }),
         }),
     });
@@ -158,7 +158,7 @@
     const random = SeededRandom.create(3);
     const limiter = SharedQuotaLimiter.create({
         timers,
-        countVms: () => VM_COUNT,
+        getVmCount: () => ({ count: VM_COUNT, isKnown: true }),
         getTolerance: () => ({ slack: SLACK, overrun: OVERRUN, windowMs: WINDOW_MS }),
     });
     let admittedCount = 0;
@@ -182,7 +182,7 @@
     Object.assign(timers, { now: () => now });
     const limiter = SharedQuotaLimiter.create({
         timers,
-        countVms: () => 1,
+        getVmCount: () => ({ count: 1, isKnown: true }),
         getTolerance: () => ({ slack: 0, overrun: 0, windowMs: WINDOW_MS }),
     });
     const loweredQuota: Quota = { ...QUOTA, ratePerS: 1_000, burst: 1_000 };
--- a/packages/wigeonpulley/test/quotas/silent-vms.test.ts
+++ b/packages/wigeonpulley/test/quotas/silent-vms.test.ts
@@ -11,7 +11,7 @@
 const createLimiter = (timers: VirtualTimerService, vmCount: number): SharedQuotaLimiter =>
     SharedQuotaLimiter.create({
         timers,
-        countVms: () => vmCount,
+        getVmCount: () => ({ count: vmCount, isKnown: true }),
         getTolerance: () => ({ slack: 140_000, overrun: 0.1, windowMs: WINDOW_MS }),
     });
 
--- a/packages/wigeonpulley/test/rollouts/rollout-model.test.ts
+++ b/packages/wigeonpulley/test/rollouts/rollout-model.test.ts
@@ -171,7 +171,8 @@
                 codec,
             ),
             catchUpWithOrders: () => Promise.resolve(true),
-            getWriterPosition: () => ({ index, vmCount: VM_COUNT }),
+            getWriterIndex: () => index,
+            countVms: () => VM_COUNT,
             getExposure: () => EXPOSURE,
         });
         service.recordInstances([this.oldInstance]);
--- a/packages/wigeonpulley/test/rollouts/stale-vm.test.ts
+++ b/packages/wigeonpulley/test/rollouts/stale-vm.test.ts
@@ -31,7 +31,8 @@
             logger: EventLogger.create(MemorySink.create()),
             stateStore: RolloutStateStore.create(store, codec),
             catchUpWithOrders,
-            getWriterPosition: () => ({ index: 0, vmCount: 3 }),
+            getWriterIndex: () => 0,
+            countVms: () => 3,
             getExposure: () => ({ share: 0.1, slack: 50 }),
         });
     const listStates = (): readonly string[] =>
