Count errors outside tests whatever else failed

Cause: run-tests.mjs noticed errors outside tests only by vitest's exit code, and only when no test had failed; a listed failure hid them. 120 came from gateway-client-resources.test.ts: keepSending opened a connection once more after its test had ended.

--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -1,4 +1,4 @@
-// Runs vitest. Failures of tests that KNOWN-RED.txt lists are printed and don't fail the run.
+// Runs vitest. Failures of tests that KNOWN-RED.txt lists are printed and don't fail the run; errors outside tests always do.
 import { spawnSync } from "node:child_process";
 import { existsSync, mkdtempSync, readFileSync, rmSync } from "node:fs";
 import { tmpdir } from "node:os";
@@ -20,18 +20,28 @@
     "platform/test/gateway-client-resources.test.ts",
 ];
 
-/** Runs vitest with further arguments; returns its results, and whether it ended with 0. */
+/** Runs vitest with further arguments; returns its results, the errors outside tests, and whether it ended with 0. */
 const runVitest = args => {
     const folder = mkdtempSync(join(tmpdir(), "wigeonpulley-test-"));
     const report = join(folder, "report.json");
+    const errors = join(folder, "errors.json");
     const { status } = spawnSync(
         "npx",
-        ["vitest", "run", "--reporter=default", "--reporter=json", `--outputFile.json=${report}`, ...args],
-        { stdio: "inherit" },
+        [
+            "vitest",
+            "run",
+            "--reporter=default",
+            "--reporter=json",
+            `--outputFile.json=${report}`,
+            "--reporter=./scripts/unhandled-error-reporter.mjs",
+            ...args,
+        ],
+        { stdio: "inherit", env: { ...process.env, UNHANDLED_ERRORS_FILE: errors } },
     );
     const { testResults } = JSON.parse(readFileSync(report, "utf8"));
+    const unhandledErrors = JSON.parse(readFileSync(errors, "utf8"));
     rmSync(folder, { recursive: true });
-    return { testResults, isSuccess: status === 0 };
+    return { testResults, unhandledErrors, isSuccess: status === 0 };
 };
 
 const chosen = process.argv.slice(2);
@@ -57,8 +67,14 @@
         `known red: ${name}${knownRedNotFailing.includes(name) ? " (did not fail in this run)" : ""}`,
     );
 }
-const hasOtherFailure = runs.some(({ isSuccess }) => !isSuccess) && failed.length === 0;
-const failureCount = unexpectedFailures.length + brokenFiles.length + (hasOtherFailure ? 1 : 0);
+const unhandledErrors = runs.flatMap(run => run.unhandledErrors);
+for (const error of new Set(unhandledErrors)) {
+    console.log(`error outside tests: ${error}`);
+}
+const hasOtherFailure = runs.some(({ isSuccess }) => !isSuccess) && failed.length === 0
+    && unhandledErrors.length === 0;
+const failureCount = unexpectedFailures.length + brokenFiles.length + unhandledErrors.length
+    + (hasOtherFailure ? 1 : 0);
 console.log(
     `${
         tests.length - failed.length - skipped.length
