Keep the copies of the list of VMs apart from the list, and compare versions first

Cause: found when reading the changes again. A VM that was behind could wait for a refresh of its own configuration before it refused a request that was passed on.

Change: copies have an abstract class of their own (VmListCopies), which the membership has or hasn't. Versions are compared before the request is matched, and again if the VM had no configuration until then.

--- a/packages/wigeonpulley/src/forwarding/front-server.ts
+++ b/packages/wigeonpulley/src/forwarding/front-server.ts
@@ -15,7 +15,12 @@
 import { computeAllowedRegions } from "../placement/index.js";
 import type { ProcessorMonitor } from "../processor/index.js";
 import type { RandomSource } from "../random/index.js";
-import { type ActiveConfiguration, type CallerLimits, selectTarget } from "../routing/index.js";
+import {
+    type ActiveConfiguration,
+    type CallerLimits,
+    type RouteTable,
+    selectTarget,
+} from "../routing/index.js";
 import type { TimerService } from "../time/index.js";
 import { type AdmissionCheck, type AdmittedRequest } from "./admission-check.js";
 import type { QuotaLimiter } from "./admission-limits.js";
@@ -92,9 +97,6 @@
 /** Delay of the event loop above which this VM takes no requests of other VMs: it is late for its own callers. */
 const MAX_PEER_LOOP_DELAY_MS = 250;
 
-/** Version of a VM without a configuration. */
-const NO_VERSION = -1;
-
 /** Memory planned for a request beside its body and head, in bytes. */
 const REQUEST_BYTES = 8_192;
 /** Multiple of the open requests from which on connections with several unanswered requests are closed. */
@@ -325,12 +327,8 @@
             this.refuse(writer, "", "", metadata.error);
             return;
         }
-        const ownAdmission = this.refuseBeforeAdmission(message, account)
-            ?? await this.options.admission.admit(
-                { host: message.headers.host ?? "", path: getPath(message) },
-                metadata.value,
-            );
-        const admission = this.findVersionRefusal(ownAdmission, origin) ?? ownAdmission;
+        const admission = this.refuseBeforeAdmission(message, account)
+            ?? await this.admit(message, metadata.value, origin);
         const admitted = admission.andThen(value =>
             origin === undefined
                 ? this.checkLateness(value, arrivedAt, arrival.unreadMs)
@@ -367,6 +365,24 @@
         await this.serveAdmitted(received, response, writer);
     }
 
+    /** Finds the route and workspace of a request, by a configuration that isn't older than that of the VM which passed it on. */
+    private async admit(
+        message: IncomingMessage,
+        metadata: RequestMetadata,
+        origin: PeerRequestOrigin | undefined,
+    ): Promise<Result<AdmittedRequest, SchedulerError>> {
+        const { activeConfiguration, admission } = this.options;
+        const refusal = this.findVersionRefusal(activeConfiguration.routeTable, origin);
+        if (refusal !== undefined) {
+            return refusal;
+        }
+        const target = { host: message.headers.host ?? "", path: getPath(message) };
+        const admitted = await admission.admit(target, metadata);
+        // The first configuration may have been read meanwhile.
+        const table = admitted.isOk() ? admitted.value.table : activeConfiguration.routeTable;
+        return this.findVersionRefusal(table, origin) ?? admitted;
+    }
+
     private async serveAdmitted(
         received: ReceivedRequest,
         response: ServerResponse,
@@ -475,20 +491,18 @@
 
     /**
      * Refuses a request that another VM has admitted by a newer configuration, whatever this VM's older one says of its route
-     * and key; undefined for other requests.
+     * and key; undefined for other requests, and without a configuration.
      */
     private findVersionRefusal(
-        admission: Result<AdmittedRequest, SchedulerError>,
+        table: RouteTable | undefined,
         origin: PeerRequestOrigin | undefined,
     ): Result<never, SchedulerError> | undefined {
-        const { activeConfiguration } = this.options;
         const wantedVersion = origin?.configurationVersion;
-        const table = admission.isOk() ? admission.value.table : activeConfiguration.routeTable;
-        const version = table?.configuration.version ?? NO_VERSION;
-        if (wantedVersion === undefined || version >= wantedVersion) {
+        const version = table?.configuration.version;
+        if (wantedVersion === undefined || version === undefined || version >= wantedVersion) {
             return undefined;
         }
-        activeConfiguration.recordVersion(wantedVersion);
+        this.options.activeConfiguration.recordVersion(wantedVersion);
         return Err(
             SchedulerError.create("ConfigurationBehind", { version, wantedVersion }, {
                 retryAfterMs: RETRY_AFTER_MS,
--- a/packages/wigeonpulley/src/membership/membership-service.ts
+++ b/packages/wigeonpulley/src/membership/membership-service.ts
@@ -16,7 +16,7 @@
 import { chooseByRendezvous } from "../hashing/index.js";
 import type { EventLogger } from "../logging/index.js";
 import { decodePosition, encodePosition, type GossipTransport } from "../peers/index.js";
-import type { VmList, VmListEntry } from "../platform/index.js";
+import type { VmList, VmListCopies, VmListEntry } from "../platform/index.js";
 import { measureWork, type WorkMeter } from "../processor/index.js";
 import type { RandomSource } from "../random/index.js";
 import type { TopicPosition } from "../store/index.js";
@@ -81,6 +81,8 @@
     readonly random: RandomSource;
     readonly logger: EventLogger;
     readonly vmList: VmList;
+    /** Copies of the list for the time when it can't be read; none when absent. */
+    readonly copies?: VmListCopies;
     readonly transport: GossipTransport;
     readonly work?: WorkMeter;
     /** Reports sent with the digests; none when absent. */
@@ -166,7 +168,7 @@
     private listSource: "none" | "copy" | "list" = "none";
     /** Largest number of VMs that another VM has named; 0 for none. */
     private countOfPeers = 0;
-    private readonly copier: VmListCopier;
+    private readonly copier: VmListCopier | undefined;
     private isReadingList = false;
     private cancelListRetry: CancelTimer = () => undefined;
     /** The newest registration, which may be under way. */
@@ -188,7 +190,10 @@
             comparesConfigurations: true,
         });
         this.table = MemberTable.create(options.peerTimeoutMs);
-        this.copier = VmListCopier.create({ ...options, listLive: () => this.listLive() });
+        const { copies } = options;
+        this.copier = copies === undefined
+            ? undefined
+            : VmListCopier.create({ ...options, copies, listLive: () => this.listLive() });
         this.partners = GossipPartners.create({
             ...options,
             onDropped: peer => {
@@ -223,7 +228,7 @@
             timers.scheduleRepeating(vmListPollMs, () => void this.readVmList()),
         );
         void this.registerSelf();
-        this.copier.start();
+        this.copier?.start();
         await this.readList();
         this.gossipWithMembers(GOSSIP_FANOUT);
     }
@@ -244,7 +249,7 @@
     /** Stops the timers. */
     stop(): void {
         this.abortController.abort();
-        this.copier.stop();
+        this.copier?.stop();
         this.cancelListRetry();
         this.cancelTimers.forEach(cancel => cancel());
     }
@@ -558,7 +563,7 @@
 
     /** Reads a copy of the list and applies it, unless the list itself is read meanwhile. */
     private async readCopy(): Promise<void> {
-        const vms = await this.options.vmList.readCopy();
+        const vms = await this.options.copies?.read();
         if (vms !== undefined && !this.hasReadList) {
             this.listSource = "copy";
             this.options.logger.write("VmListCopyRead", { vms: vms.length });
--- a/packages/wigeonpulley/src/membership/vm-list-copier.ts
+++ b/packages/wigeonpulley/src/membership/vm-list-copier.ts
@@ -4,7 +4,7 @@
  * harm.
  */
 import type { EventLogger } from "../logging/index.js";
-import type { VmList, VmListEntry } from "../platform/index.js";
+import type { VmList, VmListCopies, VmListEntry } from "../platform/index.js";
 import type { CancelTimer, TimerService } from "../time/index.js";
 
 /** Dependencies of a copier. */
@@ -13,6 +13,7 @@
     readonly timers: TimerService;
     readonly logger: EventLogger;
     readonly vmList: VmList;
+    readonly copies: VmListCopies;
     /** Returns the VMs that are live. */
     readonly listLive: () => readonly VmListEntry[];
 }
@@ -57,7 +58,7 @@
     }
 
     private async copyIfWriter(): Promise<void> {
-        const { vmList, logger } = this.options;
+        const { vmList, copies, logger } = this.options;
         if (!this.isWriter()) {
             // Another VM may write meanwhile.
             this.copiedNames = undefined;
@@ -73,7 +74,7 @@
         if (names === this.copiedNames) {
             return;
         }
-        const outcome = await vmList.writeCopies(vms);
+        const outcome = await copies.write(vms);
         if (outcome.isOk()) {
             this.copiedNames = names;
         }
--- a/packages/wigeonpulley/src/platform/index.ts
+++ b/packages/wigeonpulley/src/platform/index.ts
@@ -4,6 +4,7 @@
 export {
     endpointListEntrySchema,
     VmList,
+    VmListCopies,
     type VmListEntry,
     vmListEntrySchema,
     vmListSchema,
--- a/packages/wigeonpulley/src/platform/vm-list.ts
+++ b/packages/wigeonpulley/src/platform/vm-list.ts
@@ -1,5 +1,5 @@
 /** Interface of the platform's list of VMs, which lags behind the actual state. */
-import { Ok, type Result } from "ts-results-es";
+import type { Result } from "ts-results-es";
 import * as z from "zod";
 import type { SchedulerError } from "../errors/index.js";
 
@@ -40,18 +40,13 @@
 
     /** Registers this VM or updates its state. Fails with PeerUnavailable when the platform does not respond. */
     abstract register(entry: VmListEntry): Promise<Result<void, SchedulerError>>;
+}
+
+/** Copies of the list, from which a VM that can't read the list itself learns which VMs there are. */
+export abstract class VmListCopies {
+    /** Reads the copies, which may be some seconds older than the list; undefined when there is none, or none can be read. */
+    abstract read(): Promise<readonly VmListEntry[] | undefined>;
 
-    /**
-     * Reads the VMs of a copy of the list, which may be some seconds older. Undefined when there is none, as by default, or
-     * when none can be read.
-     */
-    readCopy(): Promise<readonly VmListEntry[] | undefined> {
-        return Promise.resolve(undefined);
-    }
-
-    /** Writes the VMs of the list to its copies, as far as they differ; without effect by default. */
-    // eslint-disable-next-line @typescript-eslint/no-unused-vars -- the parameter is part of the interface
-    writeCopies(vms: readonly VmListEntry[]): Promise<Result<void, SchedulerError>> {
-        return Promise.resolve(Ok.EMPTY);
-    }
+    /** Writes the copies that differ. Fails with StoreUnavailable, or with StoreConflict when another VM writes meanwhile. */
+    abstract write(vms: readonly VmListEntry[]): Promise<Result<void, SchedulerError>>;
 }
--- a/packages/wigeonpulley/src/routed-vm/routed-vm.ts
+++ b/packages/wigeonpulley/src/routed-vm/routed-vm.ts
@@ -36,7 +36,7 @@
 import type { RandomSource } from "../random/index.js";
 import { RolloutService, RolloutStateStore } from "../rollouts/index.js";
 import { ActiveConfiguration, computeAgeLimits, type RoutingConfiguration } from "../routing/index.js";
-import { type RecordBatch, StoreVmList, type TopicPosition } from "../store/index.js";
+import { type RecordBatch, StoreVmList, StoreVmListCopies, type TopicPosition } from "../store/index.js";
 import type { CancelTimer, TimerService } from "../time/index.js";
 import { GossipedEvidence } from "./gossiped-evidence.js";
 import { GossipedFreshness } from "./gossiped-freshness.js";
@@ -632,6 +632,7 @@
             random,
             logger,
             vmList: this.vmList,
+            copies: StoreVmListCopies.create(this.options.adapter.store),
             transport: peers,
             work: processor.work,
             reports: ReportService.create({
--- a/packages/wigeonpulley/src/store/index.ts
+++ b/packages/wigeonpulley/src/store/index.ts
@@ -18,5 +18,6 @@
     type TopicPosition,
 } from "./keyed-store.js";
 export { RecordArchive } from "./record-archive.js";
+export { StoreVmListCopies } from "./store-vm-list-copies.js";
 export { StoreVmList } from "./store-vm-list.js";
 export { TopicFollower, type TopicFollowerOptions, type TopicListener } from "./topic-follower.js";
